--- a/cmd/burdockctl/main.go
+++ b/cmd/burdockctl/main.go
@@ -12,7 +12,7 @@
 
 	"github.com/burdockward/burdockward/configuration"
 	"github.com/burdockward/burdockward/ctl"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 func main() {
@@ -31,7 +31,7 @@
 }
 
 func open(url string) (ctl.Platform, error) {
-	client, err := platform.New(platform.Options{URL: url})
+	client, err := tableservice.New(tableservice.Options{URL: url})
 	if err != nil {
 		return nil, err
 	}
--- a/configuration/duty.go
+++ b/configuration/duty.go
@@ -18,8 +18,8 @@
 	"github.com/burdockward/burdockward/adminapi"
 	"github.com/burdockward/burdockward/peer"
 	"github.com/burdockward/burdockward/peer/peerpb"
-	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/ring"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 const (
@@ -34,7 +34,7 @@
 // Store is the part of the table service that VMs read.
 type Store interface {
 	// Changes returns the rows of a table written after a commit.
-	Changes(ctx context.Context, table string, since uint64) (platform.Changes, error)
+	Changes(ctx context.Context, table string, since uint64) (tableservice.Changes, error)
 }
 
 // Sender sends messages to peers. It never blocks and reports whether there was
@@ -93,7 +93,7 @@
 type readResult struct {
 	sentAt  time.Duration
 	since   uint64
-	changes platform.Changes
+	changes tableservice.Changes
 	err     error
 }
 
@@ -285,7 +285,7 @@
 
 // changeSet takes the rows of a read. Its version is that of the newest row, not
 // the newest commit of the store, which counts other tables too.
-func changeSet(since uint64, changes platform.Changes) ChangeSet {
+func changeSet(since uint64, changes tableservice.Changes) ChangeSet {
 	set := ChangeSet{Since: since, Version: since}
 	for _, row := range changes.Rows {
 		set.Rows = append(set.Rows, Row{Key: row.Key, Version: row.Version, Value: row.Value})
--- a/configuration/duty_test.go
+++ b/configuration/duty_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/burdockward/burdockward/peer"
 	"github.com/burdockward/burdockward/peer/peerpb"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // lockedStore lets a duty's reads and the test's writes meet.
@@ -22,12 +22,12 @@
 	hangs bool
 }
 
-func (s *lockedStore) Changes(ctx context.Context, table string, since uint64) (platform.Changes, error) {
+func (s *lockedStore) Changes(ctx context.Context, table string, since uint64) (tableservice.Changes, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.hangs {
 		<-ctx.Done()
-		return platform.Changes{}, ctx.Err()
+		return tableservice.Changes{}, ctx.Err()
 	}
 	return s.store.Changes(ctx, table, since)
 }
@@ -35,8 +35,8 @@
 func (s *lockedStore) put(t *testing.T, row Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	write := platform.Write{Table: Table, Key: row.Key, Value: json.RawMessage(row.Value)}
-	_, err := s.store.apply(platform.Commit{Writes: []platform.Write{write}})
+	write := tableservice.Write{Table: Table, Key: row.Key, Value: json.RawMessage(row.Value)}
+	_, err := s.store.apply(tableservice.Commit{Writes: []tableservice.Write{write}})
 	must.NoError(t, err)
 }
 
--- a/configuration/editor.go
+++ b/configuration/editor.go
@@ -9,8 +9,8 @@
 
 	"github.com/zeebo/errs/v2"
 
-	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/profile"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // Errors of an Editor; a lost race is a *Conflict.
@@ -130,7 +130,7 @@
 // at once: every commit names the versions that it was decided on, and at most
 // one of those that name the same version takes effect.
 type Editor struct {
-	Tables platform.Tables
+	Tables tableservice.Tables
 	// Wait waits between two rounds and fails when the context ends; nil uses a
 	// timer.
 	Wait func(ctx context.Context, d time.Duration) error
@@ -146,7 +146,7 @@
 	return newCurrent(changes), nil
 }
 
-func newCurrent(changes platform.Changes) *Current {
+func newCurrent(changes tableservice.Changes) *Current {
 	set := changeSet(0, changes)
 	current := &Current{Version: set.Version, byKey: map[string]int{}}
 	rows := set.Rows
@@ -169,7 +169,7 @@
 }
 
 // Commit applies a change that was decided on current. It returns an error
-// tagged ErrInvalidChange, platform.ErrUnavailable or platform.ErrInvalid, or a
+// tagged ErrInvalidChange, tableservice.ErrUnavailable or tableservice.ErrInvalid, or a
 // *Conflict, when nothing took effect, and ErrOutcomeUnknown when that isn't
 // known.
 func (e *Editor) Commit(ctx context.Context, current *Current, change Change) (Accepted, error) {
@@ -193,14 +193,14 @@
 		if err == nil {
 			return Accepted{Version: version, Change: p.change.ID}, nil
 		}
-		if errors.Is(err, platform.ErrInvalid) && !ambiguous {
+		if errors.Is(err, tableservice.ErrInvalid) && !ambiguous {
 			return Accepted{}, err
 		}
-		var conflict *platform.ConflictError
+		var conflict *tableservice.ConflictError
 		if errors.As(err, &conflict) && !ambiguous {
 			return Accepted{}, e.conflict(ctx, p, Object{Key: conflict.Key})
 		}
-		ambiguous = ambiguous || !errors.Is(err, platform.ErrUnavailable)
+		ambiguous = ambiguous || !errors.Is(err, tableservice.ErrUnavailable)
 		if ambiguous {
 			accepted, decided, readErr := e.readBack(ctx, p)
 			if decided {
@@ -269,7 +269,7 @@
 	revisions []uint64
 	// bases are the versions of the rows that were read.
 	bases  []uint64
-	commit platform.Commit
+	commit tableservice.Commit
 }
 
 // plan turns a change into a commit with the versions that it was decided on.
@@ -300,7 +300,7 @@
 
 func checkEdit(current *Current, object Object, edit Edit, change Change) error {
 	if edit.Seen != nil && object.Version < *edit.Seen {
-		return platform.ErrUnavailable.Errorf("the store answered with a state older than version %d: try again", *edit.Seen)
+		return tableservice.ErrUnavailable.Errorf("the store answered with a state older than version %d: try again", *edit.Seen)
 	}
 	if edit.Seen != nil && object.Version > *edit.Seen {
 		return &Conflict{Change: change.ID, Losses: []Loss{{Edit: edit, Winner: object}}}
@@ -350,9 +350,9 @@
 	}
 	p.revisions = append(p.revisions, record.Revision)
 	p.bases = append(p.bases, object.Version)
-	p.commit.Expect = append(p.commit.Expect, platform.Expectation{Table: Table, Key: edit.key(), Version: expected})
+	p.commit.Expect = append(p.commit.Expect, tableservice.Expectation{Table: Table, Key: edit.key(), Version: expected})
 	p.commit.Writes = append(p.commit.Writes,
-		platform.Write{Table: Table, Key: edit.key(), Value: value},
-		platform.Write{Table: HistoryTable, Key: historyKey(edit.Kind, edit.Name, record.Revision), Value: value})
+		tableservice.Write{Table: Table, Key: edit.key(), Value: value},
+		tableservice.Write{Table: HistoryTable, Key: historyKey(edit.Kind, edit.Name, record.Revision), Value: value})
 	return nil
 }
--- a/configuration/editor_test.go
+++ b/configuration/editor_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/profile"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 func testEditor(s *fakeStore, between func()) *Editor {
@@ -138,7 +138,7 @@
 	must.NoError(t, err)
 	up.down = true
 	_, err = testEditor(up, nil).Commit(context.Background(), current, Change{ID: "x", Edits: []Edit{profileEdit("a", 1)}})
-	must.ErrorIs(t, err, platform.ErrUnavailable, must.Sprint("nothing was sent"))
+	must.ErrorIs(t, err, tableservice.ErrUnavailable, must.Sprint("nothing was sent"))
 }
 
 // TestOverwrittenHistoryIsUnknown has so many later changes that the history no
@@ -253,7 +253,7 @@
 	e := testEditor(s, nil)
 	_, err := commitOn(t, e, "old", profileEdit("b", 1))
 	must.NoError(t, err)
-	_, err = s.apply(platform.Commit{Writes: []platform.Write{{Table: Table, Key: "profile/b"}}})
+	_, err = s.apply(tableservice.Commit{Writes: []tableservice.Write{{Table: Table, Key: "profile/b"}}})
 	must.NoError(t, err)
 	s.fault = faultsOnce(commitLost)
 	a, err := commitOn(t, e, "x", profileEdit("a", 1), profileEdit("b", 2))
--- a/configuration/fake_test.go
+++ b/configuration/fake_test.go
@@ -5,7 +5,7 @@
 	"errors"
 	"slices"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // commitFault is what befalls one commit.
@@ -26,7 +26,7 @@
 // written is one row of one commit.
 type written struct {
 	table string
-	row   platform.Row
+	row   tableservice.Row
 }
 
 // fakeStore is a table service that keeps all commits, so that it can answer
@@ -41,46 +41,46 @@
 	lag   func() uint64
 	// before runs ahead of each commit.
 	before  func()
-	delayed []platform.Commit
+	delayed []tableservice.Commit
 }
 
-var errLost = platform.ErrUnknownOutcome.Errorf("connection broken")
+var errLost = tableservice.ErrUnknownOutcome.Errorf("connection broken")
 
-func (s *fakeStore) Changes(_ context.Context, table string, since uint64) (platform.Changes, error) {
+func (s *fakeStore) Changes(_ context.Context, table string, since uint64) (tableservice.Changes, error) {
 	if s.down {
-		return platform.Changes{}, platform.ErrUnavailable.Errorf("down")
+		return tableservice.Changes{}, tableservice.ErrUnavailable.Errorf("down")
 	}
 	at := s.version
 	if s.lag != nil {
 		at -= min(s.lag(), at)
 	}
-	return platform.Changes{Version: at, Rows: s.rows(table, since, at)}, nil
+	return tableservice.Changes{Version: at, Rows: s.rows(table, since, at)}, nil
 }
 
 // rows are the newest rows of a table written in (since, at].
-func (s *fakeStore) rows(table string, since, at uint64) []platform.Row {
-	newest := map[string]platform.Row{}
+func (s *fakeStore) rows(table string, since, at uint64) []tableservice.Row {
+	newest := map[string]tableservice.Row{}
 	for _, w := range s.log {
 		if w.table == table && w.row.Version <= at {
 			newest[w.row.Key] = w.row
 		}
 	}
-	var rows []platform.Row
+	var rows []tableservice.Row
 	for _, row := range newest {
 		if row.Version > since {
 			rows = append(rows, row)
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return int(a.Version) - int(b.Version) })
+	slices.SortFunc(rows, func(a, b tableservice.Row) int { return int(a.Version) - int(b.Version) })
 	return rows
 }
 
-func (s *fakeStore) Commit(_ context.Context, c platform.Commit) (uint64, error) {
+func (s *fakeStore) Commit(_ context.Context, c tableservice.Commit) (uint64, error) {
 	if s.before != nil {
 		s.before()
 	}
 	if s.down {
-		return 0, platform.ErrUnavailable.Errorf("down")
+		return 0, tableservice.ErrUnavailable.Errorf("down")
 	}
 	fault := commitOK
 	if s.fault != nil {
@@ -88,7 +88,7 @@
 	}
 	switch fault {
 	case commitRefused:
-		return 0, platform.ErrUnavailable.Errorf("refused")
+		return 0, tableservice.ErrUnavailable.Errorf("refused")
 	case commitDelayed:
 		s.delayed = append(s.delayed, c)
 		return 0, errLost
@@ -102,16 +102,16 @@
 	return version, err
 }
 
-func (s *fakeStore) apply(c platform.Commit) (uint64, error) {
+func (s *fakeStore) apply(c tableservice.Commit) (uint64, error) {
 	for _, e := range c.Expect {
 		if present := s.rowVersion(e.Table, e.Key); present != e.Version {
 			e.Version = present
-			return 0, &platform.ConflictError{Expectation: e}
+			return 0, &tableservice.ConflictError{Expectation: e}
 		}
 	}
 	s.version++
 	for _, w := range c.Writes {
-		s.log = append(s.log, written{w.Table, platform.Row{Key: w.Key, Version: s.version, Value: w.Value}})
+		s.log = append(s.log, written{w.Table, tableservice.Row{Key: w.Key, Version: s.version, Value: w.Value}})
 	}
 	return s.version, nil
 }
--- a/configuration/history.go
+++ b/configuration/history.go
@@ -8,7 +8,7 @@
 	"slices"
 	"strings"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // readBack looks for who wrote the revision that the change was to write. Only
@@ -20,7 +20,7 @@
 	if err != nil {
 		return Accepted{}, false, err
 	}
-	rows := make(map[string]platform.Row, len(history.Rows))
+	rows := make(map[string]tableservice.Row, len(history.Rows))
 	for _, row := range history.Rows {
 		rows[row.Key] = row
 	}
@@ -44,7 +44,7 @@
 }
 
 // parseHistory reads a history row.
-func parseHistory(row platform.Row) (Record, bool) {
+func parseHistory(row tableservice.Row) (Record, bool) {
 	if row.Deleted() {
 		return Record{}, false
 	}
--- a/configuration/spread_test.go
+++ b/configuration/spread_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/burdockward/burdockward/peer"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 const (
@@ -94,7 +94,7 @@
 	took := spreadRead
 	if s.way.readFails && s.store.version > 1 && !s.failed[i] {
 		s.failed[i] = true
-		err, took = platform.ErrUnavailable.Errorf("slow"), readTimeout
+		err, took = tableservice.ErrUnavailable.Errorf("slow"), readTimeout
 	}
 	s.at(now+took, func(done time.Duration) {
 		s.act(done, i, s.vms[i].ReadDone(done, now, changes.Version, changeSet(out.Since, changes), err))
@@ -118,7 +118,7 @@
 
 func (s *spread) put(version uint64) {
 	row := profileRow("a", version)
-	_, _ = s.store.apply(platform.Commit{Writes: []platform.Write{{Table: Table, Key: row.Key, Value: row.Value}}})
+	_, _ = s.store.apply(tableservice.Commit{Writes: []tableservice.Write{{Table: Table, Key: row.Key, Value: row.Value}}})
 }
 
 // run makes a change at changeAt and returns the delay at the slowest VM and the
--- a/configuration/world_test.go
+++ b/configuration/world_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/burdockward/burdockward/peer"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 const (
@@ -34,7 +34,7 @@
 type pendingRead struct {
 	sentAt  time.Duration
 	since   uint64
-	changes platform.Changes
+	changes tableservice.Changes
 	err     error
 }
 
@@ -143,7 +143,7 @@
 	read := &pendingRead{sentAt: w.local(m), since: since}
 	read.changes, read.err = w.store.Changes(context.Background(), Table, since)
 	if m.cutOff {
-		read.err = platform.ErrUnavailable.Errorf("cut off")
+		read.err = tableservice.ErrUnavailable.Errorf("cut off")
 	}
 	m.read = read
 }
--- a/ctl/admin.go
+++ b/ctl/admin.go
@@ -18,7 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockward/burdockward/adminapi"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 const (
@@ -129,21 +129,21 @@
 }
 
 // entryVMs takes the entry VMs of a list with their admin addresses.
-func entryVMs(list platform.List, domain string, port uint16) ([]vm, error) {
+func entryVMs(list tableservice.List, domain string, port uint16) ([]vm, error) {
 	var entries []vm
 	for _, listed := range list.VMs {
-		if listed.Kind != platform.KindEntry {
+		if listed.Kind != tableservice.KindEntry {
 			continue
 		}
 		host, _, err := net.SplitHostPort(cmp.Or(listed.PeerAddress, listed.Address))
 		if err != nil {
-			return nil, platform.ErrUnavailable.Errorf("the VM list gives %s no usable address: %w", listed.ID, err)
+			return nil, tableservice.ErrUnavailable.Errorf("the VM list gives %s no usable address: %w", listed.ID, err)
 		}
 		entries = append(entries, vm{
 			id:      listed.ID,
 			domain:  domain,
 			address: net.JoinHostPort(host, strconv.Itoa(int(port))),
-			leaving: listed.State == platform.StateLeaving,
+			leaving: listed.State == tableservice.StateLeaving,
 		})
 	}
 	return entries, nil
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -15,7 +15,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/burdockward/burdockward/configuration"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // Exit codes.
@@ -84,8 +84,8 @@
 
 // Platform is what the tool uses of the platform.
 type Platform interface {
-	platform.Tables
-	platform.VMList
+	tableservice.Tables
+	tableservice.VMList
 }
 
 // App is the tool with its surroundings.
@@ -124,7 +124,7 @@
 		return ExitUnknown
 	case errors.Is(err, errNotInForce):
 		return ExitNotInForce
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, tableservice.ErrUnavailable):
 		return ExitUnavailable
 	}
 	// Everything else is an input that has to be changed, the library's own
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/burdockward/burdockward/adminapi"
 	"github.com/burdockward/burdockward/configuration"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 func TestProfileLife(t *testing.T) {
@@ -210,12 +210,12 @@
 // TestVMListGivesAddresses takes the entry VMs of the platform's list alone.
 func TestVMListGivesAddresses(t *testing.T) {
 	b := newBench(t)
-	b.platform.vms["hall-a"] = []platform.VM{
-		{ID: "target", Kind: platform.KindTarget, Address: "127.0.0.9:1"},
-		{ID: "vm-b", Kind: platform.KindEntry, PeerAddress: "127.0.0.1:7101", State: platform.StateLeaving},
-		{ID: "vm-a", Kind: platform.KindEntry, Address: "127.0.0.2:7100"},
+	b.platform.vms["hall-a"] = []tableservice.VM{
+		{ID: "target", Kind: tableservice.KindTarget, Address: "127.0.0.9:1"},
+		{ID: "vm-b", Kind: tableservice.KindEntry, PeerAddress: "127.0.0.1:7101", State: tableservice.StateLeaving},
+		{ID: "vm-a", Kind: tableservice.KindEntry, Address: "127.0.0.2:7100"},
 	}
-	list, err := entryVMs(platform.List{VMs: b.platform.vms["hall-a"]}, "hall-a", 7102)
+	list, err := entryVMs(tableservice.List{VMs: b.platform.vms["hall-a"]}, "hall-a", 7102)
 	must.NoError(t, err)
 	must.Eq(t, []vm{
 		{id: "vm-b", domain: "hall-a", address: "127.0.0.1:7102", leaving: true},
--- a/ctl/events.go
+++ b/ctl/events.go
@@ -12,7 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/burdockward/burdockward/adminapi"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // defaultSince is how far back events looks.
@@ -65,7 +65,7 @@
 		return err
 	}
 	if answered == 0 {
-		return platform.ErrUnavailable.Errorf("no entry VM answered at its admin port: check --admin-port and the network")
+		return tableservice.ErrUnavailable.Errorf("no entry VM answered at its admin port: check --admin-port and the network")
 	}
 	return nil
 }
--- a/ctl/fake_test.go
+++ b/ctl/fake_test.go
@@ -18,14 +18,14 @@
 
 	"github.com/burdockward/burdockward/adminapi"
 	"github.com/burdockward/burdockward/configuration"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // fakePlatform is a table service and a VM list in memory.
 type fakePlatform struct {
 	version uint64
-	tables  map[string]map[string]platform.Row
-	vms     map[string][]platform.VM
+	tables  map[string]map[string]tableservice.Row
+	vms     map[string][]tableservice.VM
 	down    bool
 	// lagging is a table whose newest commit reads don't show.
 	lagging string
@@ -35,11 +35,11 @@
 	before func()
 }
 
-func (p *fakePlatform) Changes(_ context.Context, table string, since uint64) (platform.Changes, error) {
+func (p *fakePlatform) Changes(_ context.Context, table string, since uint64) (tableservice.Changes, error) {
 	if p.down {
-		return platform.Changes{}, platform.ErrUnavailable.Errorf("down")
+		return tableservice.Changes{}, tableservice.ErrUnavailable.Errorf("down")
 	}
-	changes := platform.Changes{Version: p.version}
+	changes := tableservice.Changes{Version: p.version}
 	for _, row := range p.tables[table] {
 		hidden := table == p.lagging && row.Version == p.version
 		if row.Version > since && !hidden {
@@ -49,39 +49,39 @@
 	return changes, nil
 }
 
-func (p *fakePlatform) Commit(_ context.Context, c platform.Commit) (uint64, error) {
+func (p *fakePlatform) Commit(_ context.Context, c tableservice.Commit) (uint64, error) {
 	if before := p.before; before != nil {
 		p.before = nil
 		before()
 	}
 	if p.down {
-		return 0, platform.ErrUnavailable.Errorf("down")
+		return 0, tableservice.ErrUnavailable.Errorf("down")
 	}
 	for _, e := range c.Expect {
 		if present := p.tables[e.Table][e.Key].Version; present != e.Version {
 			e.Version = present
-			return 0, &platform.ConflictError{Expectation: e}
+			return 0, &tableservice.ConflictError{Expectation: e}
 		}
 	}
 	p.version++
 	for _, w := range c.Writes {
 		if p.tables[w.Table] == nil {
-			p.tables[w.Table] = map[string]platform.Row{}
+			p.tables[w.Table] = map[string]tableservice.Row{}
 		}
-		p.tables[w.Table][w.Key] = platform.Row{Key: w.Key, Version: p.version, Value: w.Value}
+		p.tables[w.Table][w.Key] = tableservice.Row{Key: w.Key, Version: p.version, Value: w.Value}
 	}
 	if p.downAfter {
 		p.down = true
-		return 0, platform.ErrUnknownOutcome.Errorf("connection broken")
+		return 0, tableservice.ErrUnknownOutcome.Errorf("connection broken")
 	}
 	return p.version, nil
 }
 
-func (p *fakePlatform) VMs(_ context.Context, domain string, _ uint64) (platform.List, error) {
+func (p *fakePlatform) VMs(_ context.Context, domain string, _ uint64) (tableservice.List, error) {
 	if p.down {
-		return platform.List{}, platform.ErrUnavailable.Errorf("down")
+		return tableservice.List{}, tableservice.ErrUnavailable.Errorf("down")
 	}
-	return platform.List{Version: 1, VMs: p.vms[domain]}, nil
+	return tableservice.List{Version: 1, VMs: p.vms[domain]}, nil
 }
 
 // bench is the tool with fakes around it.
@@ -103,7 +103,7 @@
 	}
 	t.Setenv("BURDOCKCTL_PLATFORM", "http://192.0.2.1:7000")
 	t.Setenv("BURDOCKCTL_OPERATOR", "maria")
-	b := &bench{t: t, platform: &fakePlatform{tables: map[string]map[string]platform.Row{}, vms: map[string][]platform.VM{}}}
+	b := &bench{t: t, platform: &fakePlatform{tables: map[string]map[string]tableservice.Row{}, vms: map[string][]tableservice.VM{}}}
 	b.app = &App{
 		Stdout: &b.out,
 		Stderr: &b.err,
--- a/ctl/profile.go
+++ b/ctl/profile.go
@@ -9,8 +9,8 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/burdockward/burdockward/configuration"
-	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/profile"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 func (a *App) profileCommand() *cli.Command {
@@ -305,7 +305,7 @@
 	}
 	present := current.Object(configuration.KindProfile, name)
 	if len(list) > 0 && list[0].Version != present.Version {
-		return platform.ErrUnavailable.Errorf("the history and the profile were read at different times: run rollback again")
+		return tableservice.ErrUnavailable.Errorf("the history and the profile were read at different times: run rollback again")
 	}
 	revision, err := configuration.FindRevision(list, c.Uint64(flagRevision))
 	if err != nil {
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -11,7 +11,7 @@
 
 	"github.com/burdockward/burdockward/adminapi"
 	"github.com/burdockward/burdockward/key"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // StatusResult is the output of status.
@@ -48,7 +48,7 @@
 		return err
 	}
 	if len(result.VMs) == 0 {
-		return platform.ErrUnavailable.Errorf("no entry VM answered at its admin port: check --admin-port and the network")
+		return tableservice.ErrUnavailable.Errorf("no entry VM answered at its admin port: check --admin-port and the network")
 	}
 	return nil
 }
@@ -162,7 +162,7 @@
 	case len(result.Explanations) > 0:
 		return nil
 	case len(result.Unreachable) > 0 || len(list) == 0:
-		return platform.ErrUnavailable.Errorf("no VM that answered knows of the key, but %d didn't answer", len(result.Unreachable))
+		return tableservice.ErrUnavailable.Errorf("no VM that answered knows of the key, but %d didn't answer", len(result.Unreachable))
 	}
 	return usagef("no entry VM of %s knows of the key: it never arrived, or its record has expired", parsed.Domain)
 }
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -9,18 +9,18 @@
 	"github.com/burdockward/burdockward/dispatch"
 	"github.com/burdockward/burdockward/peer"
 	"github.com/burdockward/burdockward/peer/peerpb"
-	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/ring"
 	"github.com/burdockward/burdockward/sendonce"
 	"github.com/burdockward/burdockward/settings"
 	"github.com/burdockward/burdockward/submission"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/tableservice"
+	"github.com/burdockward/burdockward/targetclient"
 	"github.com/burdockward/burdockward/telemetry"
 )
 
 // newDaemon makes the duties and joins them.
 func newDaemon(s *settings.Settings, tel *telemetry.Telemetry) (*Daemon, error) {
-	client, err := platform.New(platform.Options{
+	client, err := tableservice.New(tableservice.Options{
 		URL:         s.Platform.URL,
 		ReadTimeout: s.Platform.Timeout,
 		HTTP:        sendonce.Options{Header: tel.InjectHTTP},
@@ -36,7 +36,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		started:     time.Now(),
 		platform:    client,
-		targets:     target.New(target.Options{HTTP: sendonce.Options{Header: tel.InjectHTTP}}),
+		targets:     targetclient.New(targetclient.Options{HTTP: sendonce.Options{Header: tel.InjectHTTP}}),
 	}
 	self := peer.Sender{ID: s.VMID, Incarnation: d.incarnation}
 	d.peers = peer.New(peer.Options{Self: self, Scope: tel.Scope(), Header: tel.InjectHTTP})
@@ -86,7 +86,7 @@
 
 func (d *Daemon) newDispatch() *dispatch.Duty {
 	return dispatch.New(dispatch.Options{
-		Holder:      target.Holder(d.settings.VMID, d.incarnation),
+		Holder:      targetclient.Holder(d.settings.VMID, d.incarnation),
 		Submissions: d.settings.Limits.Submissions,
 		Placer:      d.newPlacer(),
 		Limits:      d.shared,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,12 +19,12 @@
 	"github.com/burdockward/burdockward/membership"
 	"github.com/burdockward/burdockward/peer"
 	"github.com/burdockward/burdockward/peer/peerpb"
-	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/quota"
 	"github.com/burdockward/burdockward/ring"
 	"github.com/burdockward/burdockward/settings"
 	"github.com/burdockward/burdockward/submission"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/tableservice"
+	"github.com/burdockward/burdockward/targetclient"
 	"github.com/burdockward/burdockward/telemetry"
 	"github.com/burdockward/burdockward/vmlist"
 	"github.com/uber-go/tally/v4"
@@ -54,8 +54,8 @@
 	started     time.Time
 	draining    atomic.Bool
 
-	platform *platform.Client
-	targets  *target.Client
+	platform *tableservice.Client
+	targets  *targetclient.Client
 	peers    *peer.Transport
 	claims   *claim.Duty
 	shared   *dispatch.Shared
--- a/daemon/lists.go
+++ b/daemon/lists.go
@@ -7,20 +7,20 @@
 	"github.com/burdockward/burdockward/dispatch"
 	"github.com/burdockward/burdockward/membership"
 	"github.com/burdockward/burdockward/peer/peerpb"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 	"github.com/burdockward/burdockward/vmlist"
 )
 
 // onList gives a newer VM list to the duties that use it.
-func (d *Daemon) onList(list platform.List) {
+func (d *Daemon) onList(list tableservice.List) {
 	var targets []dispatch.Target
 	var live []membership.ListedVM
 	var leaving []string
 	for _, vm := range list.VMs {
 		switch {
-		case vm.Kind == platform.KindTarget:
+		case vm.Kind == tableservice.KindTarget:
 			targets = append(targets, listedTarget(vm))
-		case vm.State == platform.StateLeaving:
+		case vm.State == tableservice.StateLeaving:
 			leaving = append(leaving, vm.ID)
 		default:
 			live = append(live, membership.ListedVM{ID: vm.ID, Address: vm.PeerAddress})
@@ -44,13 +44,13 @@
 	return peers
 }
 
-func listedTarget(vm platform.VM) dispatch.Target {
+func listedTarget(vm tableservice.VM) dispatch.Target {
 	return dispatch.Target{
 		ID:      vm.ID,
 		Address: vm.Address,
 		Rack:    vm.Rack,
 		Slots:   vm.Slots,
-		Leaving: vm.State == platform.StateLeaving,
+		Leaving: vm.State == tableservice.StateLeaving,
 	}
 }
 
--- a/daemon/quota.go
+++ b/daemon/quota.go
@@ -6,7 +6,7 @@
 	"github.com/burdockward/burdockward/configuration"
 	"github.com/burdockward/burdockward/profile"
 	"github.com/burdockward/burdockward/quota"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 )
 
 // takeoverMargin is added to the view lease before a new home takes over a row.
@@ -16,7 +16,7 @@
 	return quota.NewDuty(quota.DutyOptions{
 		State: quota.Options{
 			Domain:        d.settings.FailureDomain,
-			Self:          target.Holder(d.settings.VMID, d.incarnation),
+			Self:          targetclient.Holder(d.settings.VMID, d.incarnation),
 			TakeoverAfter: d.settings.Membership.ViewLease + takeoverMargin,
 		},
 		Store: d.platform,
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -17,7 +17,7 @@
 	"github.com/burdockward/burdockward/profile"
 	"github.com/burdockward/burdockward/ring"
 	"github.com/burdockward/burdockward/submission"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -43,12 +43,12 @@
 	Log   *slog.Logger
 }
 
-// TargetClient reaches targets; *target.Client implements it.
+// TargetClient reaches targets; *targetclient.Client implements it.
 type TargetClient interface {
-	Lease(ctx context.Context, address, holder string) (target.Lease, error)
-	Start(ctx context.Context, address string, request target.StartRequest) (target.StartResponse, error)
-	Stop(ctx context.Context, address string, tasks []target.TaskID, checkpoint bool) (int, error)
-	Revoke(ctx context.Context, address string, holders []string) ([]target.RunningTask, error)
+	Lease(ctx context.Context, address, holder string) (targetclient.Lease, error)
+	Start(ctx context.Context, address string, request targetclient.StartRequest) (targetclient.StartResponse, error)
+	Stop(ctx context.Context, address string, tasks []targetclient.TaskID, checkpoint bool) (int, error)
+	Revoke(ctx context.Context, address string, holders []string) ([]targetclient.RunningTask, error)
 }
 
 // Defaults of Options.
@@ -121,9 +121,9 @@
 	RunTime time.Duration
 	Result  Result
 	// Reason says why a task was not started.
-	Reason target.Reason
+	Reason targetclient.Reason
 	// Load is the target's own report, nil without one.
-	Load *target.Load
+	Load *targetclient.Load
 }
 
 // Result says how a start ended.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -18,7 +18,7 @@
 	"github.com/burdockward/burdockward/key"
 	"github.com/burdockward/burdockward/profile"
 	"github.com/burdockward/burdockward/submission"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 )
@@ -35,44 +35,44 @@
 type behaviour struct {
 	runTime time.Duration
 	err     error
-	outcome target.Outcome
+	outcome targetclient.Outcome
 }
 
 // fakeTargets answers starts as drawn beforehand and keeps the oracle's log.
 type fakeTargets struct {
 	mu     sync.Mutex
 	next   func() behaviour
-	begun  map[target.TaskID]int
+	begun  map[targetclient.TaskID]int
 	leases int
 }
 
-func (f *fakeTargets) Lease(context.Context, string, string) (target.Lease, error) {
+func (f *fakeTargets) Lease(context.Context, string, string) (targetclient.Lease, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leases++
-	return target.Lease{ID: fmt.Sprint(f.leases), TTLMS: 2000}, nil
+	return targetclient.Lease{ID: fmt.Sprint(f.leases), TTLMS: 2000}, nil
 }
 
-func (f *fakeTargets) Start(_ context.Context, _ string, r target.StartRequest) (target.StartResponse, error) {
+func (f *fakeTargets) Start(_ context.Context, _ string, r targetclient.StartRequest) (targetclient.StartResponse, error) {
 	f.mu.Lock()
 	b := f.next()
-	var notStarted *target.NotStartedError
+	var notStarted *targetclient.NotStartedError
 	if !errors.As(b.err, &notStarted) {
-		f.begun[target.TaskID{Submission: r.Submission, Task: r.Task}]++
+		f.begun[targetclient.TaskID{Submission: r.Submission, Task: r.Task}]++
 	}
 	f.mu.Unlock()
 	time.Sleep(b.runTime)
 	if b.err != nil {
-		return target.StartResponse{}, b.err
+		return targetclient.StartResponse{}, b.err
 	}
-	return target.StartResponse{Outcome: b.outcome, Result: r.Payload, Error: "broken"}, nil
+	return targetclient.StartResponse{Outcome: b.outcome, Result: r.Payload, Error: "broken"}, nil
 }
 
-func (f *fakeTargets) Stop(context.Context, string, []target.TaskID, bool) (int, error) {
+func (f *fakeTargets) Stop(context.Context, string, []targetclient.TaskID, bool) (int, error) {
 	return 0, nil
 }
 
-func (f *fakeTargets) Revoke(context.Context, string, []string) ([]target.RunningTask, error) {
+func (f *fakeTargets) Revoke(context.Context, string, []string) ([]targetclient.RunningTask, error) {
 	return nil, errors.New("not asked for")
 }
 
@@ -119,10 +119,10 @@
 }
 
 var (
-	errUnknown = &target.UnknownOutcomeError{Err: errors.New("connection broke")}
-	errFull    = &target.NotStartedError{Reason: target.ReasonFull}
-	errLapsed  = &target.NotStartedError{Reason: target.ReasonLeaseLapsed}
-	errUnsent  = &target.NotStartedError{Reason: target.ReasonUnreachable}
+	errUnknown = &targetclient.UnknownOutcomeError{Err: errors.New("connection broke")}
+	errFull    = &targetclient.NotStartedError{Reason: targetclient.ReasonFull}
+	errLapsed  = &targetclient.NotStartedError{Reason: targetclient.ReasonLeaseLapsed}
+	errUnsent  = &targetclient.NotStartedError{Reason: targetclient.ReasonUnreachable}
 )
 
 // drawBehaviours draws what targets do, mostly good.
@@ -132,13 +132,13 @@
 	n := 0
 	return func() behaviour {
 		kind := kinds[n%len(kinds)]
-		b := behaviour{outcome: target.OutcomeDone, runTime: time.Duration(times[n%len(times)]) * time.Millisecond}
+		b := behaviour{outcome: targetclient.OutcomeDone, runTime: time.Duration(times[n%len(times)]) * time.Millisecond}
 		n++
 		switch kind {
 		case 0:
 			b.err = errUnknown
 		case 1:
-			b.outcome = target.OutcomeFailed
+			b.outcome = targetclient.OutcomeFailed
 		case 2, 3, 4:
 			b = behaviour{err: errFull}
 		case 5:
@@ -209,7 +209,7 @@
 		inBubble(t, func() {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			f := &fakeTargets{begun: map[target.TaskID]int{}, next: drawBehaviours(rt)}
+			f := &fakeTargets{begun: map[targetclient.TaskID]int{}, next: drawBehaviours(rt)}
 			d := startDuty(rt, ctx, f)
 			var all []*pending
 			for i := range rapid.IntRange(1, 12).Draw(rt, "submissions") {
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -9,7 +9,7 @@
 	"github.com/burdockward/burdockward/api"
 	"github.com/burdockward/burdockward/profile"
 	"github.com/burdockward/burdockward/submission"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 )
 
 // event is something that happened outside the duty.
@@ -106,11 +106,11 @@
 type endedEvent struct {
 	flight  *flight
 	result  Result
-	reason  target.Reason
+	reason  targetclient.Reason
 	value   json.RawMessage
 	err     error
 	runTime time.Duration
-	load    *target.Load
+	load    *targetclient.Load
 }
 
 func (e *endedEvent) apply(d *Duty) {
@@ -197,7 +197,7 @@
 		if fl.stopping {
 			continue
 		}
-		d.stopper.stop(fl.target, target.TaskID{Submission: id, Task: fl.ref.Task}, false)
+		d.stopper.stop(fl.target, targetclient.TaskID{Submission: id, Task: fl.ref.Task}, false)
 	}
 	f.Key = id
 	d.note(id, string(f.Kind), f.Message)
@@ -225,7 +225,7 @@
 	if s.Action == profile.StragglerCheckpoint {
 		if fl := j.flights[s.Task]; fl != nil {
 			fl.stopping = true
-			d.stopper.stop(fl.target, target.TaskID{Submission: string(s.ID), Task: s.Task}, true)
+			d.stopper.stop(fl.target, targetclient.TaskID{Submission: string(s.ID), Task: s.Task}, true)
 		}
 	}
 	d.fail(j, &api.Failure{
--- a/dispatch/pause_test.go
+++ b/dispatch/pause_test.go
@@ -10,7 +10,7 @@
 	"github.com/burdockward/burdockward/admission"
 	"github.com/burdockward/burdockward/profile"
 	"github.com/burdockward/burdockward/submission"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 	"github.com/shoenig/test/must"
 )
 
@@ -31,8 +31,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		f := &fakeTargets{begun: map[target.TaskID]int{}, next: func() behaviour {
-			return behaviour{outcome: target.OutcomeDone, runTime: time.Millisecond}
+		f := &fakeTargets{begun: map[targetclient.TaskID]int{}, next: func() behaviour {
+			return behaviour{outcome: targetclient.OutcomeDone, runTime: time.Millisecond}
 		}}
 		var notes []submission.Event
 		d := New(Options{
@@ -53,7 +53,7 @@
 		must.Eq(t, []submission.Event{
 			{Text: "admitted", Task: submission.NoTask},
 			{Text: "started", Task: 0, Target: "t1"},
-			{Text: "could not start", Task: 0, Target: "t1", Reason: string(target.ReasonCancelled)},
+			{Text: "could not start", Task: 0, Target: "t1", Reason: string(targetclient.ReasonCancelled)},
 			{Text: "started", Task: 0, Target: "t1"},
 		}, notes)
 		must.Eq(t, 1, f.starts("s"))
--- a/dispatch/revoke.go
+++ b/dispatch/revoke.go
@@ -6,7 +6,7 @@
 
 	"github.com/burdockward/burdockward/capacity"
 	"github.com/burdockward/burdockward/ring"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 )
@@ -79,7 +79,7 @@
 }
 
 // units counts the units of each limit that tasks hold.
-func units(tasks []target.RunningTask) map[string]int {
+func units(tasks []targetclient.RunningTask) map[string]int {
 	held := map[string]int{}
 	for _, t := range tasks {
 		for _, limit := range t.Limits {
@@ -123,7 +123,7 @@
 func holders(members []capacity.Member) []string {
 	names := make([]string, 0, len(members))
 	for _, m := range members {
-		names = append(names, target.Holder(m.ID, m.Incarnation))
+		names = append(names, targetclient.Holder(m.ID, m.Incarnation))
 	}
 	return names
 }
--- a/dispatch/revoke_test.go
+++ b/dispatch/revoke_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/burdockward/burdockward/capacity"
 	"github.com/burdockward/burdockward/profile"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 	"github.com/shoenig/test/must"
 )
 
@@ -53,7 +53,7 @@
 }
 
 func TestUnitsOfRunningTasksAreCountedByLimit(t *testing.T) {
-	must.Eq(t, map[string]int{"profile/p": 2, "team/t": 1}, units([]target.RunningTask{
+	must.Eq(t, map[string]int{"profile/p": 2, "team/t": 1}, units([]targetclient.RunningTask{
 		{Limits: []string{"profile/p", "team/t"}},
 		{Limits: []string{"profile/p"}},
 		{Limits: []string{}},
--- a/dispatch/shared.go
+++ b/dispatch/shared.go
@@ -7,7 +7,7 @@
 	"github.com/burdockward/burdockward/capacity"
 	"github.com/burdockward/burdockward/capacity/capacitypb"
 	"github.com/burdockward/burdockward/placement"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 )
 
 // digestInterval is the least time between two digests for the heartbeats.
@@ -177,11 +177,11 @@
 		return 0, false
 	}
 	switch e.Reason {
-	case target.ReasonLeaving:
+	case targetclient.ReasonLeaving:
 		return placement.RefusedLeaving, true
-	case target.ReasonLeaseLapsed:
+	case targetclient.ReasonLeaseLapsed:
 		return placement.RefusedLease, true
-	case target.ReasonFull:
+	case targetclient.ReasonFull:
 		return placement.RefusedFull, true
 	}
 	return placement.RefusedUnsent, true
--- a/dispatch/shared_test.go
+++ b/dispatch/shared_test.go
@@ -8,7 +8,7 @@
 	"github.com/burdockward/burdockward/capacity"
 	"github.com/burdockward/burdockward/capacity/capacitypb"
 	"github.com/burdockward/burdockward/profile"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 	"github.com/shoenig/test/must"
 )
 
@@ -57,7 +57,7 @@
 func TestTargetThatStaysAfterAllIsTriedAgain(t *testing.T) {
 	s := newAlone("t1")
 	s.Begin(0, "t1", "p", "job")
-	s.End(0, End{Target: "t1", Profile: "p", Submission: "job", Result: ResultNotStarted, Reason: target.ReasonLeaving, Load: &target.Load{Leaving: true}})
+	s.End(0, End{Target: "t1", Profile: "p", Submission: "job", Result: ResultNotStarted, Reason: targetclient.ReasonLeaving, Load: &targetclient.Load{Leaving: true}})
 	_, ok := s.Pick(time.Second)
 	must.False(t, ok)
 	s.Tick(saidLeavingFor + time.Second)
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -91,7 +91,7 @@
 	span.SetAttributes(attribute.String("target", f.target), attribute.Int("task", f.ref.Task))
 	l := s.lease(f.target)
 	if l == nil {
-		return &endedEvent{flight: f, result: ResultNotStarted, reason: target.ReasonLeaving}
+		return &endedEvent{flight: f, result: ResultNotStarted, reason: targetclient.ReasonLeaving}
 	}
 	id, err := s.acquire(ctx, l)
 	if err != nil {
@@ -99,7 +99,7 @@
 	}
 	if time.Since(f.decidedAt) > maxStartDelay {
 		// The process was paused: limits and slots may be in other hands by now.
-		return &endedEvent{flight: f, result: ResultNotStarted, reason: target.ReasonCancelled}
+		return &endedEvent{flight: f, result: ResultNotStarted, reason: targetclient.ReasonCancelled}
 	}
 	return s.send(ctx, f, l, id, runLimit)
 }
@@ -127,8 +127,8 @@
 
 // noLease ends a flight without lease: nothing was sent.
 func (s *starter) noLease(f *flight, err error) *endedEvent {
-	e := &endedEvent{flight: f, result: ResultUnreachable, reason: target.ReasonUnreachable, err: err}
-	var refused *target.LeaseRefusedError
+	e := &endedEvent{flight: f, result: ResultUnreachable, reason: targetclient.ReasonUnreachable, err: err}
+	var refused *targetclient.LeaseRefusedError
 	if errors.As(err, &refused) {
 		e.result = ResultNotStarted
 		e.reason = refused.Reason
@@ -138,7 +138,7 @@
 
 func (s *starter) send(ctx context.Context, f *flight, l *targetLease, lease string, runLimit time.Duration) *endedEvent {
 	sent := time.Now()
-	response, err := s.client.Start(ctx, l.address, target.StartRequest{
+	response, err := s.client.Start(ctx, l.address, targetclient.StartRequest{
 		Submission: string(f.ref.ID),
 		Task:       f.ref.Task,
 		Lease:      lease,
@@ -153,10 +153,10 @@
 	l.renewed(lease, sent)
 	e.load = &response.Load
 	switch response.Outcome {
-	case target.OutcomeDone:
+	case targetclient.OutcomeDone:
 		e.result = ResultDone
 		e.value = response.Result
-	case target.OutcomeStopped:
+	case targetclient.OutcomeStopped:
 		e.result = ResultStopped
 	default:
 		e.result = ResultFailed
@@ -167,7 +167,7 @@
 
 func (s *starter) startFailed(e *endedEvent, l *targetLease, lease string, err error) *endedEvent {
 	e.err = err
-	var notStarted *target.NotStartedError
+	var notStarted *targetclient.NotStartedError
 	if !errors.As(err, &notStarted) {
 		e.result = ResultUnknown
 		return e
@@ -176,9 +176,9 @@
 	e.reason = notStarted.Reason
 	e.load = notStarted.Load
 	switch notStarted.Reason {
-	case target.ReasonUnreachable, target.ReasonCancelled:
+	case targetclient.ReasonUnreachable, targetclient.ReasonCancelled:
 		e.result = ResultUnreachable
-	case target.ReasonLeaseLapsed:
+	case targetclient.ReasonLeaseLapsed:
 		l.lapsed(lease)
 	}
 	return e
@@ -195,7 +195,7 @@
 }
 
 // set takes a new lease; its time counts from before it was asked for.
-func (l *targetLease) set(lease target.Lease, asked time.Time) {
+func (l *targetLease) set(lease targetclient.Lease, asked time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.id = lease.ID
--- a/dispatch/stop.go
+++ b/dispatch/stop.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 )
@@ -31,7 +31,7 @@
 
 	mu        sync.Mutex
 	addresses map[string]string
-	waiting   map[stopGroup][]target.TaskID
+	waiting   map[stopGroup][]targetclient.TaskID
 	count     int
 }
 
@@ -47,7 +47,7 @@
 		messages: scope.Tagged(map[string]string{"kind": "stop"}).Counter("messages_sent"),
 		dropped:  scope.Counter("stops_dropped"),
 		wake:     make(chan struct{}, 1),
-		waiting:  map[stopGroup][]target.TaskID{},
+		waiting:  map[stopGroup][]targetclient.TaskID{},
 	}
 }
 
@@ -62,7 +62,7 @@
 }
 
 // stop asks for the end of a running task, soon.
-func (s *stopper) stop(targetID string, id target.TaskID, checkpoint bool) {
+func (s *stopper) stop(targetID string, id targetclient.TaskID, checkpoint bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.count >= maxStops {
@@ -113,7 +113,7 @@
 
 type stopMessage struct {
 	address    string
-	ids        []target.TaskID
+	ids        []targetclient.TaskID
 	checkpoint bool
 }
 
@@ -127,7 +127,7 @@
 		}
 	}
 	sort.Slice(messages, func(i, k int) bool { return messages[i].address < messages[k].address })
-	s.waiting = map[stopGroup][]target.TaskID{}
+	s.waiting = map[stopGroup][]targetclient.TaskID{}
 	s.count = 0
 	return messages
 }
--- a/dispatch/tick_test.go
+++ b/dispatch/tick_test.go
@@ -10,7 +10,7 @@
 	"github.com/burdockward/burdockward/admission"
 	"github.com/burdockward/burdockward/api"
 	"github.com/burdockward/burdockward/profile"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 	"github.com/shoenig/test/must"
 )
 
@@ -22,14 +22,14 @@
 		// The hanging start ends before the test does.
 		defer time.Sleep(2 * time.Hour)
 		defer cancel()
-		hang := func() behaviour { return behaviour{runTime: time.Hour, outcome: target.OutcomeDone} }
+		hang := func() behaviour { return behaviour{runTime: time.Hour, outcome: targetclient.OutcomeDone} }
 		d := New(Options{
 			Holder:      "vm/1",
 			Submissions: 50,
 			Placer:      NewBaseline(BaselineRandom, rand.New(rand.NewPCG(1, 1)), 1),
 			Limits:      unlimited{},
 			Admission:   admission.New(admission.Config{Domain: "a", Domains: []string{"a"}}),
-			Targets:     &fakeTargets{begun: map[target.TaskID]int{}, next: hang},
+			Targets:     &fakeTargets{begun: map[targetclient.TaskID]int{}, next: hang},
 		})
 		go func() { _ = d.Run(ctx) }()
 		d.SetProfiles([]profile.Profile{{
--- a/dispatch/unknown_test.go
+++ b/dispatch/unknown_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/burdockward/burdockward/admission"
 	"github.com/burdockward/burdockward/profile"
-	"github.com/burdockward/burdockward/target"
+	"github.com/burdockward/burdockward/targetclient"
 	"github.com/shoenig/test/must"
 )
 
@@ -38,8 +38,8 @@
 	}{
 		"unknown":     {behaviour{runTime: broke, err: errUnknown}, runLimit},
 		"silent":      {behaviour{runTime: runLimit + 5*time.Second, err: errUnknown}, runLimit + 5*time.Second},
-		"done":        {behaviour{runTime: broke, outcome: target.OutcomeDone}, broke},
-		"failed":      {behaviour{runTime: broke, outcome: target.OutcomeFailed}, broke},
+		"done":        {behaviour{runTime: broke, outcome: targetclient.OutcomeDone}, broke},
+		"failed":      {behaviour{runTime: broke, outcome: targetclient.OutcomeFailed}, broke},
 		"not started": {behaviour{runTime: broke, err: errFull}, broke},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -54,7 +54,7 @@
 					Placer:      NewBaseline(BaselineRandom, rand.New(rand.NewPCG(1, 1)), 1),
 					Limits:      limits,
 					Admission:   admission.New(admission.Config{Domain: "a", Domains: []string{"a"}}),
-					Targets:     &fakeTargets{begun: map[target.TaskID]int{}, next: func() behaviour { return test.end }},
+					Targets:     &fakeTargets{begun: map[targetclient.TaskID]int{}, next: func() behaviour { return test.end }},
 				})
 				go func() { _ = d.Run(ctx) }()
 				d.SetProfiles([]profile.Profile{{
--- a/domains/directory.go
+++ b/domains/directory.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/burdockward/burdockward/key"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // MaxVMs is the most VMs of one failure domain that are kept from its list, and
@@ -114,7 +114,7 @@
 
 // ListRead takes the list of a failure domain. A list that is not newer changes
 // nothing, so that an old answer brings no VM back.
-func (d *Directory) ListRead(now time.Duration, domain string, list platform.List) {
+func (d *Directory) ListRead(now time.Duration, domain string, list tableservice.List) {
 	d.reading, d.failures, d.nextRead = false, 0, now+d.times.Gap
 	s := d.sites[domain]
 	s.read, s.readAt = true, now
@@ -142,10 +142,10 @@
 
 // choose takes a few live entry VMs of the failure domain, others at each VM that
 // chooses, so that the load spreads.
-func (d *Directory) choose(domain string, vms []platform.VM) []string {
+func (d *Directory) choose(domain string, vms []tableservice.VM) []string {
 	ranks := map[string]uint64{}
 	for _, vm := range vms {
-		if vm.Kind == platform.KindEntry && vm.Domain == domain && vm.State == platform.StateLive && vm.PeerAddress != "" {
+		if vm.Kind == tableservice.KindEntry && vm.Domain == domain && vm.State == tableservice.StateLive && vm.PeerAddress != "" {
 			ranks[vm.PeerAddress] = key.Rank(d.vm, vm.ID)
 		}
 	}
--- a/domains/directory_test.go
+++ b/domains/directory_test.go
@@ -5,16 +5,16 @@
 	"testing"
 	"time"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 )
 
-func entries(domain string, n int) []platform.VM {
-	var vms []platform.VM
+func entries(domain string, n int) []tableservice.VM {
+	var vms []tableservice.VM
 	for i := range n {
 		id := fmt.Sprint(domain, i)
-		vms = append(vms, platform.VM{ID: id, Kind: platform.KindEntry, Domain: domain, PeerAddress: "at-" + id, State: platform.StateLive})
+		vms = append(vms, tableservice.VM{ID: id, Kind: tableservice.KindEntry, Domain: domain, PeerAddress: "at-" + id, State: tableservice.StateLive})
 	}
 	return vms
 }
@@ -33,7 +33,7 @@
 			reads[domain] = append(reads[domain], now)
 			_, _, twice := d.Due(now)
 			must.False(t, twice)
-			d.ListRead(now, domain, platform.List{Version: 1, VMs: entries(domain, 9)})
+			d.ListRead(now, domain, tableservice.List{Version: 1, VMs: entries(domain, 9)})
 		}
 	}
 	must.MapLen(t, 3, reads)
@@ -45,7 +45,7 @@
 
 func TestDirectoryKeepsWhatItKnowsWithoutThePlatform(t *testing.T) {
 	d := newDirectory(map[string][]string{"c": {"seed"}, "a": {"own"}})
-	d.ListRead(0, "b", platform.List{Version: 5, VMs: entries("b", 2)})
+	d.ListRead(0, "b", tableservice.List{Version: 5, VMs: entries("b", 2)})
 	reads := map[string]int{}
 	for now := time.Duration(0); now < time.Hour; now += tickInterval {
 		if domain, _, due := d.Due(now); due {
@@ -64,21 +64,21 @@
 func TestDirectoryTakesFewLiveEntryVMs(t *testing.T) {
 	d := newDirectory(map[string][]string{"b": {"at-b1", "seed"}})
 	vms := entries("b", 2)
-	for i, change := range []func(*platform.VM){
-		func(vm *platform.VM) { vm.State = platform.StateLeaving },
-		func(vm *platform.VM) { vm.Kind = platform.KindTarget },
-		func(vm *platform.VM) { vm.Domain = "c" },
-		func(vm *platform.VM) { vm.PeerAddress = "" },
+	for i, change := range []func(*tableservice.VM){
+		func(vm *tableservice.VM) { vm.State = tableservice.StateLeaving },
+		func(vm *tableservice.VM) { vm.Kind = tableservice.KindTarget },
+		func(vm *tableservice.VM) { vm.Domain = "c" },
+		func(vm *tableservice.VM) { vm.PeerAddress = "" },
 	} {
-		vm := platform.VM{ID: fmt.Sprint("x", i), Kind: platform.KindEntry, Domain: "b", PeerAddress: fmt.Sprint("x", i), State: platform.StateLive}
+		vm := tableservice.VM{ID: fmt.Sprint("x", i), Kind: tableservice.KindEntry, Domain: "b", PeerAddress: fmt.Sprint("x", i), State: tableservice.StateLive}
 		change(&vm)
 		vms = append(vms, vm)
 	}
-	d.ListRead(0, "b", platform.List{Version: 2, VMs: vms})
+	d.ListRead(0, "b", tableservice.List{Version: 2, VMs: vms})
 	must.SliceContainsAll(t, []string{"at-b0", "at-b1", "seed"}, d.Candidates(0, "b"))
-	d.ListRead(0, "b", platform.List{Version: 1, VMs: entries("b", 9)})
+	d.ListRead(0, "b", tableservice.List{Version: 1, VMs: entries("b", 9)})
 	must.SliceLen(t, 3, d.Candidates(0, "b"), must.Sprint("an older list came back"))
-	d.ListRead(0, "b", platform.List{Version: 3, VMs: entries("b", 9)})
+	d.ListRead(0, "b", tableservice.List{Version: 3, VMs: entries("b", 9)})
 	must.SliceLen(t, MaxVMs, without(d.Candidates(0, "b"), "seed", "at-b1"), must.Sprint("at most MaxVMs of the list"))
 }
 
@@ -96,7 +96,7 @@
 	first := map[string]bool{}
 	for i := range 60 {
 		d := NewDirectory(fmt.Sprint("vm", i), "a", []string{"a", "b"}, nil, DefaultTimes())
-		d.ListRead(0, "b", platform.List{Version: 1, VMs: entries("b", 9)})
+		d.ListRead(0, "b", tableservice.List{Version: 1, VMs: entries("b", 9)})
 		first[d.Candidates(0, "b")[0]] = true
 	}
 	must.MapLen(t, 9, first)
@@ -105,7 +105,7 @@
 func TestDirectoryAsksOthersAfterSilence(t *testing.T) {
 	d := newDirectory(nil)
 	for _, domain := range []string{"b", "c", "d"} {
-		d.ListRead(0, domain, platform.List{Version: 1, VMs: entries(domain, 3)})
+		d.ListRead(0, domain, tableservice.List{Version: 1, VMs: entries(domain, 3)})
 	}
 	before := d.Candidates(0, "b")
 	d.Silent("b", before[0])
@@ -128,7 +128,7 @@
 func TestDirectoryReadsAnEmptyListAgainSoon(t *testing.T) {
 	d := newDirectory(nil)
 	for _, domain := range []string{"b", "c", "d"} {
-		d.ListRead(0, domain, platform.List{Version: 1, VMs: entries(domain, min(1, int(domain[0]-'b')))})
+		d.ListRead(0, domain, tableservice.List{Version: 1, VMs: entries(domain, min(1, int(domain[0]-'b')))})
 	}
 	domain, _, due := d.Due(DefaultTimes().Early)
 	must.True(t, due)
@@ -162,7 +162,7 @@
 			if rapid.Bool().Draw(t, "fails") {
 				d.ReadFailed(now, domain)
 			} else {
-				d.ListRead(now, domain, platform.List{Version: uint64(rapid.IntRange(1, 9).Draw(t, "version")), VMs: entries(domain, rapid.IntRange(0, 9).Draw(t, "vms"))})
+				d.ListRead(now, domain, tableservice.List{Version: uint64(rapid.IntRange(1, 9).Draw(t, "version")), VMs: entries(domain, rapid.IntRange(0, 9).Draw(t, "vms"))})
 			}
 		}
 	})
--- a/domains/duty.go
+++ b/domains/duty.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -22,7 +22,7 @@
 type Source interface {
 	// EntryVMs returns the entry VMs of a failure domain. A list whose version is
 	// not above since comes without VMs.
-	EntryVMs(ctx context.Context, domain string, since uint64) (platform.List, error)
+	EntryVMs(ctx context.Context, domain string, since uint64) (tableservice.List, error)
 }
 
 // Options are the settings of a Duty.
--- a/domains/duty_test.go
+++ b/domains/duty_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/burdockward/burdockward/peer/peerpb"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 	"github.com/shoenig/test/must"
 )
 
@@ -41,11 +41,11 @@
 
 var errDown = errors.New("down")
 
-func (f *fakes) EntryVMs(_ context.Context, domain string, _ uint64) (platform.List, error) {
+func (f *fakes) EntryVMs(_ context.Context, domain string, _ uint64) (tableservice.List, error) {
 	if f.down {
-		return platform.List{}, errDown
+		return tableservice.List{}, errDown
 	}
-	return platform.List{Version: 1, VMs: entries(domain, 1)}, nil
+	return tableservice.List{Version: 1, VMs: entries(domain, 1)}, nil
 }
 
 func TestRunTellsAddressesAndKeepsThem(t *testing.T) {
--- a/lab/deploy/deploy.go
+++ b/lab/deploy/deploy.go
@@ -18,8 +18,8 @@
 
 	"github.com/burdockward/burdockward/configuration"
 	"github.com/burdockward/burdockward/lab/load"
-	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/profile"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 const (
@@ -110,7 +110,7 @@
 }
 
 func (d *Deployment) applyProfiles(ctx context.Context) error {
-	client, err := platform.New(platform.Options{URL: d.platformURL})
+	client, err := tableservice.New(tableservice.Options{URL: d.platformURL})
 	if err != nil {
 		return err
 	}
--- a/lab/deploy/stop.go
+++ b/lab/deploy/stop.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // Stopped is how the planned stop of an entry VM went.
@@ -30,7 +30,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if err := d.register(vm, platform.StateLeaving); err != nil {
+		if err := d.register(vm, tableservice.StateLeaving); err != nil {
 			return nil, err
 		}
 		vms = append(vms, vm)
--- a/lab/deploy/vm.go
+++ b/lab/deploy/vm.go
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // plannedStopGrace is how long a daemon may take to answer what is in flight.
@@ -27,7 +27,7 @@
 
 // startVM registers the VM in the platform's list and starts its daemon.
 func (d *Deployment) startVM(vm *entryVM) error {
-	if err := d.register(vm, platform.StateLive); err != nil {
+	if err := d.register(vm, tableservice.StateLive); err != nil {
 		return err
 	}
 	path := filepath.Join(d.dir, vm.id+".jsonc")
@@ -59,10 +59,10 @@
 }
 
 // register writes the VM into the platform's VM list.
-func (d *Deployment) register(vm *entryVM, state platform.State) error {
-	body, err := json.Marshal(platform.VM{
+func (d *Deployment) register(vm *entryVM, state tableservice.State) error {
+	body, err := json.Marshal(tableservice.VM{
 		ID:          vm.id,
-		Kind:        platform.KindEntry,
+		Kind:        tableservice.KindEntry,
 		Domain:      vm.domain,
 		Address:     vm.callers.String(),
 		PeerAddress: vm.peers.String(),
@@ -114,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	if err := d.register(vm, platform.StateLeaving); err != nil {
+	if err := d.register(vm, tableservice.StateLeaving); err != nil {
 		return err
 	}
 	if messages, err := d.scrape(context.Background(), vm); err == nil {
--- a/lab/e2e/leases_test.go
+++ b/lab/e2e/leases_test.go
@@ -11,7 +11,7 @@
 	"github.com/burdockward/burdockward/api"
 	"github.com/burdockward/burdockward/lab/standin/target"
 	"github.com/burdockward/burdockward/profile"
-	client "github.com/burdockward/burdockward/target"
+	client "github.com/burdockward/burdockward/targetclient"
 )
 
 // TestStartUnderLapsedLeaseIsPlacedElsewhere lets starts reach a target that no
--- a/lab/e2e/quota_test.go
+++ b/lab/e2e/quota_test.go
@@ -12,9 +12,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/burdockward/burdockward/api"
-	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/profile"
 	"github.com/burdockward/burdockward/quota"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 const (
@@ -35,16 +35,16 @@
 }
 
 // tables is a client of the platform's table service.
-func (w *world) tables() *platform.Client {
+func (w *world) tables() *tableservice.Client {
 	w.t.Helper()
-	client, err := platform.New(platform.Options{URL: w.platformURL})
+	client, err := tableservice.New(tableservice.Options{URL: w.platformURL})
 	must.NoError(w.t, err)
 	w.t.Cleanup(client.Close)
 	return client
 }
 
 // shareOf reads the row of a team in a failure domain.
-func (w *world) shareOf(c *platform.Client, team, domain string) (quota.Entry, uint64) {
+func (w *world) shareOf(c *tableservice.Client, team, domain string) (quota.Entry, uint64) {
 	w.t.Helper()
 	changes, err := c.Changes(w.t.Context(), quota.Table, 0)
 	must.NoError(w.t, err)
@@ -59,15 +59,15 @@
 }
 
 // setShare writes the row of a team in a failure domain.
-func (w *world) setShare(c *platform.Client, team, domain string, entry quota.Entry) {
+func (w *world) setShare(c *tableservice.Client, team, domain string, entry quota.Entry) {
 	w.t.Helper()
 	_, version := w.shareOf(c, team, domain)
 	value, err := json.Marshal(entry)
 	must.NoError(w.t, err)
 	key := team + "/" + domain
-	_, err = c.Commit(w.t.Context(), platform.Commit{
-		Expect: []platform.Expectation{{Table: quota.Table, Key: key, Version: version}},
-		Writes: []platform.Write{{Table: quota.Table, Key: key, Value: value}},
+	_, err = c.Commit(w.t.Context(), tableservice.Commit{
+		Expect: []tableservice.Expectation{{Table: quota.Table, Key: key, Version: version}},
+		Writes: []tableservice.Write{{Table: quota.Table, Key: key, Value: value}},
 	})
 	must.NoError(w.t, err)
 }
--- a/lab/slopes/idle.go
+++ b/lab/slopes/idle.go
@@ -11,8 +11,8 @@
 	"github.com/burdockward/burdockward/adminapi"
 	"github.com/burdockward/burdockward/configuration"
 	"github.com/burdockward/burdockward/lab/deploy"
-	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/profile"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // Size of a deployment where the experiment varies something else.
@@ -185,7 +185,7 @@
 
 // edit commits edits as one change and returns its version.
 func (b *bench) edit(ctx context.Context, id string, edits []configuration.Edit) (uint64, error) {
-	client, err := platform.New(platform.Options{URL: b.platformURL})
+	client, err := tableservice.New(tableservice.Options{URL: b.platformURL})
 	if err != nil {
 		return 0, err
 	}
--- a/lab/standin/platform/server.go
+++ b/lab/standin/platform/server.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	client "github.com/burdockward/burdockward/platform"
+	client "github.com/burdockward/burdockward/tableservice"
 )
 
 // maxBodyBytes bounds the body of a request.
--- a/lab/standin/platform/server_test.go
+++ b/lab/standin/platform/server_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	client "github.com/burdockward/burdockward/platform"
+	client "github.com/burdockward/burdockward/tableservice"
 	"github.com/shoenig/test/must"
 )
 
--- a/lab/standin/platform/store.go
+++ b/lab/standin/platform/store.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	client "github.com/burdockward/burdockward/platform"
+	client "github.com/burdockward/burdockward/tableservice"
 )
 
 // store keeps every write of every table, so that reads can be answered from any
--- a/lab/standin/platform/vms.go
+++ b/lab/standin/platform/vms.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	client "github.com/burdockward/burdockward/platform"
+	client "github.com/burdockward/burdockward/tableservice"
 )
 
 // maxHistory bounds the old states of the VM list, and with it the lag that can
--- a/lab/standin/target/faults_test.go
+++ b/lab/standin/target/faults_test.go
@@ -6,7 +6,7 @@
 	"testing/synctest"
 	"time"
 
-	client "github.com/burdockward/burdockward/target"
+	client "github.com/burdockward/burdockward/targetclient"
 	"github.com/shoenig/test/must"
 )
 
--- a/lab/standin/target/group.go
+++ b/lab/standin/target/group.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -193,17 +193,17 @@
 	if g.options.Platform == "" {
 		return nil
 	}
-	vm := platform.VM{
+	vm := tableservice.VM{
 		ID:      m.ID,
-		Kind:    platform.KindTarget,
+		Kind:    tableservice.KindTarget,
 		Domain:  g.options.Domain,
 		Rack:    m.Rack,
 		Address: m.Address,
 		Slots:   g.options.Slots,
-		State:   platform.StateLive,
+		State:   tableservice.StateLive,
 	}
 	if leaving {
-		vm.State = platform.StateLeaving
+		vm.State = tableservice.StateLeaving
 	}
 	body, err := json.Marshal(vm)
 	if err != nil {
--- a/lab/standin/target/group_test.go
+++ b/lab/standin/target/group_test.go
@@ -10,8 +10,8 @@
 	"testing"
 
 	"github.com/burdockward/burdockward/lab/standin/platform"
-	platformclient "github.com/burdockward/burdockward/platform"
-	client "github.com/burdockward/burdockward/target"
+	platformclient "github.com/burdockward/burdockward/tableservice"
+	client "github.com/burdockward/burdockward/targetclient"
 	"github.com/shoenig/test/must"
 )
 
--- a/lab/standin/target/revoke.go
+++ b/lab/standin/target/revoke.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"slices"
 
-	client "github.com/burdockward/burdockward/target"
+	client "github.com/burdockward/burdockward/targetclient"
 )
 
 func (s *Server) postRevoke(w http.ResponseWriter, r *http.Request) {
--- a/lab/standin/target/revoke_test.go
+++ b/lab/standin/target/revoke_test.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"testing"
 
-	client "github.com/burdockward/burdockward/target"
+	client "github.com/burdockward/burdockward/targetclient"
 	"github.com/shoenig/test/must"
 )
 
--- a/lab/standin/target/server.go
+++ b/lab/standin/target/server.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	client "github.com/burdockward/burdockward/target"
+	client "github.com/burdockward/burdockward/targetclient"
 )
 
 // Defaults of Options.
--- a/lab/standin/target/startlog.go
+++ b/lab/standin/target/startlog.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	client "github.com/burdockward/burdockward/target"
+	client "github.com/burdockward/burdockward/targetclient"
 )
 
 // Bounds of a summary's lists.
--- a/lab/standin/target/tasks.go
+++ b/lab/standin/target/tasks.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	client "github.com/burdockward/burdockward/target"
+	client "github.com/burdockward/burdockward/targetclient"
 )
 
 // Payload is what a task of the stand-in does.
--- a/quota/attempt.go
+++ b/quota/attempt.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // Attempt is one commit of one row.
@@ -17,14 +17,14 @@
 }
 
 // Commit is the transaction of an attempt.
-func (a Attempt) Commit() (platform.Commit, error) {
+func (a Attempt) Commit() (tableservice.Commit, error) {
 	value, err := json.Marshal(a.entry)
 	if err != nil {
-		return platform.Commit{}, err
+		return tableservice.Commit{}, err
 	}
-	commit := platform.Commit{Writes: []platform.Write{{Table: Table, Key: rowKey(a.team, a.domain), Value: value}}}
+	commit := tableservice.Commit{Writes: []tableservice.Write{{Table: Table, Key: rowKey(a.team, a.domain), Value: value}}}
 	for domain, version := range a.expect {
-		commit.Expect = append(commit.Expect, platform.Expectation{Table: Table, Key: rowKey(a.team, domain), Version: version})
+		commit.Expect = append(commit.Expect, tableservice.Expectation{Table: Table, Key: rowKey(a.team, domain), Version: version})
 	}
 	return commit, nil
 }
--- a/quota/duty.go
+++ b/quota/duty.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -34,7 +34,7 @@
 // DutyOptions are the settings of a Duty.
 type DutyOptions struct {
 	State Options
-	Store platform.Tables
+	Store tableservice.Tables
 	Pools Pools
 	// Now is the monotonic time since the start of the process.
 	Now   func() time.Duration
@@ -61,7 +61,7 @@
 
 type readResult struct {
 	begunAt time.Duration
-	changes platform.Changes
+	changes tableservice.Changes
 	err     error
 }
 
@@ -183,7 +183,7 @@
 func (d *Duty) commit(ctx context.Context, a Attempt) {
 	commit, err := a.Commit()
 	if err != nil {
-		d.commits <- commitResult{attempt: a, err: platform.ErrInvalid.Wrap(err)}
+		d.commits <- commitResult{attempt: a, err: tableservice.ErrInvalid.Wrap(err)}
 		return
 	}
 	version, err := d.options.Store.Commit(ctx, commit)
@@ -193,11 +193,11 @@
 // result tells what became of a commit. Whatever is not known to have been refused may
 // still take effect.
 func result(err error) Result {
-	var conflict *platform.ConflictError
+	var conflict *tableservice.ConflictError
 	switch {
 	case err == nil:
 		return Applied
-	case errors.As(err, &conflict), errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrInvalid):
+	case errors.As(err, &conflict), errors.Is(err, tableservice.ErrUnavailable), errors.Is(err, tableservice.ErrInvalid):
 		return Refused
 	}
 	return Unknown
--- a/quota/duty_test.go
+++ b/quota/duty_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 	"github.com/shoenig/test/must"
 )
 
@@ -20,27 +20,27 @@
 	down, loseAnswers bool
 }
 
-func (s *sharedStore) Changes(context.Context, string, uint64) (platform.Changes, error) {
+func (s *sharedStore) Changes(context.Context, string, uint64) (tableservice.Changes, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 	if s.down {
-		return platform.Changes{}, platform.ErrUnavailable.Errorf("down")
+		return tableservice.Changes{}, tableservice.ErrUnavailable.Errorf("down")
 	}
 	return s.store.past[len(s.store.past)-1], nil
 }
 
-func (s *sharedStore) Commit(_ context.Context, c platform.Commit) (uint64, error) {
+func (s *sharedStore) Commit(_ context.Context, c tableservice.Commit) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, platform.ErrUnavailable.Errorf("down")
+		return 0, tableservice.ErrUnavailable.Errorf("down")
 	}
 	if !s.store.apply(c) {
-		return 0, &platform.ConflictError{}
+		return 0, &tableservice.ConflictError{}
 	}
 	if s.loseAnswers {
-		return 0, platform.ErrUnknownOutcome.Errorf("lost")
+		return 0, tableservice.ErrUnknownOutcome.Errorf("lost")
 	}
 	return s.store.version, nil
 }
--- a/quota/fuzz_test.go
+++ b/quota/fuzz_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 )
@@ -33,23 +33,23 @@
 // lateCommit is a commit whose answer was lost and that has not taken effect yet.
 type lateCommit struct {
 	at     time.Duration
-	commit platform.Commit
+	commit tableservice.Commit
 }
 
 // store is the table service, with its past states for stale reads.
 type store struct {
 	version uint64
-	rows    map[string]platform.Row
-	past    []platform.Changes
+	rows    map[string]tableservice.Row
+	past    []tableservice.Changes
 	late    []lateCommit
 }
 
 func newStore() *store {
-	return &store{rows: map[string]platform.Row{}, past: []platform.Changes{{}}}
+	return &store{rows: map[string]tableservice.Row{}, past: []tableservice.Changes{{}}}
 }
 
 // apply makes a commit take effect, if its expectations hold.
-func (s *store) apply(c platform.Commit) bool {
+func (s *store) apply(c tableservice.Commit) bool {
 	for _, e := range c.Expect {
 		if s.rows[e.Key].Version != e.Version {
 			return false
@@ -57,13 +57,13 @@
 	}
 	s.version++
 	for _, w := range c.Writes {
-		s.rows[w.Key] = platform.Row{Key: w.Key, Version: s.version, Value: w.Value}
+		s.rows[w.Key] = tableservice.Row{Key: w.Key, Version: s.version, Value: w.Value}
 	}
-	state := platform.Changes{Version: s.version}
+	state := tableservice.Changes{Version: s.version}
 	for _, r := range s.rows {
 		state.Rows = append(state.Rows, r)
 	}
-	slices.SortFunc(state.Rows, func(a, b platform.Row) int { return int(a.Version) - int(b.Version) })
+	slices.SortFunc(state.Rows, func(a, b tableservice.Row) int { return int(a.Version) - int(b.Version) })
 	s.past = append(s.past, state)
 	return true
 }
--- a/quota/state.go
+++ b/quota/state.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 )
 
 // noCeiling is the ceiling of a team whose share is not being lowered.
@@ -234,7 +234,7 @@
 
 // Read takes the rows of a read that began at the given time. An answer from an older
 // state than was seen before tells nothing.
-func (s *State) Read(now, begunAt time.Duration, changes platform.Changes) {
+func (s *State) Read(now, begunAt time.Duration, changes tableservice.Changes) {
 	if changes.Version < s.version {
 		return
 	}
--- a/quota/state_test.go
+++ b/quota/state_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 	"github.com/shoenig/test/must"
 )
 
@@ -50,7 +50,7 @@
 func (p *pair) read(s *State) { s.Read(p.now, p.now, p.store.past[len(p.store.past)-1]) }
 
 // next reads and takes the next attempt, which there must be.
-func (p *pair) next(s *State) (Attempt, platform.Commit) {
+func (p *pair) next(s *State) (Attempt, tableservice.Commit) {
 	p.t.Helper()
 	p.read(s)
 	a, ok := s.Next(p.now)
@@ -251,7 +251,7 @@
 func TestRowRemovedByHandIsMadeAnew(t *testing.T) {
 	p := newPair(t)
 	p.store.version++
-	gone := platform.Changes{Version: p.store.version, Rows: []platform.Row{{Key: rowKey(team1, "a"), Version: p.store.version}}}
+	gone := tableservice.Changes{Version: p.store.version, Rows: []tableservice.Row{{Key: rowKey(team1, "a"), Version: p.store.version}}}
 	delete(p.store.rows, rowKey(team1, "a"))
 	p.store.past = append(p.store.past, gone)
 	p.read(p.a)
--- a/platform/platform.go
+++ b/tableservice/tableservice.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's table service and VM list.
+// Package tableservice is the client of the platform's table service and VM list.
 // docs/PLATFORM.md describes the messages.
-package platform
+package tableservice
 
 import (
 	"context"
--- a/platform/platform_test.go
+++ b/tableservice/tableservice_test.go
@@ -1,4 +1,4 @@
-package platform
+package tableservice
 
 import (
 	"context"
--- a/target/target.go
+++ b/targetclient/targetclient.go
@@ -1,10 +1,10 @@
-// Package target is the client of targets, the back ends that run tasks under
+// Package targetclient is the client of targets, the back ends that run tasks under
 // leases. docs/PLATFORM.md describes the messages.
 //
 // A start is sent at most once. Its error tells whether the task can have begun:
 // *NotStartedError (it has not and will not) or *UnknownOutcomeError (it may
 // have, and must not be started again).
-package target
+package targetclient
 
 import (
 	"context"
--- a/target/target_test.go
+++ b/targetclient/targetclient_test.go
@@ -1,4 +1,4 @@
-package target
+package targetclient
 
 import (
 	"context"
--- a/vmlist/vmlist.go
+++ b/vmlist/vmlist.go
@@ -16,14 +16,14 @@
 
 	"github.com/burdockward/burdockward/peer"
 	"github.com/burdockward/burdockward/peer/peerpb"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 	"github.com/uber-go/tally/v4"
 )
 
 // Options are the settings of a Duty.
 type Options struct {
 	Domain string
-	Source platform.VMList
+	Source tableservice.VMList
 	// Self is the id of this VM.
 	Self string
 	// Peers are the other members of the view; nil is none.
@@ -32,7 +32,7 @@
 	// that reads for all.
 	Interval time.Duration
 	// OnList is called with each newer list.
-	OnList func(platform.List)
+	OnList func(tableservice.List)
 	// SetDigest spreads the version of the list on heartbeats.
 	SetDigest func(body []byte)
 	// Send sends a message to a peer.
@@ -63,7 +63,7 @@
 	failed  tally.Counter
 
 	mu   sync.Mutex
-	list platform.List
+	list tableservice.List
 	// readsForAll says that this VM reads for the others.
 	readsForAll bool
 	// readers are the processes of other VMs that say so of themselves.
@@ -160,7 +160,7 @@
 }
 
 // push sends a new list to all members, since their next heartbeat may be far.
-func (d *Duty) push(list platform.List, peers []Peer) {
+func (d *Duty) push(list tableservice.List, peers []Peer) {
 	body, err := json.Marshal(message{Version: list.Version, List: &list})
 	if err != nil {
 		return
@@ -188,7 +188,7 @@
 
 // offer takes a list if it is newer, and reports whether it is: an old answer must
 // not bring back a VM that has left.
-func (d *Duty) offer(list platform.List) bool {
+func (d *Duty) offer(list tableservice.List) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if list.Version <= d.list.Version {
@@ -246,7 +246,7 @@
 	// Reads says, in a digest, that the sender reads the list for all.
 	Reads bool `json:"reads,omitempty"`
 	// List is the sender's list.
-	List *platform.List `json:"list,omitempty"`
+	List *tableservice.List `json:"list,omitempty"`
 }
 
 func digest(n news) []byte {
--- a/vmlist/vmlist_test.go
+++ b/vmlist/vmlist_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/burdockward/burdockward/peer"
 	"github.com/burdockward/burdockward/peer/peerpb"
-	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/tableservice"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 )
@@ -36,12 +36,12 @@
 	duty *Duty
 	mu   sync.Mutex
 	// list and err are what the platform answers; since is what it was asked for.
-	list  platform.List
+	list  tableservice.List
 	err   error
 	since []uint64
 	// taken are the versions that OnList saw, after onList.
 	taken  []uint64
-	onList func(platform.List)
+	onList func(tableservice.List)
 	digest []byte
 	sent   [][]byte
 	// pushed counts the lists sent to others without being asked.
@@ -49,21 +49,21 @@
 	log    bytes.Buffer
 }
 
-func (w *world) VMs(_ context.Context, domain string, since uint64) (platform.List, error) {
+func (w *world) VMs(_ context.Context, domain string, since uint64) (tableservice.List, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.since = append(w.since, since)
 	if domain != "a" {
-		return platform.List{}, errors.New("wrong failure domain")
+		return tableservice.List{}, errors.New("wrong failure domain")
 	}
 	return w.list, w.err
 }
 
 func newWorld() *world {
-	w := &world{onList: func(platform.List) {}}
+	w := &world{onList: func(tableservice.List) {}}
 	w.duty = New(Options{
 		Domain: "a", Source: w, Interval: time.Second,
-		OnList: func(l platform.List) {
+		OnList: func(l tableservice.List) {
 			w.onList(l)
 			w.taken = append(w.taken, l.Version)
 		},
@@ -79,8 +79,8 @@
 	return w
 }
 
-func listOf(version uint64) platform.List {
-	return platform.List{Version: version, VMs: []platform.VM{{ID: "vm" + string(rune('0'+version))}}}
+func listOf(version uint64) tableservice.List {
+	return tableservice.List{Version: version, VMs: []tableservice.VM{{ID: "vm" + string(rune('0'+version))}}}
 }
 
 func encode(t must.T, m message) []byte {
@@ -145,7 +145,7 @@
 // handed over.
 func TestListsAreHandedOverInOrder(t *testing.T) {
 	w := newWorld()
-	w.onList = func(l platform.List) {
+	w.onList = func(l tableservice.List) {
 		newer := listOf(l.Version + 1)
 		if newer.Version < 4 {
 			w.handle(encode(t, message{List: &newer}))
@@ -263,7 +263,7 @@
 	return len(w.since)
 }
 
-func (w *world) answer(list platform.List, err error) {
+func (w *world) answer(list tableservice.List, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.list, w.err = list, err
