Learn run times without a drift, leave probes alone

Cause: the status line showed jobs waiting beside 30 to 50 % free processor. Learned run times were divided by the target's speed, which only ever made them shorter, so that all targets looked slow after half a minute, and runs were moved off suspected targets onto the same ones again. Ruled out: stops that wait for an answer (none in the log), room that isn't given back (free processor agrees with the runs). Change: learn from targets that are not slow against the usual one; a probe is moved only when overdue. The lab replays a site's load against the scheduler.

--- /dev/null
+++ b/lab/replay/target.go
@@ -0,0 +1,158 @@
+package replay
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/burdockward/burdockward/scheduler"
+	"github.com/burdockward/burdockward/work"
+)
+
+// targetSim is a simulated target.
+type targetSim struct {
+	world *world
+	work.Target
+	free    work.Resources
+	running map[work.Run]*runSim
+	ended   []work.End
+	number  int64
+	polling func()
+	poll    int
+	fault   *Fault
+}
+
+type runSim struct {
+	need  work.Resources
+	began time.Duration
+	over  bool
+}
+
+func (w *world) addTarget(domain, index int) {
+	capacity := w.options.Site.CPU
+	if index%3 == 2 {
+		capacity += capacity / 2
+	}
+	t := &targetSim{
+		world: w,
+		Target: work.Target{
+			ID: fmt.Sprintf("t-%d-%02d", domain, index), Service: "service",
+			Capacity: work.Resources{CPU: capacity, MemoryMB: 65536},
+		},
+		running: map[work.Run]*runSim{},
+	}
+	t.free = t.Capacity
+	w.targets[t.ID] = t
+	o := w.owners[domain%len(w.owners)]
+	o.state.TargetSeen(0, t.Target)
+	for i := range w.options.Site.Faults {
+		fault := &w.options.Site.Faults[i]
+		if w.random.Float64() < fault.Share {
+			w.at(fault.From+time.Second, func() { t.strike(fault) })
+			w.at(fault.To+time.Second, func() { t.heal() })
+		}
+	}
+}
+
+func (t *targetSim) strike(f *Fault) { t.fault = f }
+func (t *targetSim) heal()           { t.fault = nil }
+
+// clock is the target's clock in milliseconds, off from the owner's.
+func (t *targetSim) clock() int64 { return t.world.now.Milliseconds() + 5000 }
+
+// reply sends an answer on its way to the owner.
+func (t *targetSim) reply(o *ownerSim, do func(now time.Duration)) {
+	t.world.after(t.world.hop(), func() {
+		do(t.world.now)
+		t.world.carryOut(o)
+	})
+}
+
+func (t *targetSim) start(o *ownerSim, e scheduler.StartRun) {
+	answer := work.OrderAnswer{Clock: t.clock(), Verdict: work.VerdictDone}
+	a := t.world.jobs[strings.SplitN(e.Run.Task, ".", 2)[0]]
+	need := a.job.Steps[0].Each
+	if !need.Fits(t.free) {
+		answer.Verdict = work.VerdictRoom
+	} else {
+		t.begin(e.Run, a, need)
+	}
+	t.reply(o, func(now time.Duration) { o.state.Started(now, t.ID, e.Run, answer) })
+}
+
+func (t *targetSim) begin(run work.Run, a *arrival, need work.Resources) {
+	r := &runSim{need: need, began: t.world.now}
+	t.running[run] = r
+	t.free = t.free.Minus(need)
+	took := a.runs[taskIndex(run.Task)]
+	if t.fault != nil {
+		if t.fault.Hang {
+			return
+		}
+		if t.fault.Slower > 1 {
+			took = time.Duration(float64(took) * t.fault.Slower)
+		}
+	}
+	t.world.after(took, func() { t.end(run, r, work.EndDone) })
+}
+
+func taskIndex(task string) int {
+	index, _ := strconv.Atoi(task[strings.LastIndexByte(task, '.')+1:])
+	return index
+}
+
+func (t *targetSim) end(run work.Run, r *runSim, kind work.EndKind) {
+	if r.over {
+		return
+	}
+	r.over = true
+	delete(t.running, run)
+	t.free = t.free.Plus(r.need)
+	spent := (t.world.now - r.began) * time.Duration(r.need.CPU)
+	t.world.used += spent
+	if kind != work.EndDone {
+		t.world.wasted += spent
+	}
+	t.number++
+	t.ended = append(t.ended, work.End{Number: t.number, Run: run, Kind: kind})
+	if t.polling != nil {
+		t.polling()
+	}
+}
+
+// stopDelay is about what a stop takes.
+const stopDelay = 20 * time.Millisecond
+
+func (t *targetSim) stop(o *ownerSim, e scheduler.StopRun) {
+	if r := t.running[e.Run]; r != nil {
+		t.world.after(stopDelay, func() { t.end(e.Run, r, work.EndStopped) })
+	}
+	answer := work.OrderAnswer{Clock: t.clock(), Verdict: work.VerdictDone}
+	t.reply(o, func(now time.Duration) { o.state.Stopped(now, t.ID, e.Run, answer) })
+}
+
+func (t *targetSim) look(o *ownerSim, e scheduler.Look) {
+	t.ended = slices.DeleteFunc(t.ended, func(end work.End) bool { return end.Number <= e.Seen })
+	t.poll++
+	poll := t.poll
+	answer := func() {
+		if t.polling == nil || t.poll != poll {
+			return
+		}
+		t.polling = nil
+		held := work.Held{Clock: t.clock(), Ended: slices.Clone(t.ended)}
+		for run := range t.running {
+			held.Running = append(held.Running, run)
+		}
+		slices.SortFunc(held.Running, func(a, b work.Run) int { return strings.Compare(a.Task, b.Task) })
+		t.reply(o, func(now time.Duration) { o.state.Looked(now, t.ID, held, work.VerdictDone) })
+	}
+	t.polling = answer
+	if len(t.ended) > 0 || e.Wait == 0 {
+		answer()
+		return
+	}
+	t.world.after(e.Wait, answer)
+}
--- /dev/null
+++ b/lab/replay/world.go
@@ -0,0 +1,313 @@
+package replay
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/burdockward/burdockward/scheduler"
+	"github.com/burdockward/burdockward/work"
+)
+
+// Options choose what is played.
+type Options struct {
+	Site Site
+	Seed uint64
+	// OneOwner puts all targets under one owner.
+	OneOwner bool
+	// Clairvoyant lets the scheduler know run times, and takes all latency away.
+	Clairvoyant bool
+}
+
+// Report is how a day went.
+type Report struct {
+	Jobs, OnTime, Late, Refused, Failed int
+	// Worth is what was earned of what could have been.
+	Worth float64
+	// Kinds is the worth by kind of request.
+	Kinds []float64
+	// LateRefusals is the share of the worth refused later than a quarter of the
+	// objective.
+	LateRefusals float64
+	// Wasted is the processor time of runs that didn't end well, against all.
+	Wasted float64
+}
+
+// String is one line.
+func (r Report) String() string {
+	return fmt.Sprintf("worth %.4f kinds %.3f late refusals %.4f wasted %.4f: %d jobs, %d on time, %d late, %d refused, %d failed",
+		r.Worth, r.Kinds, r.LateRefusals, r.Wasted, r.Jobs, r.OnTime, r.Late, r.Refused, r.Failed)
+}
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// world is the simulated deployment.
+type world struct {
+	options Options
+	now     time.Duration
+	queue   events
+	seq     int
+	random  *rand.Rand
+	owners  []*ownerSim
+	targets map[string]*targetSim
+	jobs    map[string]*arrival
+	report  Report
+	owed    float64
+	earned  float64
+	late    float64
+	kindOwe []float64
+	kindGot []float64
+	used    time.Duration
+	wasted  time.Duration
+}
+
+// ownerSim is an owner with its callers.
+type ownerSim struct {
+	state   *scheduler.State
+	callers map[scheduler.Ref]*arrival
+	refs    scheduler.Ref
+	loads   scheduler.Load
+}
+
+// Figures of the simulated runtime.
+const (
+	tick      = 20 * time.Millisecond
+	beat      = 80 * time.Millisecond
+	hop       = 300 * time.Microsecond
+	drainTime = 8 * time.Second
+)
+
+// Play plays a day.
+func Play(o Options) Report {
+	w := &world{
+		options: o, random: rand.New(rand.NewPCG(o.Seed, 2)),
+		targets: map[string]*targetSim{}, jobs: map[string]*arrival{},
+		kindOwe: make([]float64, len(o.Site.Kinds)), kindGot: make([]float64, len(o.Site.Kinds)),
+	}
+	w.build()
+	arrivals := o.Site.arrivals(o.Seed)
+	for i := range arrivals {
+		w.at(arrivals[i].at+time.Second, func() { w.arrive(&arrivals[i]) })
+	}
+	end := o.Site.Length + drainTime
+	for len(w.queue) > 0 && w.now < end {
+		next := heap.Pop(&w.queue).(event)
+		w.now = next.at
+		next.do()
+	}
+	return w.sum()
+}
+
+func (w *world) at(when time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at: max(when, w.now), seq: w.seq, do: do})
+}
+
+func (w *world) after(d time.Duration, do func()) { w.at(w.now+d, do) }
+
+func (w *world) build() {
+	site := w.options.Site
+	count := site.Domains
+	if w.options.OneOwner {
+		count = 1
+	}
+	for range count {
+		w.owners = append(w.owners, &ownerSim{
+			state: scheduler.New(scheduler.Options{}), callers: map[scheduler.Ref]*arrival{},
+		})
+	}
+	for domain := range site.Domains {
+		for i := range site.Targets {
+			w.addTarget(domain, i)
+		}
+	}
+	for _, o := range w.owners {
+		w.tick(o)
+		w.beat(o)
+	}
+}
+
+func (w *world) tick(o *ownerSim) {
+	o.state.Tick(w.now)
+	w.carryOut(o)
+	w.after(tick, func() { w.tick(o) })
+}
+
+func (w *world) beat(o *ownerSim) {
+	o.loads = o.state.Load(w.now, "service")
+	w.after(beat, func() { w.beat(o) })
+}
+
+// arrive hands a job to the owner that the entry VM would choose.
+func (w *world) arrive(a *arrival) {
+	w.jobs[a.job.ID] = a
+	if w.options.Clairvoyant {
+		longest := time.Duration(0)
+		for _, run := range a.runs {
+			longest = max(longest, run)
+		}
+		a.job.Steps[0].Estimate = longest
+	}
+	w.report.Jobs++
+	w.owed += a.worth
+	w.kindOwe[a.kind] += a.worth
+	w.submit(a, map[int]bool{})
+}
+
+func (w *world) submit(a *arrival, full map[int]bool) {
+	at := w.choose(a, full)
+	o := w.owners[at]
+	delay := w.far(at, a.domain)
+	w.after(delay, func() {
+		o.refs++
+		ref := o.refs
+		o.callers[ref] = a
+		o.state.Submit(w.now, scheduler.Submission{
+			Ref: ref, Job: a.job, Queue: w.queueOf(a.kind), Age: w.now - a.at - time.Second,
+		})
+		w.carryOutFor(o, func(answer scheduler.Answer) bool {
+			if answer.Ref != ref || answer.Outcome.Result != work.Refused {
+				return false
+			}
+			full[at] = true
+			if len(full) >= len(w.owners) || !w.better(full, answer.Outcome.RetryAfter) {
+				return false
+			}
+			delete(o.callers, ref)
+			w.after(delay, func() { w.submit(a, full) })
+			return true
+		})
+	})
+}
+
+func (w *world) queueOf(kind int) work.Queue {
+	k := w.options.Site.Kinds[kind]
+	return work.Queue{
+		Name: k.Name, Service: "service", Priority: k.Priority, MaxAttempts: k.Attempts,
+		Stretch: stretch, Allowance: allowance,
+	}
+}
+
+func (w *world) far(owner, domain int) time.Duration {
+	switch {
+	case w.options.Clairvoyant:
+		return 0
+	case w.options.OneOwner:
+		return w.options.Site.Far
+	case owner == domain:
+		return hop
+	default:
+		return hop + w.options.Site.Far
+	}
+}
+
+// carryOut does what a scheduler wants.
+func (w *world) carryOut(o *ownerSim) {
+	w.carryOutFor(o, func(scheduler.Answer) bool { return false })
+}
+
+// carryOutFor lets the caller keep an answer for itself.
+func (w *world) carryOutFor(o *ownerSim, keep func(scheduler.Answer) bool) {
+	for _, effect := range o.state.Effects(w.now) {
+		switch e := effect.(type) {
+		case scheduler.Answer:
+			if !keep(e) {
+				w.answered(o, e)
+			}
+		case scheduler.StartRun:
+			w.order(func() { w.targets[e.To.ID].start(o, e) })
+		case scheduler.StopRun:
+			w.order(func() { w.targets[e.To.ID].stop(o, e) })
+		case scheduler.Look:
+			w.order(func() { w.targets[e.To.ID].look(o, e) })
+		}
+	}
+}
+
+func (w *world) order(do func()) { w.after(w.hop(), do) }
+
+func (w *world) hop() time.Duration {
+	if w.options.Clairvoyant {
+		return time.Microsecond
+	}
+	return w.options.Site.Near + hop
+}
+
+func (w *world) answered(o *ownerSim, e scheduler.Answer) {
+	a := o.callers[e.Ref]
+	if a == nil {
+		return
+	}
+	delete(o.callers, e.Ref)
+	took := w.now - a.at - time.Second
+	switch e.Outcome.Result {
+	case work.Completed:
+		w.completed(a, took)
+	case work.Refused:
+		w.report.Refused++
+		if took > a.objective/4 {
+			w.late += a.worth
+		}
+	default:
+		w.report.Failed++
+	}
+}
+
+// lateWorth is the share of the worth of a late answer.
+const lateWorth = 0.2
+
+func (w *world) completed(a *arrival, took time.Duration) {
+	got := 0.0
+	switch {
+	case took <= a.objective:
+		w.report.OnTime++
+		got = a.worth
+	case took <= 3*a.objective:
+		w.report.Late++
+		got = lateWorth * a.worth
+	default:
+		w.report.Failed++
+	}
+	w.earned += got
+	w.kindGot[a.kind] += got
+}
+
+func (w *world) sum() Report {
+	w.report.Worth = w.earned / w.owed
+	for i := range w.kindOwe {
+		w.report.Kinds = append(w.report.Kinds, w.kindGot[i]/w.kindOwe[i])
+	}
+	w.report.LateRefusals = w.late / w.owed
+	if w.used > 0 {
+		w.report.Wasted = float64(w.wasted) / float64(w.used)
+	}
+	return w.report
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -75,6 +75,8 @@
 	// deposed is set once a target has seen another owner.
 	deposed bool
 	jobs    atomic.Int64
+	// statusAt is when the last status was logged.
+	statusAt time.Duration
 	done    chan struct{}
 }
 
@@ -136,6 +138,7 @@
 			return
 		case <-ticker.C:
 			o.state.Tick(bootclock.Now())
+			o.status()
 		case m := <-o.answers:
 			m(bootclock.Now())
 		case m := <-o.submissions.Items():
--- /dev/null
+++ b/owner/status.go
@@ -0,0 +1,24 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/burdockward/burdockward/bootclock"
+)
+
+// statusInterval paces the lines that tell how busy an owner is.
+const statusInterval = time.Second
+
+// status logs how busy the owner is, once a statusInterval.
+func (o *Owner) status() {
+	now := bootclock.Now()
+	if now-o.statusAt < statusInterval {
+		return
+	}
+	o.statusAt = now
+	summary := o.state.Summary()
+	o.options.Log.Info("owner status", "group", o.options.Group,
+		"jobs", summary.Jobs, "waiting_jobs", summary.Waiting, "runs", summary.Runs,
+		"targets", summary.Targets, "usable", summary.Usable, "suspected", summary.Suspected, "draining", summary.Draining,
+		"cpu", summary.CPU, "free_cpu", summary.FreeCPU)
+}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/burdockward/burdockward/work"
@@ -15,6 +16,8 @@
 	strikes map[string]time.Duration
 	// until bars the target, retry is the pause after the next suspicion.
 	until, retry time.Duration
+	// since is when the target came under suspicion.
+	since time.Duration
 	// suspected targets take one task at a time once until has passed, till one
 	// ends well.
 	suspected bool
@@ -49,7 +52,9 @@
 }
 
 func (h *health) suspend(now time.Duration) {
-	h.suspected = true
+	if !h.suspected {
+		h.suspected, h.since = true, now
+	}
 	h.until = now + h.retry
 	h.retry = min(2*h.retry, longestRest)
 }
@@ -107,7 +112,9 @@
 	took := now - r.ordered
 	speed := float64(took) / float64(r.expected)
 	h.speed += speedWeight * (min(speed, maxSpeed) - h.speed)
-	r.task.job.kind.learn(time.Duration(float64(took)/max(h.speed, 1)), r.task.step.Estimate)
+	if !h.suspected && !t.slow() {
+		r.task.job.kind.learn(took, r.task.step.Estimate)
+	}
 	if speed > overdueFactor {
 		return
 	}
@@ -120,6 +127,23 @@
 	h.retry = firstRest
 }
 
+// slow reports whether a target takes much longer than the usual one: where all
+// do, it is the declared run times that are off.
+func (t *target) slow() bool { return t.health.speed > slowSpeed*max(t.pool.usual, 1) }
+
+// usualSpeed is the median speed of a pool's targets.
+func (p *pool) usualSpeed() float64 {
+	if len(p.targets) == 0 {
+		return 1
+	}
+	speeds := make([]float64, 0, len(p.targets))
+	for _, t := range p.targets {
+		speeds = append(speeds, t.health.speed)
+	}
+	slices.Sort(speeds)
+	return speeds[len(speeds)/2]
+}
+
 // maxSpeed bounds what one end can add to the moving average.
 const maxSpeed = 10.0
 
@@ -166,6 +190,10 @@
 	if elsewhere > r.task.job.useful || !s.roomElsewhere(t, r.task.step.Each) {
 		return false
 	}
+	if r.ordered > t.health.since {
+		// It finds out whether the target is well again.
+		return r.overdue(now)
+	}
 	speed := max(t.health.speed, float64(now-r.ordered)/float64(r.expected))
 	here := r.ordered + time.Duration(speed*float64(r.expected))
 	return r.overdue(now) || speed > slowSpeed && here > elsewhere+r.expected/2
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -123,7 +123,7 @@
 		// One task at a time finds out whether the target is well again.
 		return now >= h.until && len(t.runs) == 0 && tk.fails == 0
 	}
-	if h.speed > slowSpeed {
+	if t.slow() {
 		return now+time.Duration(h.speed*float64(st.expected)) <= j.objective || len(t.runs) == 0
 	}
 	return true
@@ -149,7 +149,7 @@
 	if t.ID == tk.avoid {
 		rank += 2
 	}
-	if t.health.suspected || t.health.speed > slowSpeed || len(t.health.strikes) > 0 {
+	if t.health.suspected || t.slow() || len(t.health.strikes) > 0 {
 		rank++
 	}
 	return rank
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -223,6 +223,9 @@
 			delete(s.entries, entry)
 		}
 	}
+	for _, p := range s.pools {
+		p.usual = p.usualSpeed()
+	}
 	for _, t := range s.sortedTargets() {
 		s.tickTarget(now, t)
 	}
@@ -320,3 +323,33 @@
 		}
 	}
 }
+
+// Summary counts what a State holds.
+type Summary struct {
+	// Jobs have no answer yet, Waiting ones of them still need places.
+	Jobs, Waiting, Runs int
+	// Targets are all that are known, the others are subsets.
+	Targets, Usable, Suspected, Draining int
+	// CPU and FreeCPU are the processor of usable targets, in thousandths of a core.
+	CPU, FreeCPU int64
+}
+
+// Summary counts what the State holds.
+func (s *State) Summary() Summary {
+	sum := Summary{Jobs: len(s.jobs), Waiting: len(s.waiting), Targets: len(s.targets)}
+	for _, t := range s.targets {
+		sum.Runs += len(t.runs)
+		if t.health.suspected {
+			sum.Suspected++
+		}
+		if t.Draining {
+			sum.Draining++
+		}
+		if t.state == usable && !t.Draining {
+			sum.Usable++
+			sum.CPU += t.Capacity.CPU
+			sum.FreeCPU += t.free.CPU
+		}
+	}
+	return sum
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -21,7 +21,11 @@
 )
 
 // pool is the targets of a service.
-type pool struct{ targets []*target }
+type pool struct {
+	targets []*target
+	// usual is the median speed of the targets.
+	usual float64
+}
 
 func (s *State) poolOf(service string) *pool {
 	p := s.pools[service]
