Pass a claim on by word while the store is away; close in time

Cause: a leaving owner in a failure domain that is cut off from the store could not hand over, and its callers were refused until the cut healed. Ruled out: a successor that claims by itself (two may, and the targets' fences would have to settle it). Change: the holder gives its claim and token away by a call; the successor writes it once the store is back, raising its token in place. The frontend closes when the platform has taken the VM out of rotation.

--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -35,6 +35,10 @@
 	Loads() []*linkpb.Load
 	ConfigurationVersion() int64
 	Leaving() bool
+	// Owned is the claim of this VM's group; nil before the first.
+	Owned() *linkpb.Owned
+	// Learned takes the claim that an owner knows of its group.
+	Learned(owned *linkpb.Owned)
 }
 
 // Service sends and answers heartbeats.
@@ -204,6 +208,9 @@
 			s.mu.Lock()
 			s.book.answered(bootclock.Now(), &pong)
 			s.mu.Unlock()
+			if pong.GetOwned() != nil {
+				s.listener.Learned(pong.GetOwned())
+			}
 		}
 	}
 }
@@ -219,5 +226,6 @@
 	s.writeTo(from, &linkpb.Pong{
 		Vm: s.self.VM, Life: s.self.Life, Stamp: int64(bootclock.Now()), Control: s.self.Control,
 		ConfigurationVersion: s.listener.ConfigurationVersion(), Loads: s.listener.Loads(),
+		Owned: s.listener.Owned(),
 	})
 }
--- a/link/link.go
+++ b/link/link.go
@@ -39,6 +39,8 @@
 	// Release lists the targets that this VM uses no more.
 	Release(ctx context.Context, group string) (targets []string, all bool)
 	Tables() Tables
+	// Pass takes over a group from its present owner.
+	Pass(held ownership.Held)
 }
 
 // NewServer serves a Handler over HTTP.
@@ -70,11 +72,17 @@
 	tables := s.handler.Tables()
 	reply := &linkpb.TablesReply{Configuration: tables.Configuration}
 	for _, held := range tables.Claims {
-		reply.Owners = append(reply.Owners, &linkpb.Owned{Group: held.Group, Claim: held.Claim, Version: held.Version})
+		reply.Owners = append(reply.Owners, held.Wire())
 	}
 	return reply, nil
 }
 
+// Pass implements linkpb.Fleet.
+func (s server) Pass(_ context.Context, r *linkpb.PassRequest) (*linkpb.PassReply, error) {
+	s.handler.Pass(ownership.FromWire(r.GetOwned()))
+	return &linkpb.PassReply{}, nil
+}
+
 // Sizes and times of the calls between VMs.
 const (
 	// dialTimeout is many round trips between failure domains.
@@ -148,12 +156,18 @@
 	}
 	tables := Tables{Configuration: reply.GetConfiguration()}
 	for _, owned := range reply.GetOwners() {
-		tables.Claims = append(tables.Claims, ownership.Held{
-			Group: owned.GetGroup(), Claim: owned.GetClaim(), Version: owned.GetVersion(),
-		})
+		tables.Claims = append(tables.Claims, ownership.FromWire(owned))
 	}
 	return tables, nil
 }
 
+// Pass makes another VM the owner of a group that this VM owns.
+func (c *Client) Pass(ctx context.Context, address string, held ownership.Held) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := c.fleet(address).Pass(ctx, &linkpb.PassRequest{Owned: held.Wire()})
+	return err
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
--- a/node/leave.go
+++ b/node/leave.go
@@ -25,23 +25,28 @@
 // leave hands over what this VM owns and waits until its callers are answered.
 func (n *Node) leave(ctx context.Context) {
 	began := bootclock.Now()
+	deadline := began + n.options.Settings.Grace - leaveMargin
 	n.log.Info("leaving", "requests", n.requests.Load())
 	n.leaving.Store(true)
 	n.keeper.Leave()
 	n.handOver(ctx, began)
-	deadline := began + n.options.Settings.Grace - leaveMargin
-	for bootclock.Now() < deadline && (bootclock.Now()-began < rotationTime || n.busy()) {
+	sleepUntil(began + rotationTime)
+	// From here on callers get no new connection, and an answer on those they have.
+	n.servers.closeFrontend(deadline - bootclock.Now())
+	for bootclock.Now() < deadline && n.busy() {
 		time.Sleep(leavePause)
 	}
 	n.log.Info("left", "requests", n.requests.Load(), "took", bootclock.Now()-began)
 }
 
+func sleepUntil(at time.Duration) { time.Sleep(at - bootclock.Now()) }
+
 func (n *Node) handOver(ctx context.Context, began time.Duration) {
 	if n.owned() == nil {
 		return
 	}
 	for bootclock.Now()-began < handOverTime {
-		err := n.keeper.HandOver(ctx, n.beats.Pingers())
+		err := n.keeper.HandOver(ctx, n.beats.Pingers(), n.calls)
 		if err == nil {
 			return
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -72,8 +72,8 @@
 // ownedGroup is a group that this process owns or hands over.
 type ownedGroup struct {
 	*owner.Owner
-	token int64
-	end   context.CancelFunc
+	held ownership.Held
+	end  context.CancelFunc
 }
 
 // New opens the node's sockets.
@@ -165,12 +165,12 @@
 	defer n.mu.Unlock()
 	mine := held.Claim.GetLife() == n.self.Life
 	switch {
-	case mine && (n.own == nil || n.own.token < held.Version):
-		if n.own != nil {
-			n.own.end()
-		}
+	case mine && n.own == nil:
 		n.own = n.startOwner(held)
-	case !mine && n.own != nil && n.own.token < held.Version:
+	case mine:
+		n.own.held = held
+		n.own.Raise(held.Version)
+	case n.own != nil && held.Newer(n.own.held):
 		if held.Claim.GetFormer().GetLife() == n.self.Life {
 			n.own.Leave(n.ctx)
 			return
@@ -197,7 +197,7 @@
 	}
 	o := owner.New(options, n.targets, n.store)
 	n.duties.Go(func() error { return o.Run(ctx) })
-	return &ownedGroup{Owner: o, token: held.Version, end: end}
+	return &ownedGroup{Owner: o, held: held, end: end}
 }
 
 func (n *Node) owned() *owner.Owner {
@@ -238,6 +238,24 @@
 	return loads
 }
 
+// Owned implements heartbeat.Listener.
+func (n *Node) Owned() *linkpb.Owned {
+	if held, ok := n.keeper.Claim(); ok {
+		return held.Wire()
+	}
+	return nil
+}
+
+// Learned implements heartbeat.Listener.
+func (n *Node) Learned(owned *linkpb.Owned) {
+	for _, known := range n.keeper.Claims() {
+		if known.Group == owned.GetGroup() && !ownership.FromWire(owned).Newer(known) {
+			return
+		}
+	}
+	n.keeper.Merge([]ownership.Held{ownership.FromWire(owned)})
+}
+
 // ConfigurationVersion implements heartbeat.Listener.
 func (n *Node) ConfigurationVersion() int64 { return n.config.version() }
 
@@ -307,6 +325,8 @@
 	return o.Release(ctx)
 }
 
+func (p peerCalls) Pass(held ownership.Held) { p.node.keeper.Merge([]ownership.Held{held}) }
+
 func (p peerCalls) Tables() link.Tables {
 	tables := link.Tables{Claims: p.node.keeper.Claims()}
 	if held := p.node.config.held.Load(); held != nil {
--- a/node/servers.go
+++ b/node/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -24,7 +25,7 @@
 const maxHeaderBytes = 16 << 10
 
 // servers are the HTTP servers of a node with their listeners.
-type servers []openServer
+type servers struct{ control, ready, frontend *openServer }
 
 type openServer struct {
 	http     *http.Server
@@ -32,30 +33,32 @@
 }
 
 func listen(s platform.Settings, n *Node) (servers, error) {
-	handlers := []struct {
+	var open servers
+	for _, h := range []struct {
+		place   **openServer
 		address string
 		handler http.Handler
 	}{
-		{s.Control, n.handler()},
-		{s.Ready, platform.ReadyHandler(n.ready)},
-		{s.Frontend, platform.NewCallers(n)},
-	}
-	var open servers
-	for _, h := range handlers {
+		{&open.control, s.Control, n.handler()},
+		{&open.ready, s.Ready, platform.ReadyHandler(n.ready)},
+		{&open.frontend, s.Frontend, platform.NewCallers(n)},
+	} {
 		listener, err := net.Listen("tcp4", h.address)
 		if err != nil {
 			open.close()
-			return nil, err
+			return servers{}, err
 		}
-		open = append(open, openServer{listener: listener, http: &http.Server{
+		*h.place = &openServer{listener: listener, http: &http.Server{
 			Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		}})
+		}}
 	}
 	return open, nil
 }
 
+func (s servers) all() []*openServer { return []*openServer{s.frontend, s.ready, s.control} }
+
 func (s servers) serve(g *errgroup.Group) {
-	for _, open := range s {
+	for _, open := range s.all() {
 		g.Go(func() error {
 			if err := open.http.Serve(open.listener); !errors.Is(err, http.ErrServerClosed) {
 				return err
@@ -65,13 +68,27 @@
 	}
 }
 
+// closeFrontend takes no new callers and lets requests in flight end within a time.
+func (s servers) closeFrontend(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	_ = s.frontend.http.Shutdown(ctx)
+}
+
 // close lets requests in flight end for a while.
 func (s servers) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, open := range s {
-		if open.http.Shutdown(ctx) != nil {
-			_ = open.http.Close()
+	var closing sync.WaitGroup
+	for _, open := range s.all() {
+		if open == nil {
+			continue
 		}
+		closing.Go(func() {
+			if open.http.Shutdown(ctx) != nil {
+				_ = open.http.Close()
+			}
+		})
 	}
+	closing.Wait()
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -74,10 +74,11 @@
 	registry    registry
 	// deposed is set once a target has seen another owner.
 	deposed bool
+	token   atomic.Int64
 	jobs    atomic.Int64
 	// statusAt is when the last status was logged.
 	statusAt time.Duration
-	done    chan struct{}
+	done     chan struct{}
 }
 
 // message changes the state; it runs on the owner's goroutine.
@@ -85,7 +86,7 @@
 
 // New makes an owner that doesn't order anything before Run.
 func New(o Options, targets Targets, store mirror.Source) *Owner {
-	return &Owner{
+	owner := &Owner{
 		options: o, targets: targets, store: store,
 		submissions: ring.New[message](submissionsRoom),
 		answers:     make(chan message, answersRoom),
@@ -95,6 +96,15 @@
 		registry:    newRegistry(o.FailureDomain, o.Former != nil),
 		done:        make(chan struct{}),
 	}
+	owner.token.Store(o.Token)
+	return owner
+}
+
+// Raise takes a higher fencing token for the same claim.
+func (o *Owner) Raise(token int64) {
+	if old := o.token.Load(); token > old && o.token.CompareAndSwap(old, token) {
+		o.options.Log.Info("token raised", "group", o.options.Group, "token", token)
+	}
 }
 
 // Run orders targets until the context ends.
@@ -115,7 +125,7 @@
 		g.Go(func() error { o.takeOver(ctx); return nil })
 	}
 	err := g.Wait()
-	o.options.Log.Info("no longer owning targets", "group", o.options.Group, "token", o.options.Token)
+	o.options.Log.Info("no longer owning targets", "group", o.options.Group, "token", o.token.Load())
 	return err
 }
 
@@ -215,17 +225,17 @@
 }
 
 func (o *Owner) start(ctx context.Context, e scheduler.StartRun) {
-	answer := o.targets.Start(ctx, e.To, e.Run, e.Payload, e.Until, o.options.Token)
+	answer := o.targets.Start(ctx, e.To, e.Run, e.Payload, e.Until, o.token.Load())
 	o.post(ctx, func(now time.Duration) { o.state.Started(now, e.To.ID, e.Run, answer) })
 }
 
 func (o *Owner) stop(ctx context.Context, e scheduler.StopRun) {
-	answer := o.targets.Stop(ctx, e.To, e.Run, o.options.Token)
+	answer := o.targets.Stop(ctx, e.To, e.Run, o.token.Load())
 	o.post(ctx, func(now time.Duration) { o.state.Stopped(now, e.To.ID, e.Run, answer) })
 }
 
 func (o *Owner) look(ctx context.Context, e scheduler.Look) {
-	held, verdict := o.targets.Look(ctx, e.To, o.options.Token, e.Until, e.Seen, e.Wait)
+	held, verdict := o.targets.Look(ctx, e.To, o.token.Load(), e.Until, e.Seen, e.Wait)
 	o.post(ctx, func(now time.Duration) { o.state.Looked(now, e.To.ID, held, verdict) })
 }
 
@@ -235,7 +245,7 @@
 		return
 	}
 	o.deposed = true
-	o.options.Log.Warn("deposed: a target has seen a higher token", "target", e.Target, "token", o.options.Token)
+	o.options.Log.Warn("deposed: a target has seen a higher token", "target", e.Target, "token", o.token.Load())
 	o.state.Abandon(bootclock.Now())
 }
 
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -12,13 +12,32 @@
 	"github.com/burdockward/burdockward/link/linkpb"
 )
 
-// Held is a claim as it lies in the store. Its version is the fencing token.
+// Held is a claim. Its version, that of the row in the store, is the fencing token,
+// also after it was passed on by its owner while the store was away.
 type Held struct {
 	Group   string
 	Claim   *linkpb.Claim
 	Version int64
 }
 
+// Newer reports whether a claim goes before another of the same group.
+func (h Held) Newer(than Held) bool {
+	if h.Version != than.Version {
+		return h.Version > than.Version
+	}
+	return h.Claim.GetPassed() > than.Claim.GetPassed()
+}
+
+// Wire is the message of a claim.
+func (h Held) Wire() *linkpb.Owned {
+	return &linkpb.Owned{Group: h.Group, Claim: h.Claim, Version: h.Version}
+}
+
+// FromWire is the claim of a message.
+func FromWire(wire *linkpb.Owned) Held {
+	return Held{Group: wire.GetGroup(), Claim: wire.GetClaim(), Version: wire.GetVersion()}
+}
+
 // Belief is what a decision about a group rests on.
 type Belief struct {
 	// Held is the claim in the store; nil while nobody has claimed the group.
@@ -41,7 +60,8 @@
 	case b.Held == nil:
 		return b.Waited >= b.Patience
 	case b.Held.Claim.GetLife() == b.Life:
-		return false
+		// A claim that was passed on isn't in the store yet.
+		return b.Held.Claim.GetPassed() > 0
 	case b.Held.Claim.GetVm() == b.VM:
 		// An earlier life of this VM, which has ended.
 		return true
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -30,6 +30,8 @@
 	decideInterval = 40 * time.Millisecond
 	// writePause paces the tries of a claim.
 	writePause = 250 * time.Millisecond
+	// handOverWrite bounds the write of a handover: the grace of a stop is short.
+	handOverWrite = 400 * time.Millisecond
 )
 
 // Store is the part of the platform's store that the keeper uses.
@@ -65,11 +67,10 @@
 	// known is when each claim was first seen as it is.
 	known map[string]time.Duration
 	// read says that the store or a peer has told what claims there are.
-	read     bool
-	started  time.Duration
-	leaving  bool
-	lastTry  time.Duration
-	notified []Held
+	read    bool
+	started time.Duration
+	leaving bool
+	lastTry time.Duration
 }
 
 // New makes a keeper that claims nothing before it has read the claims.
@@ -97,6 +98,14 @@
 	k.leaving = true
 }
 
+// Claim returns the claim of this VM's group, if it is known.
+func (k *Keeper) Claim() (Held, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	held, ok := k.claims[k.options.Group]
+	return held, ok
+}
+
 // Claims lists the claims by group.
 func (k *Keeper) Claims() []Held {
 	k.mu.Lock()
@@ -145,7 +154,7 @@
 
 // adopt keeps the newer of two claims.
 func (k *Keeper) adopt(held Held) {
-	if old, ok := k.claims[held.Group]; ok && old.Version >= held.Version {
+	if old, ok := k.claims[held.Group]; ok && !held.Newer(old) {
 		return
 	}
 	k.claims[held.Group] = held
@@ -228,8 +237,15 @@
 // ErrNoSuccessor says that no other VM of the failure domain is known.
 var ErrNoSuccessor = errors.New("no successor: no other VM of the failure domain sends heartbeats")
 
-// HandOver makes another VM the owner of the group, which this VM owns.
-func (k *Keeper) HandOver(ctx context.Context, pingers []heartbeat.Pinger) error {
+// Passer tells another VM that it owns a group now.
+type Passer interface {
+	Pass(ctx context.Context, address string, held Held) error
+}
+
+// HandOver makes another VM the owner of the group, which this VM owns: through the
+// store, or by word while the store is away. Either way only this VM, which the
+// targets obey, gives its place.
+func (k *Keeper) HandOver(ctx context.Context, pingers []heartbeat.Pinger, passer Passer) error {
 	to, ok := Successor(k.options.Self.FailureDomain, pingers)
 	if !ok {
 		return ErrNoSuccessor
@@ -237,8 +253,21 @@
 	k.mu.Lock()
 	held := k.claims[k.options.Group]
 	k.mu.Unlock()
-	return k.write(ctx, &linkpb.Claim{
+	claim := &linkpb.Claim{
 		Vm: to.VM, Life: to.Life, Control: to.Control, Heartbeat: to.Heartbeat,
 		Former: &linkpb.Former{Life: k.options.Self.Life, Control: k.options.Self.Control},
-	}, held.Version)
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverWrite)
+	defer cancel()
+	err := k.write(ctx, claim, held.Version)
+	if err == nil || errors.Is(err, platform.ErrConflict) {
+		return err
+	}
+	k.options.Log.Warn("passing the claim on without the store", "group", k.options.Group, "to", to.VM, "error", err)
+	claim.Passed = held.Claim.GetPassed() + 1
+	passed := Held{Group: k.options.Group, Claim: claim, Version: held.Version}
+	// An answer that is lost changes nothing: the successor may own the group.
+	err = passer.Pass(context.WithoutCancel(ctx), to.Control, passed)
+	k.Merge([]Held{passed})
+	return err
 }
