Tell a successor the registry, and wait for it before refusing

New owners also refused what arrived before their first read of the registry. Change: what an owner releases comes with the registry as it knows it; a job is unservable only once the registry was read.

--- a/link/convert.go
+++ b/link/convert.go
@@ -20,10 +20,32 @@
 	return wire
 }
 
+func resourcesToWire(r work.Resources) *linkpb.Resources {
+	return &linkpb.Resources{Cpu: r.CPU, MemoryMb: r.MemoryMB, Gpu: r.GPU}
+}
+
+func resourcesFromWire(wire *linkpb.Resources) work.Resources {
+	return work.Resources{CPU: wire.GetCpu(), MemoryMB: wire.GetMemoryMb(), GPU: wire.GetGpu()}
+}
+
+func targetToWire(t work.Target) *linkpb.Target {
+	return &linkpb.Target{
+		Id: t.ID, Service: t.Service, Address: t.Address, FailureDomain: t.FailureDomain,
+		Capacity: resourcesToWire(t.Capacity), Labels: t.Labels, Draining: t.Draining,
+	}
+}
+
+func targetFromWire(wire *linkpb.Target) work.Target {
+	return work.Target{
+		ID: wire.GetId(), Service: wire.GetService(), Address: wire.GetAddress(), FailureDomain: wire.GetFailureDomain(),
+		Capacity: resourcesFromWire(wire.GetCapacity()), Labels: wire.GetLabels(), Draining: wire.GetDraining(),
+	}
+}
+
 func stepToWire(step work.Step) *linkpb.Step {
 	wire := &linkpb.Step{
 		Tasks:      int32(step.Tasks),
-		Each:       &linkpb.Resources{Cpu: step.Each.CPU, MemoryMb: step.Each.MemoryMB, Gpu: step.Each.GPU},
+		Each:       resourcesToWire(step.Each),
 		EstimateUs: micros(step.Estimate),
 		Label:      step.Label,
 		Rack:       step.Rack,
@@ -44,10 +66,9 @@
 }
 
 func stepFromWire(wire *linkpb.Step) work.Step {
-	each := wire.GetEach()
 	step := work.Step{
 		Tasks:    int(wire.GetTasks()),
-		Each:     work.Resources{CPU: each.GetCpu(), MemoryMB: each.GetMemoryMb(), GPU: each.GetGpu()},
+		Each:     resourcesFromWire(wire.GetEach()),
 		Estimate: duration(wire.GetEstimateUs()),
 		Label:    wire.GetLabel(),
 		Rack:     wire.GetRack(),
--- a/link/link.go
+++ b/link/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/burdockward/burdockward/link/linkpb"
+	"github.com/burdockward/burdockward/owner"
 	"github.com/burdockward/burdockward/ownership"
 	"github.com/burdockward/burdockward/work"
 )
@@ -36,8 +37,8 @@
 // Handler serves the calls of other VMs.
 type Handler interface {
 	Run(ctx context.Context, order Order) work.Outcome
-	// Release lists the targets that this VM uses no more.
-	Release(ctx context.Context, group string) (targets []string, all bool)
+	// Release tells a successor what it may take.
+	Release(ctx context.Context, group string) owner.Released
 	Tables() Tables
 	// Pass takes over a group from its present owner.
 	Pass(held ownership.Held)
@@ -63,8 +64,12 @@
 
 // Release implements linkpb.Fleet.
 func (s server) Release(ctx context.Context, r *linkpb.ReleaseRequest) (*linkpb.ReleaseReply, error) {
-	targets, all := s.handler.Release(ctx, r.GetGroup())
-	return &linkpb.ReleaseReply{Targets: targets, All: all}, nil
+	released := s.handler.Release(ctx, r.GetGroup())
+	reply := &linkpb.ReleaseReply{Targets: released.Targets, All: released.All}
+	for _, target := range released.Listed {
+		reply.Listed = append(reply.Listed, targetToWire(target))
+	}
+	return reply, nil
 }
 
 // Tables implements linkpb.Fleet.
@@ -136,14 +141,18 @@
 }
 
 // Release asks a former owner which targets it uses no more.
-func (c *Client) Release(ctx context.Context, address, group string, token int64) ([]string, bool, error) {
+func (c *Client) Release(ctx context.Context, address, group string, token int64) (owner.Released, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := c.fleet(address).Release(ctx, &linkpb.ReleaseRequest{Group: group, Token: token})
 	if err != nil {
-		return nil, false, err
+		return owner.Released{}, err
+	}
+	released := owner.Released{Targets: reply.GetTargets(), All: reply.GetAll()}
+	for _, target := range reply.GetListed() {
+		released.Listed = append(released.Listed, targetFromWire(target))
 	}
-	return reply.GetTargets(), reply.GetAll(), nil
+	return released, nil
 }
 
 // Tables asks another VM what it last read from the store.
--- a/node/node.go
+++ b/node/node.go
@@ -191,7 +191,7 @@
 		Log: n.log, Count: n.options.Count,
 	}
 	if former := held.Claim.GetFormer(); former != nil {
-		options.Former = func(ctx context.Context) ([]string, bool, error) {
+		options.Former = func(ctx context.Context) (owner.Released, error) {
 			return n.calls.Release(ctx, former.GetControl(), held.Group, held.Version)
 		}
 	}
@@ -317,10 +317,10 @@
 	return p.node.runFor(ctx, order)
 }
 
-func (p peerCalls) Release(ctx context.Context, _ string) ([]string, bool) {
+func (p peerCalls) Release(ctx context.Context, _ string) owner.Released {
 	o := p.node.owned()
 	if o == nil {
-		return nil, true
+		return owner.Released{All: true}
 	}
 	return o.Release(ctx)
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -53,9 +53,9 @@
 	Log      *slog.Logger
 	// Count counts what is noted and how submissions end; it must not block.
 	Count func(what, label string)
-	// Former asks an owner that hands over which targets are free; nil when there
-	// is none.
-	Former func(ctx context.Context) (targets []string, all bool, err error)
+	// Former asks an owner that hands over what it has released; nil when there is
+	// none.
+	Former func(ctx context.Context) (Released, error)
 }
 
 // Owner orders the targets of a group.
--- a/owner/registry.go
+++ b/owner/registry.go
@@ -17,7 +17,9 @@
 type registry struct {
 	domain string
 	listed map[string]work.Target
-	// held back targets are still the former owner's.
+	// read is set once the store has told what is listed.
+	read bool
+	// handover is set while targets that aren't taken are the former owner's.
 	handover bool
 	taken    map[string]bool
 	// released are the targets that this owner gave to its successor.
@@ -50,6 +52,8 @@
 	if !update.Whole {
 		return
 	}
+	o.registry.read = true
+	o.state.Listed()
 	for id := range o.registry.listed {
 		if !seen[id] {
 			o.unlist(now, id)
@@ -82,13 +86,13 @@
 func (o *Owner) takeOver(ctx context.Context) {
 	heard := bootclock.Now()
 	for ctx.Err() == nil {
-		targets, all, err := o.options.Former(ctx)
+		released, err := o.options.Former(ctx)
 		if err == nil {
 			heard = bootclock.Now()
 		}
 		silent := bootclock.Now()-heard > heartbeat.Silence
-		o.post(ctx, func(now time.Duration) { o.takeTargets(now, targets, all || silent) })
-		if all || silent {
+		o.post(ctx, func(now time.Duration) { o.takeTargets(now, released, silent) })
+		if released.All || silent {
 			o.options.Log.Info("handover ended", "group", o.options.Group, "silent", silent)
 			return
 		}
@@ -96,11 +100,16 @@
 	}
 }
 
-func (o *Owner) takeTargets(now time.Duration, targets []string, all bool) {
-	for _, id := range targets {
+func (o *Owner) takeTargets(now time.Duration, released Released, silent bool) {
+	for _, id := range released.Targets {
 		o.registry.taken[id] = true
 	}
-	if all {
+	for _, target := range released.Listed {
+		if !o.registry.read {
+			o.registry.listed[target.ID] = target
+		}
+	}
+	if released.All || silent {
 		o.registry.handover = false
 	}
 	for _, target := range o.registry.listed {
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/burdockward/burdockward/scheduler"
@@ -97,22 +99,35 @@
 	o.post(ctx, o.state.Leave)
 }
 
-// Release takes targets out of use that nothing runs on, for a successor, and
-// lists all that were taken out.
-func (o *Owner) Release(ctx context.Context) (targets []string, all bool) {
-	answer := make(chan struct{})
-	o.post(ctx, func(now time.Duration) {
-		defer close(answer)
+// Released is what an owner tells its successor.
+type Released struct {
+	// Targets are used no more by the former owner.
+	Targets []string
+	// All says that it uses none any more.
+	All bool
+	// Listed is the registry as the former owner knows it, since the successor may
+	// be cut off from the store.
+	Listed []work.Target
+}
+
+// Release takes targets out of use that nothing runs on, for a successor.
+func (o *Owner) Release(ctx context.Context) Released {
+	answer := make(chan Released, 1)
+	o.post(ctx, func(time.Duration) {
 		o.registry.released = append(o.registry.released, o.state.Idle()...)
 		o.state.Release(o.registry.released)
-		targets, all = append([]string(nil), o.registry.released...), o.state.AtRest()
+		answer <- Released{
+			Targets: slices.Clone(o.registry.released),
+			All:     o.state.AtRest(),
+			Listed:  slices.Collect(maps.Values(o.registry.listed)),
+		}
 	})
 	select {
-	case <-answer:
-		return targets, all
+	case released := <-answer:
+		return released
 	case <-o.done:
-		return nil, true
+		return Released{All: true}
 	case <-ctx.Done():
-		return nil, false
+		return Released{}
 	}
 }
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -58,8 +58,14 @@
 	s.wait(j)
 }
 
+// Listed says that the registry was read whole: what is not known is not there.
+func (s *State) Listed() { s.listed = true }
+
 // unservable tells why no target that is known can ever run a job.
 func (s *State) unservable(j *job) string {
+	if !s.listed {
+		return ""
+	}
 	if len(j.pool.targets) == 0 {
 		return "no target of the service is known"
 	}
@@ -103,7 +109,7 @@
 	wait := time.Duration(math.MaxInt64)
 	if flow > 0 {
 		wait = time.Duration(short / flow * float64(time.Millisecond))
-	} else if j.pool.adopting() {
+	} else if !s.listed || j.pool.adopting() {
 		wait = 0
 	}
 	slack := j.latest - now + time.Duration(lateShare*float64(j.objective-j.arrived))
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -154,6 +154,8 @@
 	entries map[string]time.Duration
 	kinds   map[string]*kind
 	leaving bool
+	// listed is set once the registry was read.
+	listed  bool
 	ticked  time.Duration
 	lastRun int64
 	effects []Effect
