--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -92,9 +92,14 @@
 // ownerSim is an owner with its callers.
 type ownerSim struct {
 	state   *scheduler.State
+	index   int
 	callers map[scheduler.Ref]*arrival
 	refs    scheduler.Ref
 	loads   scheduler.Load
+	// lenders wait for parts that this owner runs.
+	lenders map[scheduler.Ref]func(work.Outcome)
+	lent    map[scheduler.Part]func()
+	asked   time.Duration
 }
 
 // Figures of the simulated runtime.
@@ -139,10 +144,13 @@
 	if w.options.OneOwner {
 		count = 1
 	}
-	for range count {
-		w.owners = append(w.owners, &ownerSim{
-			state: scheduler.New(scheduler.Options{}), callers: map[scheduler.Ref]*arrival{},
-		})
+	for i := range count {
+		o := &ownerSim{
+			index: i, state: scheduler.New(scheduler.Options{}), callers: map[scheduler.Ref]*arrival{},
+			lenders: map[scheduler.Ref]func(work.Outcome){}, lent: map[scheduler.Part]func(){},
+		}
+		o.state.Listed()
+		w.owners = append(w.owners, o)
 	}
 	for domain := range site.Domains {
 		for i := range site.Targets {
@@ -242,6 +250,12 @@
 			if !keep(e) {
 				w.answered(o, e)
 			}
+		case scheduler.Lend:
+			w.lend(o, e)
+		case scheduler.Withdraw:
+			if cancel := o.lent[e.Part]; cancel != nil {
+				cancel()
+			}
 		case scheduler.StartRun:
 			w.order(func() { w.targets[e.To.ID].start(o, e) })
 		case scheduler.StopRun:
@@ -250,6 +264,7 @@
 			w.order(func() { w.targets[e.To.ID].look(o, e) })
 		}
 	}
+	w.askRoom(o)
 }
 
 func (w *world) order(do func()) { w.after(w.hop(), do) }
@@ -262,6 +277,11 @@
 }
 
 func (w *world) answered(o *ownerSim, e scheduler.Answer) {
+	if lender := o.lenders[e.Ref]; lender != nil {
+		delete(o.lenders, e.Ref)
+		lender(e.Outcome)
+		return
+	}
 	a := o.callers[e.Ref]
 	if a == nil {
 		return
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -14,7 +14,7 @@
 		s.answer(sub, work.Outcome{Result: work.Moved, Reason: "another VM orders the targets"})
 		return
 	}
-	if j := s.byID[sub.Job.ID]; j != nil {
+	if j := s.byID[sub.key()]; j != nil {
 		s.attach(now, j, sub)
 		return
 	}
@@ -23,12 +23,18 @@
 		s.answer(sub, work.Outcome{Result: work.Refused, Reason: why, RetryAfter: unservableRetry})
 		return
 	}
-	if wait, ok := s.forecast(now, j); !ok {
+	if sub.Part != nil {
+		if !s.takesPart(now, j) {
+			s.answer(sub, work.Outcome{Result: work.Refused, Reason: "no room for a part"})
+			return
+		}
+	} else if wait, ok := s.forecast(now, j); !ok {
 		s.refuse(now, j, wait)
 		return
 	}
+	j.pool.met(j.steps[0].Each.CPU)
 	s.jobs[sub.Ref] = j
-	s.byID[sub.Job.ID] = j
+	s.byID[sub.key()] = j
 	s.wait(j)
 }
 
@@ -102,6 +108,10 @@
 	need := j.firstNeed()
 	ahead := s.ahead(j)
 	room, flow := j.pool.supply(now, need.each)
+	if j.sub.Part == nil {
+		_, elsewhere := s.roomiest(now, j.sub.Queue)
+		room += int64(elsewhere.Places[priorityOf(j.sub.Queue)]) * need.each
+	}
 	short := float64(ahead + need.total - room)
 	if short <= 0 {
 		return 0, true
@@ -119,6 +129,17 @@
 // maxForecast bounds what callers are told.
 const maxForecast = 10 * time.Second
 
+// usualWeight is the weight of the newest job in the moving average of needs.
+const usualWeight = 0.05
+
+// met learns how much processor a usual task needs.
+func (p *pool) met(cpu int64) {
+	if p.usualCPU == 0 {
+		p.usualCPU = float64(max(cpu, 1))
+	}
+	p.usualCPU += usualWeight * (float64(max(cpu, 1)) - p.usualCPU)
+}
+
 // need is what a job wants at its start, in thousandths of a core.
 type need struct{ each, total int64 }
 
@@ -188,6 +209,7 @@
 			load.FreeCPU += t.free.CPU
 		}
 	}
+	load.Room.Places = s.places(now, p)
 	_, flow := p.supply(now, 0)
 	ahead := int64(0)
 	var waits [Priorities]int64
@@ -195,7 +217,7 @@
 		if j.pool == p && !j.ended {
 			need := j.firstNeed().total
 			ahead += need
-			waits[min(max(j.sub.Queue.Priority, 0), Priorities-1)] += need
+			waits[priorityOf(j.sub.Queue)] += need
 		}
 	}
 	before := int64(0)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -139,6 +139,9 @@
 	}
 	for i := range declared.Tasks {
 		name := fmt.Sprintf("%s.0.%d.%d", j.sub.Job.ID, index, i)
+		if j.sub.Part != nil {
+			name = j.sub.Part[i]
+		}
 		t := &task{name: name, job: j, step: st}
 		st.pending = append(st.pending, t)
 		j.tasks = append(j.tasks, t)
@@ -211,7 +214,8 @@
 	}
 	j.ended = true
 	delete(s.jobs, j.sub.Ref)
-	delete(s.byID, j.sub.Job.ID)
+	delete(s.byID, j.sub.key())
+	s.withdraw(now, j)
 	s.emit(Answer{Ref: j.sub.Ref, Outcome: outcome})
 	for _, t := range j.tasks {
 		if t.run != nil {
@@ -264,9 +268,19 @@
 	return jobs
 }
 
-// GiveUp gives up a job by its ID, if it is still an entry VM's.
+// GiveUp gives up a job by its ID, with its parts, if it is still an entry VM's.
 func (s *State) GiveUp(now time.Duration, entry, id string) {
-	if j := s.byID[id]; j != nil && j.sub.Entry == entry {
-		s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "its entry VM has given it up"})
+	for _, j := range s.sortedJobs() {
+		if j.sub.Job.ID == id && j.sub.Entry == entry {
+			s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "its entry VM has given it up"})
+		}
+	}
+}
+
+// key tells a job from its parts that other owners hand over.
+func (sub Submission) key() string {
+	if len(sub.Part) > 0 {
+		return sub.Part[0]
 	}
+	return sub.Job.ID
 }
--- /dev/null
+++ b/scheduler/lend.go
@@ -0,0 +1,229 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// Part names tasks that were handed to another owner.
+type Part uint64
+
+// Lend hands tasks that find no place here to another owner that has room; the
+// outcome goes to Returned.
+type Lend struct {
+	Part Part
+	// Owner is the other owner.
+	Owner string
+	// Submission has one step with just the tasks handed over.
+	Submission Submission
+}
+
+// Withdraw gives up a part.
+type Withdraw struct{ Part Part }
+
+func (Lend) effect()     {}
+func (Withdraw) effect() {}
+
+// Room is what another owner says of its places.
+type Room struct {
+	// Places is how many usual tasks of each priority could start now or very soon.
+	Places [Priorities]int
+}
+
+// room is another owner's word with its age.
+type room struct {
+	Room
+	at time.Duration
+}
+
+// roomKey names the room of a service at an owner.
+type roomKey struct{ owner, service string }
+
+// lent is a part that is away.
+type lent struct {
+	job   *job
+	step  *step
+	tasks []*task
+	to    roomKey
+}
+
+// Figures of lending.
+const (
+	// roomMemory is how long another owner's word of its room counts.
+	roomMemory = 100 * time.Millisecond
+	// withdrawTime is until tasks that were withdrawn are certainly stopped: a
+	// message, a stop, and the time of an owner that doesn't hear from this VM.
+	withdrawTime = 500 * time.Millisecond
+)
+
+// RoomAt takes another owner's word of its places for a service.
+func (s *State) RoomAt(now time.Duration, owner, service string, r Room) {
+	s.rooms[roomKey{owner, service}] = room{Room: r, at: now}
+}
+
+// Hungry reports whether tasks wait for a place, so that the room of others
+// matters.
+func (s *State) Hungry() bool { return len(s.waiting) > 0 }
+
+// lendJob hands the tasks of a step that found no place here to others that have
+// room, or whose queue is shorter.
+func (s *State) lendJob(now time.Duration, j *job, st *step) {
+	if j.sub.Part != nil || st.on != nil || s.leaving {
+		return
+	}
+	priority := priorityOf(j.sub.Queue)
+	for len(st.pending) > 0 {
+		key, r := s.roomiest(now, j.sub.Queue)
+		n := min(r.Places[priority], len(st.pending))
+		if n == 0 {
+			return
+		}
+		tasks := slices.Clone(st.pending[:n])
+		st.pending = slices.Delete(st.pending, 0, n)
+		for i := range r.Places {
+			r.Places[i] = max(r.Places[i]-n, 0)
+		}
+		s.rooms[key] = r
+		s.lend(now, j, st, tasks, key)
+	}
+}
+
+// priorityOf is a queue's place among the priorities told apart.
+func priorityOf(q work.Queue) int { return min(max(q.Priority, 0), Priorities-1) }
+
+// roomiest is the other owner with the most room for a queue.
+func (s *State) roomiest(now time.Duration, q work.Queue) (roomKey, room) {
+	var best roomKey
+	var most room
+	priority := priorityOf(q)
+	for key, r := range s.rooms {
+		if key.service != q.Service || now-r.at > roomMemory {
+			continue
+		}
+		places, record := r.Places[priority], most.Places[priority]
+		if places > record || places == record && places > 0 && key.owner < best.owner {
+			best, most = key, r
+		}
+	}
+	return best, most
+}
+
+func (s *State) lend(now time.Duration, j *job, st *step, tasks []*task, to roomKey) {
+	s.lastPart++
+	s.parts[s.lastPart] = &lent{job: j, step: st, tasks: tasks, to: to}
+	j.begun++
+	names := make([]string, len(tasks))
+	for i, t := range tasks {
+		names[i] = t.name
+	}
+	part := st.Step
+	part.Tasks, part.After = len(tasks), nil
+	sub := Submission{
+		Part:  names,
+		Job:   work.Job{ID: j.sub.Job.ID, Payload: j.sub.Job.Payload, Steps: []work.Step{part}},
+		Queue: j.sub.Queue,
+		Age:   now - j.arrived,
+	}
+	if j.deadline > 0 {
+		sub.Wait = j.deadline - j.arrived
+	}
+	s.emit(Lend{Part: s.lastPart, Owner: to.owner, Submission: sub})
+}
+
+// Returned takes the outcome of a part.
+func (s *State) Returned(now time.Duration, id Part, outcome work.Outcome) {
+	p := s.parts[id]
+	if p == nil {
+		return
+	}
+	delete(s.parts, id)
+	j := p.job
+	if j.ended {
+		return
+	}
+	switch outcome.Result {
+	case work.Completed:
+		s.partDone(now, p)
+	case work.Refused, work.Moved:
+		j.begun--
+		s.rooms[p.to] = room{at: now - roomMemory - 1}
+		p.step.pending = append(p.step.pending, p.tasks...)
+		s.wait(j)
+	case work.Failed:
+		s.finish(now, j, outcome)
+	default:
+		s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "another owner lost a part: " + outcome.Reason})
+	}
+}
+
+func (s *State) partDone(now time.Duration, p *lent) {
+	p.step.open -= len(p.tasks)
+	p.job.open -= len(p.tasks)
+	switch {
+	case p.job.open == 0:
+		s.finish(now, p.job, work.Outcome{Result: work.Completed})
+	case p.step.open == 0:
+		s.wait(p.job)
+	}
+}
+
+// withdraw gives up the parts of a job that has ended. Its ID counts as unsettled
+// until they are certainly stopped.
+func (s *State) withdraw(now time.Duration, j *job) {
+	for id, p := range s.parts {
+		if p.job != j {
+			continue
+		}
+		s.emit(Withdraw{Part: id})
+		s.settling[j.sub.Job.ID]++
+		s.withdrawn = append(s.withdrawn, withdrawal{job: j.sub.Job.ID, until: now + withdrawTime})
+	}
+}
+
+// withdrawal is a withdrawn part that may still run.
+type withdrawal struct {
+	job   string
+	until time.Duration
+}
+
+func (s *State) settleWithdrawn(now time.Duration) {
+	for len(s.withdrawn) > 0 && now >= s.withdrawn[0].until {
+		s.settle(s.withdrawn[0].job)
+		s.withdrawn = s.withdrawn[1:]
+	}
+}
+
+// takesPart reports whether a part of another owner's job can begin here now or
+// very soon.
+func (s *State) takesPart(now time.Duration, j *job) bool {
+	return s.settling[j.sub.Job.ID] == 0 && s.places(now, j.pool)[priorityOf(j.sub.Queue)] > 0
+}
+
+// soon is how far ahead places count that running tasks will give back: about two
+// ways between failure domains, which a part needs in any case.
+const soon = 10 * time.Millisecond
+
+// places is how many usual tasks of each priority other owners may hand over.
+func (s *State) places(now time.Duration, p *pool) [Priorities]int {
+	var places [Priorities]int
+	if s.leaving || p.usualCPU == 0 {
+		return places
+	}
+	free, flow := int64(0), 0.0
+	each := int64(p.usualCPU)
+	free, flow = p.supply(now, each)
+	room := float64(free) + flow*float64(soon/time.Millisecond)
+	var waiting [Priorities]int64
+	for _, j := range s.waiting {
+		if j.pool == p && !j.ended {
+			waiting[priorityOf(j.sub.Queue)] += j.firstNeed().total
+		}
+	}
+	for i := range places {
+		room -= float64(waiting[i])
+		places[i] = max(int(room/p.usualCPU), 0)
+	}
+	return places
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -75,20 +75,26 @@
 		if len(st.pending) == 0 || !j.ready(st) {
 			continue
 		}
-		for len(st.pending) > 0 {
-			if plain := st.Label == "" && st.on == nil; plain && full.hopeless(j.pool, st.Each) {
-				break
-			}
-			t := s.pick(now, j, st, st.pending[0])
-			if t == nil {
-				if st.Label == "" && st.on == nil {
-					full.add(j.pool, st.Each)
-				}
-				break
+		s.placeStep(now, j, st, full)
+		if len(st.pending) > 0 {
+			s.lendJob(now, j, st)
+		}
+	}
+}
+
+// placeStep starts tasks of a step until one finds no place.
+func (s *State) placeStep(now time.Duration, j *job, st *step, full *misses) {
+	plain := st.Label == "" && st.on == nil
+	for len(st.pending) > 0 && !(plain && full.hopeless(j.pool, st.Each)) {
+		t := s.pick(now, j, st, st.pending[0])
+		if t == nil {
+			if plain {
+				full.add(j.pool, st.Each)
 			}
-			s.start(now, t, st.pending[0])
-			st.pending = slices.Delete(st.pending, 0, 1)
+			return
 		}
+		s.start(now, t, st.pending[0])
+		st.pending = slices.Delete(st.pending, 0, 1)
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -31,6 +31,9 @@
 	// caller's interest; empty means this VM.
 	Entry string
 	Job   work.Job
+	// Part names the tasks where the job is a part that another owner hands over:
+	// its one step has just these. It is taken only if it can begin at once.
+	Part  []string
 	Queue work.Queue
 	// Age is the time since the caller sent the job.
 	Age time.Duration
@@ -153,6 +156,12 @@
 	waiting []*job
 	entries map[string]time.Duration
 	kinds   map[string]*kind
+	// rooms is what other owners say of theirs, parts are tasks that are with them.
+	rooms     map[roomKey]room
+	parts     map[Part]*lent
+	lastPart  Part
+	withdrawn []withdrawal
+
 	leaving bool
 	// listed is set once the registry was read.
 	listed  bool
@@ -172,6 +181,8 @@
 		settling: map[string]int{},
 		entries:  map[string]time.Duration{},
 		kinds:    map[string]*kind{},
+		rooms:    map[roomKey]room{},
+		parts:    map[Part]*lent{},
 		lastRun:  o.RunClock * runsPerMilli,
 	}
 }
@@ -225,6 +236,7 @@
 			delete(s.entries, entry)
 		}
 	}
+	s.settleWithdrawn(now)
 	for _, p := range s.pools {
 		p.usual = p.usualSpeed()
 	}
@@ -277,7 +289,7 @@
 			return false
 		}
 	}
-	return len(s.jobs) == 0
+	return len(s.jobs) == 0 && len(s.parts) == 0
 }
 
 // Load is what other VMs need to know to choose an owner.
@@ -288,6 +300,8 @@
 	FreeCPU int64
 	// CPU is the whole processor of usable targets.
 	CPU int64
+	// Room is what other owners may hand over.
+	Room Room
 }
 
 // Priorities is the number of priorities told apart in a Load.
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -25,6 +25,9 @@
 	targets []*target
 	// usual is the median speed of the targets.
 	usual float64
+	// usualCPU is the need of a usual task, a moving average in thousandths of a
+	// core; 0 before the first.
+	usualCPU float64
 }
 
 func (s *State) poolOf(service string) *pool {
