--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,8 @@
 	Local func(group string) (Local, bool)
 	// DomainOf gives the failure domain of a group.
 	DomainOf func(group string) string
+	// Lost is told of owners whose connection broke; it must not block.
+	Lost func(owner heartbeat.Owner)
 }
 
 // Entry has jobs run.
@@ -197,5 +199,8 @@
 	if outcome.Result == work.Unknown {
 		e.peers.GiveUp(r.job.ID)
 	}
+	if ctx.Err() == nil && (outcome.Result == work.Unknown || outcome.Result == work.Moved) {
+		e.options.Lost(c.Owner)
+	}
 	return outcome
 }
--- a/heartbeat/book.go
+++ b/heartbeat/book.go
@@ -19,8 +19,8 @@
 // Figures of the heartbeat.
 const (
 	// Interval is the time between two pings.
-	Interval = 80 * time.Millisecond
-	// Vouch outlasts the loss of two datagrams in a row.
+	Interval = 50 * time.Millisecond
+	// Vouch outlasts the loss of three datagrams in a row, with room for delays.
 	Vouch = 320 * time.Millisecond
 	// Silence is Vouch with the time for a stop at a target.
 	Silence = 420 * time.Millisecond
--- /dev/null
+++ b/heartbeat/book_test.go
@@ -0,0 +1,107 @@
+package heartbeat
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/link/linkpb"
+)
+
+const ms = time.Millisecond
+
+// longestGap plays pings and their answers against each other, with some lost,
+// and returns the longest time that an owner was not vouched for.
+func longestGap(lost func(ping int) (pingLost, pongLost bool)) time.Duration {
+	b := newBook()
+	b.follow(0, []Owner{{VM: "o", Life: 1}})
+	const way = ms
+	until, gap := time.Duration(0), -time.Hour
+	for i := range 400 {
+		now := time.Duration(i) * Interval
+		pingLost, pongLost := lost(i)
+		if pingLost {
+			continue
+		}
+		if stamp := b.views[1].Stamp; stamp > 0 {
+			if until > 0 {
+				gap = max(gap, now+way-until)
+			}
+			until = time.Duration(stamp) + Vouch
+		}
+		if !pongLost {
+			b.answered(now+2*way, &linkpb.Pong{Life: 1, Stamp: int64(now + way)})
+		}
+	}
+	return gap
+}
+
+// Three datagrams in a row may be lost without an owner giving up what callers
+// wait for.
+func TestLostDatagramsAreNoSilence(t *testing.T) {
+	must.Less(t, 0, longestGap(func(int) (bool, bool) { return false, false }))
+	must.Less(t, 0, longestGap(func(i int) (bool, bool) { return i%10 < 3, false }))
+	must.Less(t, 0, longestGap(func(i int) (bool, bool) { return false, i%10 < 3 }))
+	must.Less(t, 0, longestGap(func(i int) (bool, bool) { return i%10 == 0, i%10 == 1 || i%10 == 2 }))
+	must.Greater(t, 0, longestGap(func(i int) (bool, bool) { return i%20 < 10, false }))
+}
+
+// An entry VM gives an owner up only after the owner has given up the entry VM.
+func TestOwnerGivesUpFirst(t *testing.T) {
+	b := newBook()
+	b.follow(0, []Owner{{VM: "o", Life: 1}})
+	b.answered(100*ms, &linkpb.Pong{Life: 1, Stamp: int64(99 * ms)})
+	vouchedUntil := 99*ms + Vouch
+	for now := 100 * ms; ; now += ms {
+		b.expire(now)
+		if b.views[1].Alive.Err() != nil {
+			must.Greater(t, vouchedUntil, now)
+			return
+		}
+		must.Less(t, time.Second, now)
+	}
+}
+
+func TestOwnerComesBack(t *testing.T) {
+	b := newBook()
+	b.follow(0, []Owner{{VM: "o", Life: 1}})
+	b.answered(0, &linkpb.Pong{Life: 1, Stamp: 1})
+	first := b.views[1].Alive
+	b.expire(time.Second)
+	must.Error(t, first.Err())
+	b.answered(2*time.Second, &linkpb.Pong{Life: 1, Stamp: 2})
+	must.NoError(t, b.views[1].Alive.Err())
+	must.Error(t, first.Err())
+}
+
+// An owner that hands over is followed while it answers.
+func TestFormerOwnerIsFollowed(t *testing.T) {
+	b := newBook()
+	b.follow(0, []Owner{{VM: "a", Life: 1}})
+	b.answered(10*ms, &linkpb.Pong{Life: 1, Stamp: 1})
+	b.follow(20*ms, []Owner{{VM: "b", Life: 2}})
+	must.MapLen(t, 2, b.views)
+	b.follow(20*ms+2*Silence, []Owner{{VM: "b", Life: 2}})
+	must.MapLen(t, 1, b.views)
+}
+
+func TestOldAnswersAreIgnored(t *testing.T) {
+	b := newBook()
+	b.follow(0, []Owner{{VM: "a", Life: 1}})
+	b.answered(10*ms, &linkpb.Pong{Life: 1, Stamp: 20, ConfigurationVersion: 3})
+	b.answered(11*ms, &linkpb.Pong{Life: 1, Stamp: 10, ConfigurationVersion: 2})
+	must.Eq(t, 3, b.views[1].ConfigurationVersion)
+	b.answered(12*ms, &linkpb.Pong{Life: 7, Stamp: 30})
+	must.MapLen(t, 1, b.views)
+}
+
+func TestPingersAreBoundedAndForgotten(t *testing.T) {
+	b := newBook()
+	for life := range uint64(maxPingers + 10) {
+		b.pinged(0, &linkpb.Ping{Vm: "v", Life: life})
+	}
+	must.MapLen(t, maxPingers, b.pingers)
+	b.expire(pingerMemory + ms)
+	must.MapEmpty(t, b.pingers)
+}
--- a/link/link.go
+++ b/link/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/burdockward/burdockward/link/linkpb"
@@ -182,6 +183,18 @@
 	return tables, nil
 }
 
+// Refuses reports whether nothing listens at an address though its machine answers:
+// the process there has ended.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp4", address)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Pass makes another VM the owner of a group that this VM owns.
 func (c *Client) Pass(ctx context.Context, address string, held ownership.Held) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/node/node.go
+++ b/node/node.go
@@ -56,6 +56,8 @@
 	servers  servers
 	leaving  atomic.Bool
 	requests atomic.Int64
+	// asking is set while an owner is suspected to have ended.
+	asking atomic.Bool
 	// storeClock is the store's clock at boot time zero, in milliseconds.
 	storeClock atomic.Int64
 	ctx        context.Context
@@ -103,6 +105,7 @@
 	n.entry = entry.New(entry.Options{
 		VM: s.VM, Life: n.self.Life, FailureDomain: s.FailureDomain, Log: o.Log, Count: o.Count,
 		Claims: n.keeper.Claims, Local: n.local, DomainOf: func(group string) string { return group },
+		Lost: n.suspectOwner,
 	}, beats, n.calls)
 	n.servers, err = listen(s, n)
 	return n, err
@@ -201,6 +204,19 @@
 	return &ownedGroup{Owner: o, held: held, end: end}
 }
 
+// suspectOwner finds out whether an owner's process has ended, one at a time.
+func (n *Node) suspectOwner(suspect heartbeat.Owner) {
+	if !n.asking.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer n.asking.Store(false)
+		if n.calls.Refuses(n.ctx, suspect.Control) {
+			n.keeper.Died(suspect.Life)
+		}
+	}()
+}
+
 func (n *Node) owned() *owner.Owner {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -47,6 +47,8 @@
 	Life uint64
 	// Silent is how long the owner has not been heard.
 	Silent time.Duration
+	// Dead says that the owner's process has certainly ended.
+	Dead bool
 	// Waited is how long the claim has been known as it is.
 	Waited time.Duration
 	// Patience is what this VM waits beyond the usual, so that the strongest VM
@@ -65,6 +67,8 @@
 	case b.Held.Claim.GetVm() == b.VM:
 		// An earlier life of this VM, which has ended.
 		return true
+	case b.Dead:
+		return b.Waited >= b.Patience
 	default:
 		return min(b.Silent, b.Waited) >= heartbeat.Silence+b.Patience
 	}
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -71,13 +71,15 @@
 	started time.Duration
 	leaving bool
 	lastTry time.Duration
+	// dead holds the lives of owners that have certainly ended.
+	dead map[uint64]bool
 }
 
 // New makes a keeper that claims nothing before it has read the claims.
 func New(o Options, store Store, peers Peers) *Keeper {
 	return &Keeper{
 		options: o, store: store, peers: peers,
-		claims: map[string]Held{}, known: map[string]time.Duration{}, started: bootclock.Now(),
+		claims: map[string]Held{}, known: map[string]time.Duration{}, dead: map[uint64]bool{}, started: bootclock.Now(),
 	}
 }
 
@@ -98,6 +100,19 @@
 	k.leaving = true
 }
 
+// Died says that a life of a VM has certainly ended, so that nothing needs to wait
+// for its silence.
+func (k *Keeper) Died(life uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, held := range k.claims {
+		if held.Claim.GetLife() == life && !k.dead[life] {
+			k.options.Log.Warn("owner died", "group", held.Group, "owner", held.Claim.GetVm())
+			k.dead[life] = true
+		}
+	}
+}
+
 // Claim returns the claim of this VM's group, if it is known.
 func (k *Keeper) Claim() (Held, bool) {
 	k.mu.Lock()
@@ -213,6 +228,7 @@
 	b.Held = &held
 	b.Waited = now - k.known[held.Group]
 	b.Silent = b.Waited
+	b.Dead = k.dead[held.Claim.GetLife()]
 	if view, ok := k.peers.View(held.Claim.GetLife()); ok && view.Heard > 0 {
 		b.Silent = now - view.Heard
 	}
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -118,6 +118,8 @@
 	if short <= 0 {
 		return 0, true
 	}
+	// What begins at once gives its places back in turn.
+	flow += float64(room) / max(float64(j.chain())/float64(time.Millisecond), 1)
 	wait := time.Duration(math.MaxInt64)
 	if flow > 0 {
 		wait = time.Duration(short / flow * float64(time.Millisecond))
@@ -174,7 +176,13 @@
 // that running tasks give back each millisecond.
 func (p *pool) supply(now time.Duration, each int64) (room int64, flow float64) {
 	for _, t := range p.targets {
-		if t.state != usable || t.Draining || t.health.suspected {
+		if t.state != usable || t.Draining {
+			continue
+		}
+		if t.health.suspected {
+			if t.health.probed(now, t) {
+				room += min(t.free.CPU, each)
+			}
 			continue
 		}
 		room += roomFor(t.free.CPU, each)
--- /dev/null
+++ b/scheduler/fuzz_test.go
@@ -0,0 +1,107 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// TestFuzzOwnership plays random faults: lost and late orders, targets
+// that crash, hang or fall silent, owners that die, freeze or are cut off while
+// another takes over, and callers who leave or send again. No task may run twice at
+// one time, and nothing that began may be refused.
+func TestFuzzOwnership(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		share := func(name string) float64 { return float64(rapid.IntRange(0, 8).Draw(rt, name)) / 100 }
+		w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
+			lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: share("failing"),
+		})
+		w.longest = rapid.SampledFrom([]int{100, 800, 2500}).Draw(rt, "longest")
+		w.takeOver()
+		w.run(200 * ms)
+		for range rapid.IntRange(5, 80).Draw(rt, "steps") {
+			strike(rt, w)
+			w.run(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * ms)
+			if len(w.violations) > 0 {
+				rt.Fatalf("broken: %v", w.violations)
+			}
+		}
+		w.run(5 * time.Second)
+		if len(w.violations) > 0 {
+			rt.Fatalf("broken: %v", w.violations)
+		}
+	})
+}
+
+func strike(rt *rapid.T, w *world) {
+	o := w.owner()
+	ids := w.targetIDs()
+	target := w.targets[rapid.SampledFrom(ids).Draw(rt, "target")]
+	switch rapid.SampledFrom([]string{
+		"call", "call", "call", "call", "leave", "crash", "hang", "silent", "die", "freeze", "cut", "depose",
+	}).Draw(rt, "action") {
+	case "call":
+		w.call(rapid.IntRange(1, 6).Draw(rt, "tasks"))
+	case "leave":
+		for _, ref := range sortedRefs(o.refs) {
+			c := o.refs[ref]
+			delete(o.refs, ref)
+			if !o.frozen && !o.cut && !o.dead {
+				o.state.Cancel(w.now, ref)
+				w.carryOut(o)
+			}
+			w.again(c)
+			break
+		}
+	case "crash":
+		target.crash()
+	case "hang":
+		target.hung = true
+		w.after(time.Second, func() { target.hung = false })
+	case "silent":
+		target.silent = true
+		w.after(time.Duration(200+w.random.IntN(1500))*ms, func() { target.silent = false })
+	case "die":
+		o.dead = true
+		w.lose(o, 0)
+		w.after(entrySilence, func() { w.takeOver() })
+	case "freeze":
+		o.frozen = true
+		w.lose(o, entrySilence)
+		w.after(entrySilence, func() { w.takeOver() })
+		w.after(time.Duration(500+w.random.IntN(3000))*ms, func() { o.frozen = false })
+	case "cut":
+		o.cut = true
+		w.lose(o, entrySilence)
+		w.after(entrySilence, func() { w.takeOver() })
+	case "depose":
+		// A claim that was written late: the former owner is well and doesn't know.
+		w.takeOver()
+	}
+}
+
+// Work goes on through each single fault.
+func TestServesThroughFaults(t *testing.T) {
+	w := newWorld(1, 4, worldFaults{lostOrders: 0.02, lateOrders: 0.03, lostAnswers: 0.02})
+	w.takeOver()
+	w.run(200 * ms)
+	for range 200 {
+		w.call(2)
+		w.run(60 * ms)
+	}
+	w.run(5 * time.Second)
+	must.SliceEmpty(t, w.violations)
+	completed := 0
+	for _, c := range w.callers {
+		for _, outcome := range c.outcomes {
+			if outcome == work.Completed {
+				completed++
+			}
+		}
+	}
+	must.Greater(t, 180, completed)
+}
--- /dev/null
+++ b/scheduler/guards_test.go
@@ -0,0 +1,525 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// bench drives a State by hand.
+type bench struct {
+	t   *testing.T
+	s   *State
+	now time.Duration
+	ref Ref
+}
+
+func newBench(t *testing.T, o Options) *bench {
+	b := &bench{t: t, s: New(o), now: 10 * time.Second}
+	b.s.Listed()
+	b.s.Tick(b.now)
+	return b
+}
+
+func (b *bench) target(id string, cpu int64) {
+	b.listed(work.Target{ID: id, Capacity: work.Resources{CPU: cpu}})
+}
+
+func (b *bench) listed(t work.Target) {
+	t.Service = "s"
+	b.s.TargetSeen(b.now, t)
+}
+
+// usable makes a target usable by the look that it wants first.
+func (b *bench) usable(id string, cpu int64) {
+	b.target(id, cpu)
+	b.do()
+	b.look(id, work.Held{Clock: 5000})
+}
+
+func (b *bench) look(id string, held work.Held) { b.s.Looked(b.now, id, held, work.VerdictDone) }
+
+// do returns the effects.
+func (b *bench) do() []Effect { return b.s.Effects(b.now) }
+
+// pass lets time go on, with ticks.
+func (b *bench) pass(d time.Duration) []Effect {
+	var all []Effect
+	for end := b.now + d; b.now < end; {
+		b.now += min(20*ms, end-b.now)
+		b.s.Tick(b.now)
+		all = append(all, b.do()...)
+	}
+	return all
+}
+
+func (b *bench) submit(id string, tasks int, cpu int64, entry string) Ref {
+	b.ref++
+	b.s.Submit(b.now, Submission{
+		Ref: b.ref, Entry: entry,
+		Job: work.Job{ID: id, Steps: []work.Step{{
+			Tasks: tasks, Each: work.Resources{CPU: cpu}, Estimate: 100 * ms,
+		}}},
+		Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+	})
+	return b.ref
+}
+
+func pickEffects[E Effect](effects []Effect) []E {
+	var picked []E
+	for _, effect := range effects {
+		if e, ok := effect.(E); ok {
+			picked = append(picked, e)
+		}
+	}
+	return picked
+}
+
+func done(clock int64) work.OrderAnswer {
+	return work.OrderAnswer{Verdict: work.VerdictDone, Clock: clock}
+}
+
+func TestNoStartBeforeTheFirstLook(t *testing.T) {
+	b := newBench(t, Options{})
+	b.target("a", 4)
+	b.submit("j", 1, 1, "")
+	must.SliceEmpty(t, pickEffects[StartRun](b.do()))
+	b.look("a", work.Held{Clock: 5000})
+	must.SliceLen(t, 1, pickEffects[StartRun](b.do()))
+}
+
+func TestStrangersAreStoppedFirst(t *testing.T) {
+	b := newBench(t, Options{})
+	b.target("a", 4)
+	b.submit("j", 1, 1, "")
+	b.do()
+	stranger := work.Run{Task: "old.0.0.0", Number: 7}
+	b.look("a", work.Held{Clock: 5000, Running: []work.Run{stranger}})
+	effects := b.do()
+	must.Eq(t, []StopRun{{To: work.Address{ID: "a"}, Run: stranger}}, pickEffects[StopRun](effects))
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	must.Eq(t, 0, pickEffects[Look](effects)[0].Until)
+	b.look("a", work.Held{Clock: 5050})
+	must.SliceLen(t, 1, pickEffects[StartRun](b.do()))
+}
+
+// A stranger that turns up later bars the target and its lease too: a start that
+// was lost under a former owner may be carried out late.
+func TestLateStrangersAreNotProlonged(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	b.submit("j", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.look("a", work.Held{Clock: 5001, Running: []work.Run{start.Run, {Task: "old.0.0.0", Number: 7}}})
+	b.submit("k", 1, 1, "")
+	effects := b.do()
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	must.Eq(t, 0, pickEffects[Look](effects)[0].Until)
+}
+
+func TestUnansweredStartIsStoppedBeforeAnother(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.usable("b", 1)
+	b.submit("j", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, work.OrderAnswer{})
+	effects := b.pass(60 * ms)
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	must.Eq(t, start.Run, pickEffects[StopRun](effects)[0].Run)
+	b.s.Stopped(b.now, "a", start.Run, done(5100))
+	effects = b.pass(120 * ms)
+	must.SliceLen(t, 1, pickEffects[StartRun](effects))
+	must.Eq(t, "b", pickEffects[StartRun](effects)[0].To.ID)
+	must.Greater(t, start.Run.Number, pickEffects[StartRun](effects)[0].Run.Number)
+}
+
+// While a stop has no answer, the lease of its target must run out.
+func TestLeaseRunsOutBesideAnUnansweredStop(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 2)
+	b.submit("j", 1, 1, "")
+	kept := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", kept.Run, done(5000))
+	ref := b.submit("k", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.s.Cancel(b.now, ref)
+	b.pass(200 * ms)
+	b.look("a", work.Held{Clock: 5200, Running: []work.Run{kept.Run, start.Run}})
+	must.Eq(t, 0, pickEffects[Look](b.do())[0].Until)
+	b.s.Stopped(b.now, "a", start.Run, done(5201))
+	b.look("a", work.Held{Clock: 5201, Running: []work.Run{kept.Run}, Ended: []work.End{{Number: 1, Run: start.Run, Kind: work.EndStopped}}})
+	must.Positive(t, pickEffects[Look](b.do())[0].Until)
+}
+
+// The run of a silent target is over once its lease has lapsed on a clock that is
+// 2 % slow, not before.
+func TestRunOfSilentTargetWaitsForItsLease(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.usable("b", 1)
+	b.submit("j", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.s.Looked(b.now, "a", work.Held{}, work.VerdictUnknown)
+	slow := DefaultLease * 102 / 100
+	effects := b.pass(slow)
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	for _, look := range pickEffects[Look](effects) {
+		must.Eq(t, 0, look.Until)
+	}
+	effects = b.pass(100 * ms)
+	must.SliceLen(t, 1, pickEffects[StartRun](effects))
+}
+
+func TestSilentEntryVMsJobsAreStopped(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	b.s.EntrySeen("e", b.now+300*ms)
+	ref := b.submit("j", 1, 1, "e")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	effects := b.pass(340 * ms)
+	must.Eq(t, start.Run, pickEffects[StopRun](effects)[0].Run)
+	must.Eq(t, ref, pickEffects[Answer](effects)[0].Ref)
+	must.Eq(t, work.Unknown, pickEffects[Answer](effects)[0].Outcome.Result)
+}
+
+func TestNothingStartsForASilentEntryVM(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.EntrySeen("e", b.now+10*ms)
+	b.target("a", 4)
+	b.submit("j", 1, 1, "e")
+	b.do()
+	b.now += 15 * ms
+	b.look("a", work.Held{Clock: 5000})
+	must.SliceEmpty(t, pickEffects[StartRun](b.do()))
+}
+
+func TestJobsAreGivenUpAfterAPause(t *testing.T) {
+	b := newBench(t, Options{})
+	b.target("a", 4)
+	b.submit("j", 1, 1, "")
+	b.do()
+	b.now += DefaultPause + 100*ms
+	b.s.Tick(b.now)
+	must.SliceLen(t, 1, pickEffects[Answer](b.do()))
+}
+
+// A job that was sent again waits until the runs of its former life are over.
+func TestJobSentAgainWaitsForItsFormerRuns(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.usable("b", 1)
+	ref := b.submit("j", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.s.Cancel(b.now, ref)
+	b.submit("j", 1, 1, "")
+	effects := b.pass(40 * ms)
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	must.Eq(t, start.Run, pickEffects[StopRun](effects)[0].Run)
+	b.look("a", work.Held{Clock: 5040, Ended: []work.End{{Number: 1, Run: start.Run, Kind: work.EndStopped}}})
+	must.SliceLen(t, 1, pickEffects[StartRun](b.do()))
+}
+
+// A job that is sent again while it runs goes on, for the later caller.
+func TestJobSentAgainIsAttached(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	first := b.submit("j", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	second := b.submit("j", 1, 1, "")
+	effects := b.do()
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	must.Eq(t, first, pickEffects[Answer](effects)[0].Ref)
+	b.look("a", work.Held{Clock: 5100, Ended: []work.End{{Number: 1, Run: start.Run, Kind: work.EndDone}}})
+	answer := pickEffects[Answer](b.do())[0]
+	must.Eq(t, second, answer.Ref)
+	must.Eq(t, work.Completed, answer.Outcome.Result)
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	ref := b.submit("j", 2, 1, "")
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 2, starts)
+	b.s.Started(b.now, "a", starts[0].Run, done(5000))
+	b.s.Cancel(b.now, ref)
+	must.SliceLen(t, 2, pickEffects[StopRun](b.do()))
+}
+
+func TestDrainingAndFullTargetsAreLeftAlone(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	b.listed(work.Target{ID: "a", Capacity: work.Resources{CPU: 4}, Draining: true})
+	b.usable("b", 1)
+	b.submit("j", 2, 1, "")
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 1, starts)
+	must.Eq(t, "b", starts[0].To.ID)
+}
+
+// Runs are numbered higher than those of the same task under a former owner, whose
+// machine may have been booted earlier.
+func TestRunsAreNumberedByTheSharedClock(t *testing.T) {
+	number := func(clock int64, now time.Duration) int64 {
+		b := newBench(t, Options{RunClock: clock})
+		b.now = now
+		b.usable("a", 4)
+		b.submit("j", 1, 1, "")
+		return pickEffects[StartRun](b.do())[0].Run.Number
+	}
+	must.Greater(t, number(5000, 10*time.Second), number(-3000, 20*time.Second))
+}
+
+func TestRefusedOnlyWhereNothingBegan(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.s.EntrySeen("e", b.now+10*time.Minute)
+	ref := b.submit("j", 2, 1, "e")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.s.Leave(b.now)
+	must.SliceEmpty(t, pickEffects[Answer](b.do()))
+	b.s.Abandon(b.now)
+	answer := pickEffects[Answer](b.do())[0]
+	must.Eq(t, ref, answer.Ref)
+	must.Eq(t, work.Unknown, answer.Outcome.Result)
+}
+
+// A start that the target refused did nothing: its job may still be refused.
+func TestRefusedStartIsNoBeginning(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.submit("j", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, work.OrderAnswer{Verdict: work.VerdictRoom, Clock: 5000})
+	b.s.Leave(b.now)
+	must.Eq(t, work.Moved, pickEffects[Answer](b.do())[0].Outcome.Result)
+}
+
+func TestUnservableJobsAreRefusedAtOnce(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	b.submit("j", 1, 5, "")
+	answer := pickEffects[Answer](b.do())[0]
+	must.Eq(t, work.Refused, answer.Outcome.Result)
+	must.StrContains(t, answer.Outcome.Reason, "ask for less")
+}
+
+func TestCrowdedOwnerRefusesAtOnceWithATime(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	refused := 0
+	for i := range 60 {
+		b.submit(string(rune('A'+i)), 1, 1, "")
+		for _, answer := range pickEffects[Answer](b.do()) {
+			must.Eq(t, work.Refused, answer.Outcome.Result)
+			must.Positive(t, answer.Outcome.RetryAfter)
+			refused++
+		}
+	}
+	must.Between(t, 40, refused, 55)
+}
+
+// A job fails when one of its tasks has failed as often as its queue allows, and
+// is tried elsewhere before.
+func TestFailedRunsAreBounded(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.usable("b", 1)
+	ref := b.submit("j", 1, 1, "")
+	first := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, first.To.ID, first.Run, done(5000))
+	b.look(first.To.ID, work.Held{Clock: 5010, Ended: []work.End{{Number: 1, Run: first.Run, Kind: work.EndFailed}}})
+	second := pickEffects[StartRun](b.do())[0]
+	must.NotEq(t, first.To.ID, second.To.ID)
+	b.s.Started(b.now, second.To.ID, second.Run, done(5000))
+	b.look(second.To.ID, work.Held{Clock: 5010, Ended: []work.End{{Number: 1, Run: second.Run, Kind: work.EndFailed}}})
+	answer := pickEffects[Answer](b.do())[0]
+	must.Eq(t, ref, answer.Ref)
+	must.Eq(t, work.Failed, answer.Outcome.Result)
+}
+
+// Jobs that fail everywhere bring no target under suspicion, targets at which
+// several jobs fail do.
+func TestSuspicionNeedsSeveralJobs(t *testing.T) {
+	b := newBench(t, Options{})
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		b.usable(id, 1)
+	}
+	fail := func(id string, j *job) { b.s.strikeFailed(b.now, b.s.targets[id], j) }
+	poison := b.s.newJob(b.now, Submission{Job: work.Job{ID: "p", Steps: []work.Step{{Tasks: 1}}}})
+	fail("a", poison)
+	fail("b", poison)
+	other := b.s.newJob(b.now, Submission{Job: work.Job{ID: "o", Steps: []work.Step{{Tasks: 1}}}})
+	fail("a", other)
+	must.False(t, b.s.targets["a"].health.suspected)
+	third := b.s.newJob(b.now, Submission{Job: work.Job{ID: "t", Steps: []work.Step{{Tasks: 1}}}})
+	fail("a", third)
+	must.True(t, b.s.targets["a"].health.suspected)
+}
+
+// A probe on a suspected target is not moved before it is overdue.
+func TestProbesAreLeftAlone(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.usable("b", 1)
+	b.s.targets["a"].health.speed = 5
+	b.s.targets["a"].health.suspend(b.now)
+	b.s.targets["b"].Draining = true
+	effects := b.pass(firstRest + 20*ms)
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	b.submit("j", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.s.targets["b"].Draining = false
+	must.SliceEmpty(t, pickEffects[StopRun](b.pass(100*ms)))
+}
+
+// Tasks that find no place go to an owner with room, and come back if it refuses.
+func TestTasksAreLentAndComeBack(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	ref := b.submit("j", 3, 1, "")
+	b.s.RoomAt(b.now, "other", "s", Room{Places: [Priorities]int{2, 2, 2}})
+	effects := b.do()
+	start := pickEffects[StartRun](effects)[0]
+	lends := pickEffects[Lend](effects)
+	must.SliceLen(t, 1, lends)
+	must.Eq(t, []string{"j.0.0.1", "j.0.0.2"}, lends[0].Submission.Part)
+	b.s.Returned(b.now, lends[0].Part, work.Outcome{Result: work.Refused})
+	must.SliceEmpty(t, pickEffects[Lend](b.do()))
+	b.s.RoomAt(b.now, "other", "s", Room{Places: [Priorities]int{2, 2, 2}})
+	again := pickEffects[Lend](b.do())
+	must.SliceLen(t, 1, again)
+	b.s.Returned(b.now, again[0].Part, work.Outcome{Result: work.Completed})
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.look("a", work.Held{Clock: 5010, Ended: []work.End{{Number: 1, Run: start.Run, Kind: work.EndDone}}})
+	answer := pickEffects[Answer](b.do())[0]
+	must.Eq(t, ref, answer.Ref)
+	must.Eq(t, work.Completed, answer.Outcome.Result)
+}
+
+// A lent part is withdrawn with its job, which then counts as unsettled.
+func TestLentPartsAreWithdrawn(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	ref := b.submit("j", 2, 1, "")
+	b.s.RoomAt(b.now, "other", "s", Room{Places: [Priorities]int{2, 2, 2}})
+	effects := b.do()
+	start, lend := pickEffects[StartRun](effects)[0], pickEffects[Lend](effects)[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.s.Cancel(b.now, ref)
+	must.Eq(t, lend.Part, pickEffects[Withdraw](b.do())[0].Part)
+	b.look("a", work.Held{Clock: 5010, Ended: []work.End{{Number: 1, Run: start.Run, Kind: work.EndStopped}}})
+	b.submit("j", 1, 1, "")
+	must.SliceEmpty(t, pickEffects[StartRun](b.pass(withdrawTime-50*ms)))
+	must.SliceLen(t, 1, pickEffects[StartRun](b.pass(100*ms)))
+}
+
+func TestPartsBeginAtOnceOrNotAtAll(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	part := func(name string) {
+		b.ref++
+		b.s.Submit(b.now, Submission{
+			Ref: b.ref, Part: []string{name},
+			Job:   work.Job{ID: name[:1], Steps: []work.Step{{Tasks: 1, Each: work.Resources{CPU: 1}, Estimate: 100 * ms}}},
+			Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+		})
+	}
+	b.submit("x", 1, 1, "")
+	b.do()
+	part("j.0.0.3")
+	must.Eq(t, work.Refused, pickEffects[Answer](b.do())[0].Outcome.Result)
+	b.s.Cancel(b.now, 1)
+	b.pass(40 * ms)
+	run := b.s.targets["a"].sortedRuns()[0]
+	b.look("a", work.Held{Clock: 5040, Ended: []work.End{{Number: 1, Run: run.Run, Kind: work.EndStopped}}})
+	part("j.0.0.3")
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 1, starts)
+	must.Eq(t, "j.0.0.3", starts[0].Run.Task)
+}
+
+func TestStepsWaitForEarlierOnes(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	b.s.Submit(b.now, Submission{
+		Ref: 1,
+		Job: work.Job{ID: "j", Steps: []work.Step{
+			{Tasks: 1, Each: work.Resources{CPU: 1}, Estimate: 100 * ms},
+			{Tasks: 2, Each: work.Resources{CPU: 1}, Estimate: 100 * ms, After: []int{0}},
+		}},
+		Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+	})
+	first := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 1, first)
+	b.s.Started(b.now, "a", first[0].Run, done(5000))
+	b.look("a", work.Held{Clock: 5010, Ended: []work.End{{Number: 1, Run: first[0].Run, Kind: work.EndDone}}})
+	must.SliceLen(t, 2, pickEffects[StartRun](b.do()))
+}
+
+func TestLabelsAndSpreadAreKept(t *testing.T) {
+	b := newBench(t, Options{})
+	for _, id := range []string{"a", "b"} {
+		b.listed(work.Target{ID: id, Capacity: work.Resources{CPU: 4}, Labels: []string{"fast"}})
+		b.do()
+		b.look(id, work.Held{Clock: 5000})
+	}
+	b.usable("c", 4)
+	b.s.Submit(b.now, Submission{
+		Ref: 1,
+		Job: work.Job{ID: "j", Steps: []work.Step{
+			{Tasks: 3, Each: work.Resources{CPU: 1}, Estimate: 100 * ms, Label: "fast", Spread: 1},
+		}},
+		Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+	})
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 2, starts)
+	must.NotEq(t, starts[0].To.ID, starts[1].To.ID)
+	for _, start := range starts {
+		must.NotEq(t, "c", start.To.ID)
+	}
+}
+
+// A target whose entry lapsed is used while it answers, and forgotten after a while.
+func TestUnlistedTargetsAreForgotten(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	b.s.TargetMissing(b.now, "a")
+	b.submit("j", 1, 1, "")
+	must.SliceLen(t, 1, pickEffects[StartRun](b.do()))
+	b.pass(missingPatience + 40*ms)
+	must.MapEmpty(t, b.s.targets)
+}
+
+func TestDeposedOwnerSaysSo(t *testing.T) {
+	b := newBench(t, Options{})
+	b.target("a", 4)
+	b.do()
+	b.s.Looked(b.now, "a", work.Held{}, work.VerdictFenced)
+	must.Eq(t, []Deposed{{Target: "a"}}, pickEffects[Deposed](b.do()))
+}
+
+func TestAnotherLifeEndsAllRuns(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.usable("b", 1)
+	b.submit("j", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.s.Looked(b.now, "a", work.Held{}, work.VerdictGone)
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 1, starts)
+	must.Eq(t, "b", starts[0].To.ID)
+}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -59,6 +59,12 @@
 	h.retry = min(2*h.retry, longestRest)
 }
 
+// probed reports whether a suspected target may have a task, one at a time, that
+// finds out whether it is well again.
+func (h *health) probed(now time.Duration, t *target) bool {
+	return now >= h.until && len(t.runs) == 0
+}
+
 // strike counts a bad end or a lost answer against a target.
 func (s *State) strike(now time.Duration, t *target, j *job) {
 	h := &t.health
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -126,8 +126,7 @@
 	}
 	h := &t.health
 	if h.suspected {
-		// One task at a time finds out whether the target is well again.
-		return now >= h.until && len(t.runs) == 0 && tk.fails == 0
+		return h.probed(now, t) && tk.fails == 0
 	}
 	if t.slow() {
 		return now+time.Duration(h.speed*float64(st.expected)) <= j.objective || len(t.runs) == 0
--- /dev/null
+++ b/scheduler/world_test.go
@@ -0,0 +1,531 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+const ms = time.Millisecond
+
+// world plays owners one after the other against targets that fence, hold leases on
+// clocks of their own and carry out orders late, and callers who send again. It
+// sees only what callers and targets see.
+type world struct {
+	now     time.Duration
+	random  *rand.Rand
+	queue   []pendingEvent
+	seq     int
+	targets map[string]*fakeTarget
+	owners  []*fakeOwner
+	callers map[string]*caller
+	token   int64
+	faults  worldFaults
+	// violations are broken promises.
+	violations []string
+	// running counts the runs of each task that go on.
+	running map[string]int
+	started map[string]bool
+	refs    Ref
+	// longest bounds the run time of tasks, in milliseconds.
+	longest int
+}
+
+// worldFaults are shares of orders.
+type worldFaults struct {
+	lostOrders, lateOrders, lostAnswers float64
+	failing                             float64
+}
+
+type pendingEvent struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+// fakeOwner is an owner's process.
+type fakeOwner struct {
+	state *State
+	token int64
+	// frozen owners do nothing until they thaw; cut ones reach no entry VM.
+	frozen, cut, dead bool
+	refs              map[Ref]*caller
+}
+
+// caller hands in one job until it has an answer.
+type caller struct {
+	id       string
+	tasks    int
+	owner    *fakeOwner
+	ref      Ref
+	answered bool
+	tries    int
+	outcomes []work.Result
+}
+
+// fakeTarget is one life of a target.
+type fakeTarget struct {
+	world *world
+	id    string
+	// rate is the speed of its clock, begun when it started.
+	rate    float64
+	free    int64
+	fence   int64
+	runs    map[string]*fakeRun
+	highest map[string]int64
+	ended   []work.End
+	number  int64
+	until   int64
+	down    bool
+	hung    bool
+	silent  bool
+	poll    func()
+}
+
+type fakeRun struct {
+	number int64
+	cpu    int64
+}
+
+const fakeCPU = 4
+
+func newWorld(seed uint64, targets int, faults worldFaults) *world {
+	w := &world{
+		now: time.Second, random: rand.New(rand.NewPCG(seed, 7)), targets: map[string]*fakeTarget{},
+		callers: map[string]*caller{}, running: map[string]int{}, started: map[string]bool{}, faults: faults, longest: 100,
+	}
+	for range targets {
+		w.addTarget()
+	}
+	return w
+}
+
+func (w *world) addTarget() *fakeTarget {
+	t := &fakeTarget{
+		world: w, id: fmt.Sprintf("t%02d", len(w.targets)), rate: 0.98 + 0.02*w.random.Float64(),
+		free: fakeCPU, runs: map[string]*fakeRun{}, highest: map[string]int64{},
+	}
+	w.targets[t.id] = t
+	for _, o := range w.owners {
+		o.state.TargetSeen(w.now, t.listed())
+	}
+	w.after(ms, t.lapse)
+	return t
+}
+
+func (t *fakeTarget) listed() work.Target {
+	return work.Target{ID: t.id, Service: "s", Address: t.id, Capacity: work.Resources{CPU: fakeCPU}}
+}
+
+func (t *fakeTarget) clock() int64 { return 100 + int64(float64(t.world.now.Milliseconds())*t.rate) }
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	w.queue = append(w.queue, pendingEvent{at: w.now + max(d, 0), seq: w.seq, do: do})
+}
+
+// run plays for a time.
+func (w *world) run(length time.Duration) {
+	end := w.now + length
+	for {
+		sort.Slice(w.queue, func(i, j int) bool {
+			if w.queue[i].at != w.queue[j].at {
+				return w.queue[i].at < w.queue[j].at
+			}
+			return w.queue[i].seq < w.queue[j].seq
+		})
+		if len(w.queue) == 0 || w.queue[0].at > end {
+			w.now = end
+			return
+		}
+		next := w.queue[0]
+		w.queue = w.queue[1:]
+		w.now = next.at
+		next.do()
+	}
+}
+
+// takeOver starts a new owner; the former one may live on without knowing.
+func (w *world) takeOver() *fakeOwner {
+	w.token++
+	o := &fakeOwner{
+		state: New(Options{RunClock: 0}), token: w.token, refs: map[Ref]*caller{},
+	}
+	for _, id := range w.targetIDs() {
+		if t := w.targets[id]; !t.down {
+			o.state.TargetSeen(w.now, t.listed())
+		}
+	}
+	o.state.Listed()
+	w.owners = append(w.owners, o)
+	w.tick(o)
+	w.vouch(o)
+	return o
+}
+
+func (w *world) targetIDs() []string {
+	ids := make([]string, 0, len(w.targets))
+	for id := range w.targets {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (w *world) owner() *fakeOwner { return w.owners[len(w.owners)-1] }
+
+func (w *world) tick(o *fakeOwner) {
+	if o.dead {
+		return
+	}
+	if !o.frozen {
+		o.state.Tick(w.now)
+		w.carryOut(o)
+	}
+	w.after(20*ms, func() { w.tick(o) })
+}
+
+// entryVouch and entrySilence are the bounds of the heartbeat.
+const (
+	entryVouch   = 320 * ms
+	entrySilence = 420 * ms
+)
+
+// vouch plays the heartbeats of one entry VM.
+func (w *world) vouch(o *fakeOwner) {
+	if o.dead {
+		return
+	}
+	if !o.frozen && !o.cut {
+		o.state.EntrySeen("e", w.now+entryVouch)
+	}
+	w.after(50*ms, func() { w.vouch(o) })
+}
+
+// submit has a caller hand in its job to the newest owner.
+func (w *world) submit(c *caller) {
+	o := w.owner()
+	if o.dead || o.frozen || o.cut {
+		w.after(100*ms, func() { w.submit(c) })
+		return
+	}
+	c.tries++
+	w.refs++
+	c.owner, c.ref = o, w.refs
+	o.refs[c.ref] = c
+	o.state.Submit(w.now, Submission{
+		Ref: c.ref, Entry: "e", Wait: 5 * time.Second,
+		Job: work.Job{ID: c.id, Steps: []work.Step{{
+			Tasks: c.tasks, Each: work.Resources{CPU: 1}, Estimate: time.Duration(w.longest/2) * ms,
+		}}},
+		Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 10, Allowance: 500 * ms},
+	})
+	w.carryOut(o)
+}
+
+// call makes a caller with a job.
+func (w *world) call(tasks int) *caller {
+	c := &caller{id: fmt.Sprintf("job%d", len(w.callers)), tasks: tasks}
+	w.callers[c.id] = c
+	w.submit(c)
+	return c
+}
+
+// resend is the shortest time after which a caller sends a job again.
+const resend = 1300 * ms
+
+// again has a caller without an answer send again.
+func (w *world) again(c *caller) {
+	if c.tries < 3 {
+		w.after(resend, func() { w.submit(c) })
+	}
+}
+
+// lose ends an owner's hold on its callers: their entry VM has heard nothing for
+// too long, or the connection broke.
+func (w *world) lose(o *fakeOwner, after time.Duration) {
+	w.after(after, func() {
+		for _, ref := range sortedRefs(o.refs) {
+			c := o.refs[ref]
+			delete(o.refs, ref)
+			w.again(c)
+		}
+	})
+}
+
+func sortedRefs(refs map[Ref]*caller) []Ref {
+	sorted := make([]Ref, 0, len(refs))
+	for ref := range refs {
+		sorted = append(sorted, ref)
+	}
+	slices.Sort(sorted)
+	return sorted
+}
+
+func (w *world) carryOut(o *fakeOwner) {
+	for _, effect := range o.state.Effects(w.now) {
+		switch e := effect.(type) {
+		case Answer:
+			w.answered(o, e)
+		case StartRun:
+			w.order(o, func() work.OrderAnswer { return w.targets[e.To.ID].start(o.token, e) },
+				func(a work.OrderAnswer) { o.state.Started(w.now, e.To.ID, e.Run, a) })
+		case StopRun:
+			w.order(o, func() work.OrderAnswer { return w.targets[e.To.ID].stop(o.token, e.Run) },
+				func(a work.OrderAnswer) { o.state.Stopped(w.now, e.To.ID, e.Run, a) })
+		case Look:
+			w.look(o, e)
+		case Deposed:
+			o.state.Abandon(w.now)
+		}
+	}
+}
+
+func (w *world) answered(o *fakeOwner, e Answer) {
+	c := o.refs[e.Ref]
+	if c == nil {
+		return
+	}
+	delete(o.refs, e.Ref)
+	c.outcomes = append(c.outcomes, e.Outcome.Result)
+	switch e.Outcome.Result {
+	case work.Completed, work.Failed:
+		c.answered = true
+	case work.Refused, work.Moved:
+		c.answered = true
+		if c.tries == 1 && w.started[c.id] {
+			w.violations = append(w.violations, c.id+" was refused, though it had begun")
+		}
+	default:
+		w.again(c)
+	}
+}
+
+// order plays an order's way there and back.
+func (w *world) order(o *fakeOwner, do func() work.OrderAnswer, back func(work.OrderAnswer)) {
+	reply := func(a work.OrderAnswer, after time.Duration) {
+		w.after(after, func() { w.hear(o, func() { back(a) }) })
+	}
+	unknown := work.OrderAnswer{}
+	switch draw := w.random.Float64(); {
+	case draw < w.faults.lostOrders:
+		reply(unknown, 250*ms)
+	case draw < w.faults.lostOrders+w.faults.lateOrders:
+		w.after(time.Duration(w.random.IntN(4000))*ms, func() { do() })
+		reply(unknown, 250*ms)
+	case draw < w.faults.lostOrders+w.faults.lateOrders+w.faults.lostAnswers:
+		w.after(ms, func() { do() })
+		reply(unknown, 250*ms)
+	default:
+		w.after(ms, func() {
+			answer := do()
+			if answer.Verdict == work.VerdictUnknown {
+				reply(answer, 250*ms)
+				return
+			}
+			reply(answer, ms+time.Duration(w.random.IntN(3))*ms)
+		})
+	}
+}
+
+// hear has an owner take a message, after it has thawed.
+func (w *world) hear(o *fakeOwner, take func()) {
+	switch {
+	case o.dead:
+	case o.frozen:
+		w.after(10*ms, func() { w.hear(o, take) })
+	default:
+		take()
+		w.carryOut(o)
+	}
+}
+
+func (w *world) look(o *fakeOwner, e Look) {
+	w.after(ms, func() {
+		t := w.targets[e.To.ID]
+		t.look(o.token, e, func(held work.Held, verdict work.Verdict) {
+			wait := ms
+			if verdict == work.VerdictUnknown {
+				wait = 250 * ms
+			}
+			w.after(wait, func() { w.hear(o, func() { o.state.Looked(w.now, t.id, held, verdict) }) })
+		})
+	})
+}
+
+// begins and ends keep the oracle's count.
+func (w *world) begins(task string) {
+	w.started[strings.SplitN(task, ".", 2)[0]] = true
+	if w.running[task]++; w.running[task] > 1 {
+		w.violations = append(w.violations, fmt.Sprintf("%v: %s runs twice", w.now, task))
+	}
+}
+
+func (w *world) ends(task string) { w.running[task]-- }
+
+func (t *fakeTarget) refuse(verdict work.Verdict) work.OrderAnswer {
+	return work.OrderAnswer{Verdict: verdict, Clock: t.clock()}
+}
+
+func (t *fakeTarget) fenced(token int64) bool {
+	if token < t.fence {
+		return true
+	}
+	t.fence = token
+	return false
+}
+
+func (t *fakeTarget) start(token int64, e StartRun) work.OrderAnswer {
+	if t.down || t.silent {
+		return work.OrderAnswer{}
+	}
+	if t.fenced(token) {
+		return t.refuse(work.VerdictFenced)
+	}
+	if r := t.runs[e.Run.Task]; r != nil && r.number == e.Run.Number {
+		return t.refuse(work.VerdictDone)
+	}
+	if e.Until <= t.clock() {
+		return t.refuse(work.VerdictLate)
+	}
+	t.until = max(t.until, min(e.Until, t.clock()+1000))
+	if e.Run.Number <= t.highest[e.Run.Task] {
+		return t.refuse(work.VerdictOld)
+	}
+	if t.free < 1 || t.runs[e.Run.Task] != nil {
+		return t.refuse(work.VerdictRoom)
+	}
+	t.begin(e.Run)
+	return t.refuse(work.VerdictDone)
+}
+
+func (t *fakeTarget) begin(run work.Run) {
+	r := &fakeRun{number: run.Number, cpu: 1}
+	t.runs[run.Task] = r
+	t.free--
+	t.world.begins(run.Task)
+	kind := work.EndDone
+	if t.world.random.Float64() < t.world.faults.failing {
+		kind = work.EndFailed
+	}
+	took := time.Duration(20+t.world.random.IntN(t.world.longest)) * ms
+	t.world.after(took, func() {
+		if !t.hung && !t.down {
+			t.end(run.Task, r, kind)
+		}
+	})
+}
+
+func (t *fakeTarget) end(task string, r *fakeRun, kind work.EndKind) {
+	if t.runs[task] != r {
+		return
+	}
+	delete(t.runs, task)
+	t.free++
+	t.world.ends(task)
+	t.highest[task] = max(t.highest[task], r.number)
+	t.number++
+	t.ended = append(t.ended, work.End{Number: t.number, Run: work.Run{Task: task, Number: r.number}, Kind: kind})
+	if t.poll != nil {
+		t.poll()
+	}
+}
+
+func (t *fakeTarget) stop(token int64, run work.Run) work.OrderAnswer {
+	if t.down || t.silent {
+		return work.OrderAnswer{}
+	}
+	if t.fenced(token) {
+		return t.refuse(work.VerdictFenced)
+	}
+	t.highest[run.Task] = max(t.highest[run.Task], run.Number)
+	if r := t.runs[run.Task]; r != nil && r.number == run.Number {
+		t.world.after(time.Duration(t.world.random.IntN(50))*ms, func() { t.end(run.Task, r, work.EndStopped) })
+	}
+	return t.refuse(work.VerdictDone)
+}
+
+func (t *fakeTarget) look(token int64, e Look, reply func(work.Held, work.Verdict)) {
+	if t.down || t.silent {
+		reply(work.Held{}, work.VerdictUnknown)
+		return
+	}
+	if t.fenced(token) {
+		reply(work.Held{}, work.VerdictFenced)
+		return
+	}
+	if e.Until > 0 && e.Until > t.clock() {
+		t.until = max(t.until, min(e.Until, t.clock()+1000))
+	}
+	t.ended = slices.DeleteFunc(t.ended, func(end work.End) bool { return end.Number <= e.Seen })
+	replied := false
+	answer := func() {
+		if replied {
+			return
+		}
+		replied = true
+		t.poll = nil
+		if t.down || t.silent {
+			reply(work.Held{}, work.VerdictUnknown)
+			return
+		}
+		held := work.Held{Clock: t.clock(), Ended: slices.Clone(t.ended)}
+		for task, r := range t.runs {
+			held.Running = append(held.Running, work.Run{Task: task, Number: r.number})
+		}
+		slices.SortFunc(held.Running, func(a, b work.Run) int { return strings.Compare(a.Task, b.Task) })
+		reply(held, work.VerdictDone)
+	}
+	if e.Wait == 0 || len(t.ended) > 0 {
+		answer()
+		return
+	}
+	t.poll = answer
+	t.world.after(e.Wait, answer)
+}
+
+// lapse ends what runs beyond the lease.
+func (t *fakeTarget) lapse() {
+	if t.down {
+		return
+	}
+	if t.clock() > t.until {
+		for _, task := range sortedTasks(t.runs) {
+			t.end(task, t.runs[task], "lapsed")
+		}
+	}
+	t.world.after(ms, t.lapse)
+}
+
+func sortedTasks(runs map[string]*fakeRun) []string {
+	tasks := make([]string, 0, len(runs))
+	for task := range runs {
+		tasks = append(tasks, task)
+	}
+	slices.Sort(tasks)
+	return tasks
+}
+
+// crash ends a target's life; another begins.
+func (t *fakeTarget) crash() {
+	if t.down {
+		return
+	}
+	t.down = true
+	for _, task := range sortedTasks(t.runs) {
+		t.world.ends(task)
+	}
+	for _, o := range t.world.owners {
+		t.world.after(500*ms, func() {
+			if !o.frozen && !o.dead {
+				o.state.TargetMissing(t.world.now, t.id)
+			}
+		})
+	}
+	t.world.addTarget()
+}
