Play the prepared machines on a stand-in of the lab

Change: the platform's messages stand once, in platform/wire, for the adapter and for the lab's stand-in of store, targets and callers; make demo and nine tests run real processes on it: planned stops, also while the store is away, killed, stopped and all VMs, lost answers and history of the store, silent and hung targets, a VM that the store turns away.

--- a/Makefile
+++ b/Makefile
@@ -6,14 +6,14 @@
 PACKAGES := ./... ./lab/...
 # Tests over real processes, which run alone and whose results are never kept: the go
 # command does not see all that the processes are built of.
-E2E := ./lab/e2e
+E2E := ./lab/e2e ./lab/prepared/e2e
 # Packages whose goroutines meet; make race RACE=./peer/... takes others.
-RACE ?= ./configuration/... ./daemon/... ./dispatch/... ./frontend/... ./peer/... ./quota/... \
+RACE ?= ./configuration/... ./daemon/... ./heartbeat/... ./node/... ./oplog/... ./owner/... ./dispatch/... ./frontend/... ./peer/... ./quota/... \
 	./ring/... ./sendonce/... ./submission/... ./targetclient/... ./telemetry/...
 # Extra flags of go test, such as -run or -skip.
 TESTFLAGS ?=
 
-.PHONY: help build test race vet lint fmt fmt-check generate generate-check demo mutants ci clean
+.PHONY: help build test race vet lint fmt fmt-check generate generate-check demo demo-own mutants ci clean
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -22,8 +22,8 @@
 	$(GO) build -buildvcs=false -ldflags '-X main.version=$(VERSION)' -o bin/ ./cmd/... ./lab/cmd/...
 
 test: ## run the tests of all modules
-	$(GO) test $(TESTFLAGS) $$($(GO) list $(PACKAGES) | grep -v '/lab/e2e$$')
-	$(GO) test -count=1 $(TESTFLAGS) $(E2E)
+	$(GO) test $(TESTFLAGS) $$($(GO) list $(PACKAGES) | grep -v '/e2e$$')
+	$(GO) test -count=1 -p 1 $(TESTFLAGS) $(E2E)
 
 race: ## run the tests of concurrent packages under the race detector
 	$(GO) test -race $(TESTFLAGS) $(RACE)
@@ -49,7 +49,10 @@
 generate-check: ## compare the generated code with the .proto files
 	scripts/generate.sh check
 
-demo: build ## start a small deployment on this machine and put it to work
+demo: build ## start a small deployment of the prepared machines here and put it to work
+	bin/lab prepared
+
+demo-own: build ## the same for burdockward's own interfaces
 	bin/lab demo
 
 mutants: ## break the code line by line and see that tests notice
--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -13,6 +13,7 @@
 	"github.com/burdockward/burdockward/lab/demo"
 	"github.com/burdockward/burdockward/lab/experiment"
 	"github.com/burdockward/burdockward/lab/orders"
+	"github.com/burdockward/burdockward/lab/prepared"
 	"github.com/burdockward/burdockward/lab/slopes"
 	"github.com/burdockward/burdockward/lab/standin/platform"
 	"github.com/burdockward/burdockward/lab/standin/target"
@@ -39,6 +40,7 @@
 			slopes.Command(),
 			compare.Command(),
 			orders.Command(),
+			prepared.Command(),
 			experiment.LoadCommand(),
 		},
 	}
--- /dev/null
+++ b/lab/prepared/callers.go
@@ -0,0 +1,161 @@
+package prepared
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/burdockward/burdockward/platform/wire"
+)
+
+// resendAfter is how long callers wait before they send a job again.
+const resendAfter = 1300 * time.Millisecond
+
+// maxSends bounds how often a caller sends one job.
+const maxSends = 4
+
+// Tally counts how callers' jobs ended.
+type Tally struct {
+	mu sync.Mutex
+	// Completed, Failed, Refused and Lost are counts of jobs; a lost one had no
+	// answer from any of its sends.
+	Completed, Failed, Refused, Lost int
+	// Resent counts the sends after the first.
+	Resent int
+	// Untrue lists refused jobs of which something ran.
+	Untrue []string
+	// Slowest is the longest time to an answer that came at the first send.
+	Slowest time.Duration
+}
+
+// String is one line.
+func (t *Tally) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return fmt.Sprintf("%d completed, %d failed, %d refused, %d lost, %d sent again, slowest first answer %v",
+		t.Completed, t.Failed, t.Refused, t.Lost, t.Resent, t.Slowest.Round(time.Millisecond))
+}
+
+// Load has callers hand in jobs until the context ends, and waits for their
+// answers. Each caller of a domain keeps to the VMs of its domain.
+func (d *Deployment) Load(ctx context.Context, perSecond int) *Tally {
+	tally := &Tally{}
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer client.CloseIdleConnections()
+	var callers sync.WaitGroup
+	for {
+		select {
+		case <-ctx.Done():
+			callers.Wait()
+			return tally
+		case <-ticker.C:
+			callers.Go(func() { d.call(client, tally) })
+		}
+	}
+}
+
+// call hands in one job as the platform's callers do.
+func (d *Deployment) call(client *http.Client, tally *Tally) {
+	id := fmt.Sprintf("%016x", rand.Uint64())
+	domain := domainName(rand.IntN(d.options.Domains))
+	run := 20 + rand.IntN(150)
+	body, err := json.Marshal(wire.Job{
+		Spec: fmt.Sprint(run), BestEffort: true,
+		Steps: []wire.Step{{Count: 1 + rand.IntN(4), CPU: taskCPU, MemoryMB: 64, EstimateMS: float64(run)}},
+	})
+	if err != nil {
+		panic("a stand-in's job: " + err.Error())
+	}
+	began := time.Now()
+	for send := range maxSends {
+		if send > 0 {
+			time.Sleep(resendAfter)
+			tally.add(func() { tally.Resent++ })
+		}
+		vm := d.pick(domain)
+		status, state := post(client, vm, id, body)
+		if d.judge(tally, id, status, state) {
+			if took := time.Since(began); send == 0 {
+				tally.add(func() { tally.Slowest = max(tally.Slowest, took) })
+			}
+			return
+		}
+	}
+	tally.add(func() { tally.Lost++ })
+}
+
+func (t *Tally) add(change func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change()
+}
+
+// judge counts a final answer and reports whether there was one.
+func (d *Deployment) judge(tally *Tally, id string, status int, state string) bool {
+	switch {
+	case status == http.StatusOK && state == "completed":
+		tally.add(func() { tally.Completed++ })
+	case status == http.StatusOK:
+		tally.add(func() { tally.Failed++ })
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		started := d.Recorder.Started(id)
+		tally.add(func() {
+			tally.Refused++
+			if started {
+				tally.Untrue = append(tally.Untrue, id)
+			}
+		})
+	default:
+		return false
+	}
+	return true
+}
+
+// pick is a VM of a domain that is in rotation, or any VM of it where none is.
+func (d *Deployment) pick(domain string) *VM {
+	var all, ready []*VM
+	for _, vm := range d.VMs {
+		if vm.Domain != domain {
+			continue
+		}
+		all = append(all, vm)
+		if vm.inRotation.Load() {
+			ready = append(ready, vm)
+		}
+	}
+	if len(ready) > 0 {
+		all = ready
+	}
+	return all[rand.IntN(len(all))]
+}
+
+func post(client *http.Client, vm *VM, id string, body []byte) (status int, state string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+vm.Frontend()+Path+id, bytes.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	request.Host = Host
+	request.Header.Set(wire.DeadlineHeader, "5000")
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	var answer wire.State
+	_ = json.Unmarshal(data, &answer)
+	return response.StatusCode, answer.State
+}
--- /dev/null
+++ b/lab/prepared/e2e/e2e_test.go
@@ -0,0 +1,210 @@
+// Package e2e runs burdockward's processes on the stand-in of the prepared machines.
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/lab/prepared"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "burdockward-e2e")
+	if err == nil {
+		binary = filepath.Join(dir, "burdockward")
+		var out []byte
+		out, err = exec.Command("go", "build", "-buildvcs=false", "-o", binary, "github.com/burdockward/burdockward/cmd/burdockward").CombinedOutput()
+		if err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "no binary:", err)
+		os.Exit(1)
+	}
+	status := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(status)
+}
+
+// readyTime is ample for a start beside other work.
+const readyTime = 10 * time.Second
+
+func start(t *testing.T, domains, vms int) *prepared.Deployment {
+	t.Helper()
+	dir := t.TempDir()
+	d, err := prepared.Start(prepared.Options{Binary: binary, Dir: dir, Domains: domains, VMs: vms, Targets: 3})
+	must.NoError(t, err)
+	t.Cleanup(func() {
+		d.Stop()
+		if t.Failed() {
+			for _, vm := range d.VMs {
+				log, _ := os.ReadFile(vm.Log())
+				t.Logf("%s:\n%s", vm.Name, log)
+			}
+		}
+	})
+	must.True(t, d.WaitReady(readyTime))
+	return d
+}
+
+// under plays trouble beside load and returns how the callers fared.
+func under(t *testing.T, d *prepared.Deployment, trouble func()) *prepared.Tally {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	tally := make(chan *prepared.Tally, 1)
+	go func() { tally <- d.Load(ctx, 40) }()
+	trouble()
+	stop()
+	result := <-tally
+	t.Log(result)
+	must.SliceEmpty(t, d.Recorder.Doubled())
+	must.SliceEmpty(t, result.Untrue)
+	must.Eq(t, 0, result.Lost)
+	must.Positive(t, result.Completed)
+	return result
+}
+
+func let(d time.Duration) { <-time.After(d) }
+
+func TestCalmLoadIsServedWhole(t *testing.T) {
+	d := start(t, 2, 2)
+	result := under(t, d, func() { let(2 * time.Second) })
+	must.Eq(t, 0, result.Refused+result.Failed+result.Resent)
+}
+
+func TestPlannedStopOfTheOwnerCutsNothing(t *testing.T) {
+	d := start(t, 1, 3)
+	result := under(t, d, func() {
+		let(time.Second)
+		owner := d.Owner(0)
+		owner.Signal(syscall.SIGTERM)
+		must.NoError(t, owner.Wait(t.Context()))
+		must.NotEq(t, owner, d.Owner(0))
+		let(time.Second)
+	})
+	must.Eq(t, 0, result.Failed+result.Resent)
+}
+
+// The owner hands over by word when the store is away.
+func TestPlannedStopOfTheOwnerWhileTheStoreIsAway(t *testing.T) {
+	d := start(t, 1, 3)
+	result := under(t, d, func() {
+		let(time.Second)
+		owner := d.Owner(0)
+		d.Store.Away("", true)
+		owner.Signal(syscall.SIGTERM)
+		must.NoError(t, owner.Wait(t.Context()))
+		let(2 * time.Second)
+		d.Store.Away("", false)
+		let(2 * time.Second)
+	})
+	must.Eq(t, 0, result.Failed+result.Resent)
+}
+
+func TestKilledOwnerIsReplaced(t *testing.T) {
+	d := start(t, 1, 3)
+	under(t, d, func() {
+		let(time.Second)
+		owner := d.Owner(0)
+		owner.Kill()
+		let(2 * time.Second)
+		must.NotEq(t, owner, d.Owner(0))
+	})
+}
+
+func TestStoppedOwnerIsReplacedAndStepsDown(t *testing.T) {
+	d := start(t, 1, 3)
+	under(t, d, func() {
+		let(time.Second)
+		owner := d.Owner(0)
+		owner.Signal(syscall.SIGSTOP)
+		let(2 * time.Second)
+		owner.Signal(syscall.SIGCONT)
+		let(2 * time.Second)
+		must.NotEq(t, owner, d.Owner(0))
+	})
+}
+
+func TestAllKilledServeAgain(t *testing.T) {
+	d := start(t, 2, 2)
+	under(t, d, func() {
+		let(time.Second)
+		for _, vm := range d.VMs {
+			vm.Kill()
+		}
+		for _, vm := range d.VMs {
+			must.NoError(t, vm.Start())
+		}
+		must.True(t, d.WaitReady(readyTime))
+		let(time.Second)
+	})
+}
+
+// Lost answers of the store leave no group without an owner.
+func TestLostAnswersOfTheStore(t *testing.T) {
+	d := start(t, 1, 2)
+	under(t, d, func() {
+		let(500 * time.Millisecond)
+		d.Store.LoseAnswers(2)
+		d.Owner(0).Kill()
+		let(4 * time.Second)
+		d.Store.Compact()
+		let(time.Second)
+	})
+}
+
+func TestSilentAndHungTargets(t *testing.T) {
+	d := start(t, 1, 2)
+	under(t, d, func() {
+		let(500 * time.Millisecond)
+		d.Targets[0].Silence(true)
+		d.Targets[1].Hang(true)
+		let(2 * time.Second)
+		d.Targets[0].Silence(false)
+		d.Targets[1].Hang(false)
+		let(time.Second)
+	})
+}
+
+// A VM that the store turns away learns the configuration from the others.
+func TestConfigurationReachesVMsThatTheStoreTurnsAway(t *testing.T) {
+	d := start(t, 1, 2)
+	vm := d.VMs[1]
+	if d.Owner(0) == vm {
+		vm = d.VMs[0]
+	}
+	d.Store.Away(vm.StoreIP, true)
+	version := d.Configure()
+	want := fmt.Sprintf(`"configuration in force","version":%d`, version)
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		log, err := os.ReadFile(vm.Log())
+		must.NoError(t, err)
+		if strings.Contains(string(log), want) {
+			must.StrNotContains(t, line(string(log), want), `"from":"store"`)
+			return
+		}
+		must.True(t, time.Now().Before(deadline))
+		let(20 * time.Millisecond)
+	}
+}
+
+// line is the rest of the line from a text on.
+func line(log, from string) string {
+	rest := log[strings.Index(log, from):]
+	whole, _, _ := strings.Cut(rest, "\n")
+	return whole
+}
--- /dev/null
+++ b/lab/prepared/store.go
@@ -0,0 +1,242 @@
+// Package prepared is a stand-in for the prepared machines: the platform's store,
+// its targets, callers and the operator, on this machine's loopback addresses. It
+// speaks the platform's own messages, one copy of which serves the adapter as well.
+package prepared
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/burdockward/burdockward/link/linkpb"
+	"github.com/burdockward/burdockward/platform/wire"
+)
+
+// Store is a stand-in of the metadata store.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[string]wire.Row
+	version int64
+	oldest  int64
+	history []wire.Row
+	changed chan struct{}
+	began   time.Time
+	// away turns away those who call these of its addresses; "" stands for all.
+	away map[string]bool
+	// lost is the number of writes to come that are done and not answered.
+	lost int
+}
+
+// NewStore makes an empty store.
+func NewStore() *Store {
+	return &Store{rows: map[string]wire.Row{}, changed: make(chan struct{}), began: time.Now(), away: map[string]bool{}}
+}
+
+// Away sets whether the store turns away those who call one of its addresses; ""
+// stands for all.
+func (s *Store) Away(host string, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away[host] = away
+	s.wake()
+}
+
+// LoseAnswers has the next writes be done and not answered.
+func (s *Store) LoseAnswers(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = count
+}
+
+// Compact forgets all history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.version
+}
+
+// Write puts a row without a condition, as the operator and the targets do.
+func (s *Store) Write(table, key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic("a stand-in's row: " + err.Error())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.put(wire.Row{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString(data)})
+}
+
+// Remove drops a row.
+func (s *Store) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.put(wire.Row{Table: table, Key: key, Deleted: true})
+}
+
+func (s *Store) put(row wire.Row) {
+	row.Version = s.version
+	id := row.Table + "/" + row.Key
+	if row.Deleted {
+		delete(s.rows, id)
+	} else {
+		s.rows[id] = row
+	}
+	s.history = append(s.history, row)
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// claim reads who owns a group.
+func (s *Store) claim(group string) *linkpb.Claim {
+	s.mu.Lock()
+	row, ok := s.rows["owners/"+group]
+	s.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	claim := &linkpb.Claim{}
+	value, err := base64.StdEncoding.DecodeString(row.Value)
+	if err != nil || proto.Unmarshal(value, claim) != nil {
+		return nil
+	}
+	return claim
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.turnsAway(r) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch r.URL.Path {
+	case wire.ReadPath:
+		s.read(w, r)
+	case wire.FeedPath:
+		s.feed(w, r)
+	case wire.WritePath:
+		s.write(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) turnsAway(r *http.Request) bool {
+	host := ""
+	if local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr); ok {
+		host, _, _ = net.SplitHostPort(local.String())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away[""] || s.away[host]
+}
+
+func (s *Store) answer(w http.ResponseWriter, status int, rows []wire.Row) {
+	s.mu.Lock()
+	body := wire.Rows{Rows: rows, Version: s.version, NowMS: time.Since(s.began).Milliseconds()}
+	s.mu.Unlock()
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) read(w http.ResponseWriter, r *http.Request) {
+	table := r.URL.Query().Get("table")
+	s.mu.Lock()
+	var rows []wire.Row
+	for _, row := range s.rows {
+		if row.Table == table {
+			rows = append(rows, row)
+		}
+	}
+	s.mu.Unlock()
+	slices.SortFunc(rows, func(a, b wire.Row) int { return strings.Compare(a.Key, b.Key) })
+	s.answer(w, http.StatusOK, rows)
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		gone := after < s.oldest
+		changed := s.changed
+		var rows []wire.Row
+		for _, row := range s.history {
+			if row.Table == query.Get("table") && row.Version > after {
+				rows = append(rows, row)
+			}
+		}
+		s.mu.Unlock()
+		if s.turnsAway(r) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(rows) > 0 {
+			s.answer(w, http.StatusOK, rows)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			s.answer(w, http.StatusOK, nil)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) write(w http.ResponseWriter, r *http.Request) {
+	var tx wire.Transaction
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	applied, lost := s.apply(tx)
+	switch {
+	case lost:
+		panic(http.ErrAbortHandler)
+	case !applied:
+		s.answer(w, http.StatusPreconditionFailed, nil)
+	default:
+		s.answer(w, http.StatusOK, nil)
+	}
+}
+
+func (s *Store) apply(tx wire.Transaction) (applied, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, expected := range tx.Expected {
+		if s.rows[expected.Table+"/"+expected.Key].Version != expected.Version {
+			return false, false
+		}
+	}
+	s.version++
+	for _, row := range tx.Put {
+		s.put(row)
+	}
+	if s.lost > 0 {
+		s.lost--
+		return true, true
+	}
+	return true, false
+}
