--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/heartbeat"
+	"github.com/burdockward/burdockward/link"
+	"github.com/burdockward/burdockward/link/linkpb"
+	"github.com/burdockward/burdockward/ownership"
+	"github.com/burdockward/burdockward/work"
+)
+
+const ms = time.Millisecond
+
+func TestChoose(t *testing.T) {
+	for name, test := range map[string]struct {
+		candidates []Candidate
+		draw       float64
+		want       int
+	}{
+		"nobody":                {nil, 0, -1},
+		"near":                  {[]Candidate{{}, {Near: true}}, 0.9, 1},
+		"near though it waits":  {[]Candidate{{Free: 1}, {Near: true, Wait: 20 * ms}}, 0.9, 1},
+		"far where it has room": {[]Candidate{{Free: 0.5}, {Near: true, Wait: 200 * ms}}, 0.9, 0},
+		"some stay":             {[]Candidate{{Free: 0.5}, {Near: true, Wait: 200 * ms}}, 0.1, 1},
+		"no room far":           {[]Candidate{{Free: 0.01}, {Near: true, Wait: 200 * ms}}, 0.9, 1},
+		"near is full":          {[]Candidate{{Free: 0.01, Wait: time.Second}, {Near: true, Full: true}}, 0.9, 0},
+		"all full":              {[]Candidate{{Full: true}, {Near: true, Full: true}}, 0.9, -1},
+		"least wait far":        {[]Candidate{{Free: 1, Wait: 50 * ms}, {Free: 1, Wait: 10 * ms}}, 0.9, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, test.want, Choose(test.candidates, test.draw))
+		})
+	}
+}
+
+// fakePeers are two owners; outcomes are what they answer in turn.
+type fakePeers struct {
+	views    map[uint64]heartbeat.View
+	outcomes map[string][]work.Outcome
+	asked    []string
+	givenUp  []string
+}
+
+func (f *fakePeers) View(life uint64) (heartbeat.View, bool) {
+	view, ok := f.views[life]
+	return view, ok
+}
+
+func (f *fakePeers) GiveUp(job string) { f.givenUp = append(f.givenUp, job) }
+
+func (f *fakePeers) RunUntil(_, _ context.Context, address string, _ link.Order) work.Outcome {
+	f.asked = append(f.asked, address)
+	next := f.outcomes[address][0]
+	if len(f.outcomes[address]) > 1 {
+		f.outcomes[address] = f.outcomes[address][1:]
+	}
+	return next
+}
+
+func newEntry(f *fakePeers) *Entry {
+	claims := []ownership.Held{
+		{Group: "near", Version: 1, Claim: &linkpb.Claim{Life: 1}},
+		{Group: "far", Version: 2, Claim: &linkpb.Claim{Life: 2}},
+	}
+	return New(Options{
+		VM: "v", Life: 9, FailureDomain: "near", Log: slog.New(slog.DiscardHandler),
+		Count:    func(string, string) {},
+		Claims:   func() []ownership.Held { return claims },
+		Local:    func(string) (Local, bool) { return nil, false },
+		DomainOf: func(group string) string { return group },
+		Lost:     func(heartbeat.Owner) {},
+	}, f, f)
+}
+
+func peers(near, far []work.Outcome) *fakePeers {
+	view := func(address string) heartbeat.View {
+		return heartbeat.View{
+			Owner: heartbeat.Owner{Control: address}, Stamp: 1, Alive: context.Background(),
+			Loads: []*linkpb.Load{{Group: address, Service: "s", FreeCpu: 10, Cpu: 10}},
+		}
+	}
+	return &fakePeers{
+		views:    map[uint64]heartbeat.View{1: view("near"), 2: view("far")},
+		outcomes: map[string][]work.Outcome{"near": near, "far": far},
+	}
+}
+
+var (
+	job   = work.Job{ID: "j", Steps: []work.Step{{Tasks: 1, Estimate: 50 * ms}}}
+	queue = work.Queue{Service: "s", Stretch: 2, Allowance: 100 * ms}
+)
+
+func TestRefusedJobsAreOfferedToAnotherOwner(t *testing.T) {
+	f := peers([]work.Outcome{{Result: work.Refused, RetryAfter: time.Second}}, []work.Outcome{{Result: work.Completed}})
+	must.Eq(t, work.Completed, newEntry(f).Dispatch(t.Context(), job, queue, 0).Result)
+	must.Eq(t, []string{"near", "far"}, f.asked)
+}
+
+func TestRefusedByAllIsRefusedAtOnce(t *testing.T) {
+	refused := []work.Outcome{{Result: work.Refused, Reason: "full", RetryAfter: time.Second}}
+	f := peers(refused, refused)
+	outcome := newEntry(f).Dispatch(t.Context(), job, queue, 0)
+	must.Eq(t, work.Refused, outcome.Result)
+	must.Eq(t, "full", outcome.Reason)
+	must.Eq(t, []string{"near", "far"}, f.asked)
+}
+
+// A job that an owner handed back goes to its successor.
+func TestMovedJobsGoOn(t *testing.T) {
+	f := peers([]work.Outcome{{Result: work.Moved}, {Result: work.Completed}}, []work.Outcome{{Result: work.Completed}})
+	must.Eq(t, work.Completed, newEntry(f).Dispatch(t.Context(), job, queue, 0).Result)
+	must.Eq(t, []string{"near", "near"}, f.asked)
+}
+
+// What may have begun is not sent again by this VM, and its owner is told.
+func TestLostJobsAreGivenUp(t *testing.T) {
+	f := peers([]work.Outcome{{Result: work.Unknown, Reason: "lost"}}, []work.Outcome{{Result: work.Completed}})
+	must.Eq(t, work.Unknown, newEntry(f).Dispatch(t.Context(), job, queue, 0).Result)
+	must.Eq(t, []string{"j"}, f.givenUp)
+	must.Eq(t, []string{"near"}, f.asked)
+}
+
+func TestWithoutOwnersJobsAreRefusedInTime(t *testing.T) {
+	f := peers(nil, nil)
+	f.views = nil
+	outcome := newEntry(f).Dispatch(t.Context(), job, queue, 0)
+	must.Eq(t, work.Refused, outcome.Result)
+	must.Positive(t, outcome.RetryAfter)
+}
+
+func TestSilentOwnersAreNotAsked(t *testing.T) {
+	f := peers([]work.Outcome{{Result: work.Completed}}, []work.Outcome{{Result: work.Completed}})
+	silent, end := context.WithCancel(t.Context())
+	end()
+	near := f.views[1]
+	near.Alive = silent
+	f.views[1] = near
+	must.Eq(t, work.Completed, newEntry(f).Dispatch(t.Context(), job, queue, 0).Result)
+	must.Eq(t, []string{"far"}, f.asked)
+}
--- a/lab/prepared/store.go
+++ b/lab/prepared/store.go
@@ -153,7 +153,7 @@
 }
 
 func (s *Store) read(w http.ResponseWriter, r *http.Request) {
-	table := r.URL.Query().Get("table")
+	table := r.URL.Query().Get(wire.TableParameter)
 	s.mu.Lock()
 	var rows []wire.Row
 	for _, row := range s.rows {
@@ -168,8 +168,8 @@
 
 func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
-	wait, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	after, _ := strconv.ParseInt(query.Get(wire.AfterParameter), 10, 64)
+	wait, _ := strconv.ParseInt(query.Get(wire.WaitParameter), 10, 64)
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
@@ -177,7 +177,7 @@
 		changed := s.changed
 		var rows []wire.Row
 		for _, row := range s.history {
-			if row.Table == query.Get("table") && row.Version > after {
+			if row.Table == query.Get(wire.TableParameter) && row.Version > after {
 				rows = append(rows, row)
 			}
 		}
