Let strong VMs own a grown failure domain

Ruled out: further owners in a failure domain, as long as a strong one has processor left. Change: weak VMs claim 200 ms later; an owner hands over unasked to a VM with twice its processor; an owner that has handed over all ends, and may own again later.

--- a/node/leave.go
+++ b/node/leave.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/burdockward/burdockward/bootclock"
+	"github.com/burdockward/burdockward/owner"
+	"github.com/burdockward/burdockward/ownership"
 )
 
 // Times of a planned stop, within the platform's grace of 6 s.
@@ -63,6 +65,35 @@
 	if n.requests.Load() > 0 {
 		return true
 	}
-	o := n.owned()
-	return o != nil && o.Jobs() > 0
+	for _, o := range []*owner.Owner{n.owned(), n.handingOver()} {
+		if o != nil && o.Jobs() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// yieldInterval paces the look for a VM that should own the group instead; it
+// outlasts a handover.
+const yieldInterval = 3 * time.Second
+
+// yield hands the group to a much stronger VM of the failure domain, if there is one:
+// a weak VM may have claimed it while the others were away.
+func (n *Node) yield(ctx context.Context) {
+	ticker := time.NewTicker(yieldInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		pingers := n.beats.Pingers()
+		if n.Leaving() || n.owned() == nil || !ownership.Stronger(n.self.FailureDomain, n.self.CPUShare, pingers) {
+			continue
+		}
+		if err := n.keeper.HandOver(ctx, pingers, n.calls); err != nil {
+			n.log.Warn("not handed over to a stronger VM", "group", n.group, "error", err)
+		}
+	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -68,8 +68,8 @@
 	seed int
 
 	mu sync.Mutex
-	// own is the owner in this process, and what ends it.
-	own *ownedGroup
+	// own is the owner in this process, former is one that hands over.
+	own, former *ownedGroup
 }
 
 // ownedGroup is a group that this process owns or hands over.
@@ -79,6 +79,13 @@
 	end  context.CancelFunc
 }
 
+func (g *ownedGroup) owner() *owner.Owner {
+	if g == nil {
+		return nil
+	}
+	return g.Owner
+}
+
 // New opens the node's sockets.
 func New(o Options) (*Node, error) {
 	s := o.Settings
@@ -138,6 +145,7 @@
 		}, n.tookConfiguration)
 	})
 	g.Go(func() error { n.askPeers(duties); return nil })
+	g.Go(func() error { n.yield(duties); return nil })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -185,13 +193,22 @@
 		n.own.held = held
 		n.own.Raise(held.Version)
 	case n.own != nil && held.Newer(n.own.held):
-		if held.Claim.GetFormer().GetLife() == n.self.Life {
-			n.own.Leave(n.ctx)
-			return
-		}
+		n.lose(held)
+	}
+}
+
+// lose ends the owner in this process, at once or when its successor has all.
+func (n *Node) lose(held ownership.Held) {
+	if held.Claim.GetFormer().GetLife() != n.self.Life {
 		n.own.end()
 		n.own = nil
+		return
+	}
+	if n.former != nil {
+		n.former.end()
 	}
+	n.former, n.own = n.own, nil
+	n.former.Leave(n.ctx)
 }
 
 func (n *Node) startOwner(held ownership.Held) *ownedGroup {
@@ -231,10 +248,24 @@
 func (n *Node) owned() *owner.Owner {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.own == nil {
-		return nil
+	return n.own.owner()
+}
+
+// forgetFormer ends an owner that has handed over all.
+func (n *Node) forgetFormer(o *owner.Owner) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.former.owner() == o {
+		n.former.end()
+		n.former = nil
 	}
-	return n.own.Owner
+}
+
+// handingOver is the owner in this process that hands over, or nil.
+func (n *Node) handingOver() *owner.Owner {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.former.owner()
 }
 
 func (n *Node) local(group string) (entry.Local, bool) {
@@ -244,8 +275,10 @@
 
 // Vouched implements heartbeat.Listener.
 func (n *Node) Vouched(entry string, until time.Duration, givenUp []string) {
-	if o := n.owned(); o != nil {
-		o.Vouched(entry, until, givenUp)
+	for _, o := range []*owner.Owner{n.owned(), n.handingOver()} {
+		if o != nil {
+			o.Vouched(entry, until, givenUp)
+		}
 	}
 }
 
@@ -352,11 +385,15 @@
 }
 
 func (p peerCalls) Release(ctx context.Context, _ string) owner.Released {
-	o := p.node.owned()
+	o := p.node.handingOver()
 	if o == nil {
 		return owner.Released{All: true}
 	}
-	return o.Release(ctx)
+	released := o.Release(ctx)
+	if released.All {
+		p.node.forgetFormer(o)
+	}
+	return released
 }
 
 func (p peerCalls) Pass(held ownership.Held) { p.node.keeper.Merge([]ownership.Held{held}) }
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -76,9 +76,11 @@
 
 // Figures of the patience.
 const (
-	// weakPatience is the patience of a VM without processor against one with a
-	// whole core.
-	weakPatience = 120 * time.Millisecond
+	// weakShare of a core is too little to own a grown failure domain, whose owner
+	// was seen to use up to a fifth of a core in the mean.
+	weakShare = 0.3
+	// weakPatience lets any stronger VM claim first.
+	weakPatience = 200 * time.Millisecond
 	// drawSteps and drawStep keep VMs of equal strength apart by more than a
 	// write to the store takes.
 	drawSteps = 8
@@ -90,7 +92,10 @@
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(vm))
 	draw := time.Duration(hash.Sum32()%drawSteps) * drawStep
-	return draw + time.Duration((1-min(cpuShare, 1))*float64(weakPatience))
+	if cpuShare < weakShare {
+		return weakPatience + draw
+	}
+	return draw
 }
 
 // Successor chooses the VM that takes over from a leaving owner: the strongest of
@@ -110,6 +115,16 @@
 	return best, found
 }
 
+// muchStronger times an owner's share of a core is what another VM must have for the
+// owner to hand over to it unasked.
+const muchStronger = 2
+
+// Stronger reports whether a VM should own a group instead of its present owner.
+func Stronger(domain string, own int32, pingers []heartbeat.Pinger) bool {
+	best, ok := Successor(domain, pingers)
+	return ok && best.CPUShare >= muchStronger*own
+}
+
 func better(a, b heartbeat.Pinger) bool {
 	if a.CPUShare != b.CPUShare {
 		return a.CPUShare > b.CPUShare
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -41,8 +41,20 @@
 	}
 }
 
+// Whatever their names, weak VMs let strong ones claim first.
 func TestStrongVMsClaimFirst(t *testing.T) {
-	must.Less(t, PatienceOf("v", 0.192), PatienceOf("v", 0.8))
+	for _, weak := range []string{"a", "b", "c", "d", "e", "f"} {
+		for _, strong := range []string{"u", "v", "w", "x", "y", "z"} {
+			must.Less(t, PatienceOf(weak, 0.192), PatienceOf(strong, 0.8))
+		}
+	}
+}
+
+func TestStronger(t *testing.T) {
+	pingers := []heartbeat.Pinger{{VM: "x", FailureDomain: "d", CPUShare: 800}}
+	must.True(t, Stronger("d", 192, pingers))
+	must.False(t, Stronger("d", 500, pingers))
+	must.False(t, Stronger("e", 192, pingers))
 }
 
 func TestSuccessor(t *testing.T) {
