--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/burdockward/burdockward/bootclock"
@@ -54,11 +55,15 @@
 	options Options
 	peers   Peers
 	remote  Remote
+	// found is when an owner was last there to ask, on the boot clock.
+	found atomic.Int64
 }
 
 // New makes an Entry.
 func New(o Options, peers Peers, remote Remote) *Entry {
-	return &Entry{options: o, peers: peers, remote: remote}
+	e := &Entry{options: o, peers: peers, remote: remote}
+	e.found.Store(int64(bootclock.Now()))
+	return e
 }
 
 // Times of an entry.
@@ -68,6 +73,10 @@
 	// refusedRetry is told when no owner can be reached: about the time that
 	// another VM takes to claim its place.
 	refusedRetry = time.Second
+	// hopeTime is how long jobs wait for an owner after the last one was seen: a
+	// silence, a claim and the first looks. A VM that has none for longer is cut
+	// off, and says so at once.
+	hopeTime = heartbeat.Silence + 300*time.Millisecond
 )
 
 // request is a job on its way.
@@ -104,6 +113,9 @@
 	for {
 		candidates := e.candidates(r)
 		at := Choose(candidates, rand.Float64())
+		if at >= 0 {
+			e.found.Store(int64(bootclock.Now()))
+		}
 		if at < 0 && len(r.full) > 0 {
 			return refusal
 		}
@@ -122,7 +134,8 @@
 				return outcome
 			}
 		}
-		if bootclock.Now() > r.latest {
+		now := bootclock.Now()
+		if now > r.latest || now-time.Duration(e.found.Load()) > hopeTime {
 			return refusal
 		}
 		select {
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -104,6 +104,19 @@
 	s.answer(j.sub, outcome)
 }
 
+// reviewJob refuses a job that still waits and won't begin in time after all, as
+// long as its caller hears of it promptly.
+func (s *State) reviewJob(now time.Duration, j *job) {
+	j.reviewed = true
+	if j.sub.Part != nil {
+		return
+	}
+	if wait, ok := s.forecast(now, j); !ok {
+		j.mark(now, "reviewed", "", "", fmt.Sprintf("forecast wait %v, slack %v", wait.Round(time.Millisecond), (j.latest-now).Round(time.Millisecond)))
+		s.finish(now, j, work.Outcome{Result: work.Refused, Reason: "too much work waits", RetryAfter: wait})
+	}
+}
+
 // marginShare of the objective is by how much a forecast start must be earlier than
 // needed: work that turns out late takes the places of work that would be in time.
 // In the replays of crowded days it halves the refusals that come late, at the same
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -54,7 +54,6 @@
 	r.state = doubtful
 	r.task.job.mark(now, "start unanswered", r.Task, t.ID, "")
 	s.emit(Note{What: "start unanswered", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered})
-	s.strike(now, t, r.task.job)
 	s.stop(now, r)
 }
 
@@ -121,18 +120,24 @@
 		return
 	}
 	t.looking = false
-	t.unanswered = verdict != work.VerdictDone
 	switch verdict {
 	case work.VerdictDone:
 		s.held(now, t, held)
 	case work.VerdictGone, work.VerdictFenced:
 		s.answeredElsewhere(now, t, verdict)
 	default:
-		s.silence(now, t, "a look failed: "+verdict.String())
+		if t.failedLooks++; t.failedLooks >= silentLooks {
+			s.silence(now, t, "looks failed: "+verdict.String())
+		}
 	}
 }
 
+// silentLooks is how many looks in a row must fail: one may be lost on its way, and
+// the next one asks for an answer at once.
+const silentLooks = 2
+
 func (s *State) held(now time.Duration, t *target, held work.Held) {
+	t.failedLooks = 0
 	// The look left with all ends up to seen.
 	t.told = t.seen
 	t.lease.read(held.Clock, now)
@@ -250,7 +255,7 @@
 
 // pump sends a target the look that it needs, if any.
 func (s *State) pump(now time.Duration, t *target) {
-	if t.looking || t.unanswered && now < t.lookAt+lookPause {
+	if t.looking || t.failedLooks >= silentLooks && now < t.lookAt+lookPause {
 		return
 	}
 	look := Look{To: t.address(), Seen: t.seen}
@@ -261,7 +266,9 @@
 		look.Wait = s.options.StopTime
 	case t.state == adopting:
 	case len(t.runs) > 0:
-		look.Wait = s.options.LookWait
+		if t.failedLooks == 0 {
+			look.Wait = s.options.LookWait
+		}
 		if t.prolongs(now) {
 			look.Until = t.lease.end(now, s.options.Lease)
 			t.lease.until = max(t.lease.until, look.Until)
--- a/scheduler/guards_test.go
+++ b/scheduler/guards_test.go
@@ -167,6 +167,8 @@
 	start := pickEffects[StartRun](b.do())[0]
 	b.s.Started(b.now, "a", start.Run, done(5000))
 	b.s.Looked(b.now, "a", work.Held{}, work.VerdictUnknown)
+	must.Eq(t, []Look{{To: work.Address{ID: "a"}}}, pickEffects[Look](b.do()))
+	b.s.Looked(b.now, "a", work.Held{}, work.VerdictUnknown)
 	slow := DefaultLease * 102 / 100
 	effects := b.pass(slow)
 	must.SliceEmpty(t, pickEffects[StartRun](effects))
@@ -306,6 +308,23 @@
 	must.Eq(t, work.Moved, pickEffects[Answer](b.do())[0].Outcome.Result)
 }
 
+// A waiting job that won't begin in time after all is refused while that is prompt.
+func TestWaitingJobsAreReviewed(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.submit("first", 1, 1, "")
+	first := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", first.Run, done(5000))
+	waiting := b.submit("second", 1, 1, "")
+	must.SliceEmpty(t, pickEffects[Answer](b.do()))
+	b.listed(work.Target{ID: "a", Capacity: work.Resources{CPU: 1}, Draining: true})
+	must.SliceEmpty(t, pickEffects[Answer](b.pass(200*ms)))
+	answers := pickEffects[Answer](b.pass(60 * ms))
+	must.SliceLen(t, 1, answers)
+	must.Eq(t, waiting, answers[0].Ref)
+	must.Eq(t, work.Refused, answers[0].Outcome.Result)
+}
+
 func TestUnservableJobsAreRefusedAtOnce(t *testing.T) {
 	b := newBench(t, Options{})
 	b.usable("a", 4)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -26,7 +26,10 @@
 		}
 		before := j.key
 		s.placeJob(now, j, &full)
-		if j.pending() {
+		if j.due(now) {
+			s.reviewJob(now, j)
+		}
+		if j.pending() && !j.ended {
 			j.order()
 			moved = moved || j.key != before
 			rest = append(rest, j)
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -56,8 +56,8 @@
 	seen, told int64
 	looking    bool
 	lookAt     time.Duration
-	// unanswered is set while the last look had no answer.
-	unanswered bool
+	// failedLooks counts the looks without an answer since the last good one.
+	failedLooks int
 	// blocked bars starts for a while after a refused one.
 	blocked time.Duration
 	health  health
@@ -272,7 +272,7 @@
 
 // prolongs reports whether the target's lease may be prolonged.
 func (t *target) prolongs(now time.Duration) bool {
-	if t.state != usable {
+	if t.state != usable || t.failedLooks > 0 {
 		return false
 	}
 	for _, r := range t.runs {
