File targets by their free processor

Ruled out: a heap by free processor (health and labels decide as well). Change: open targets lie in buckets of one core, with their whole processor and what their runs give back kept as sums; only targets that changed are asked whether they want a look.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -85,12 +85,6 @@
 	return ""
 }
 
-func (p *pool) holds(st *step) bool {
-	return slices.ContainsFunc(p.targets, func(t *target) bool {
-		return st.Each.Fits(t.Capacity) && (st.Label == "" || slices.Contains(t.Labels, st.Label))
-	})
-}
-
 // crowd tells how busy the targets are, for trails.
 func (s *State) crowd(j *job) string {
 	return fmt.Sprintf("%d jobs wait, needs %d of cpu, entry %s", len(s.waiting), j.firstNeed().total, j.sub.Entry)
@@ -189,16 +183,10 @@
 	for _, demand := range p.demand[:priority] {
 		urgent += demand / demandTime.Seconds()
 	}
-	whole := 0.0
-	for _, t := range p.targets {
-		if t.state == usable && !t.Draining && !t.health.suspected {
-			whole += float64(t.Capacity.CPU)
-		}
-	}
-	if whole == 0 {
+	if p.cpu == 0 {
 		return leastLeft
 	}
-	return max(1-overtaking*urgent/whole, leastLeft)
+	return max(1-overtaking*urgent/float64(p.cpu), leastLeft)
 }
 
 // need is what a job wants at its start, in thousandths of a core.
@@ -229,53 +217,17 @@
 	return total
 }
 
-// supply is the processor that tasks of a size can have now, and the processor
-// that running tasks give back each millisecond.
-func (p *pool) supply(now time.Duration, each int64) (room int64, flow float64) {
-	for _, t := range p.targets {
-		if t.state != usable || t.Draining {
-			continue
-		}
-		if t.health.suspected {
-			if t.health.probed(now, t) {
-				room += min(t.free.CPU, each)
-			}
-			continue
-		}
-		room += roomFor(t.free.CPU, each)
-		for _, r := range t.runs {
-			flow += float64(r.task.step.Each.CPU) / r.lasts()
-		}
-	}
-	return room, flow
-}
-
-func roomFor(free, each int64) int64 {
-	if each <= 0 {
-		return free
-	}
-	return free / each * each
-}
-
 // lasts is the expected run time in milliseconds.
 func (r *run) lasts() float64 {
 	return max(float64(r.expected)/float64(time.Millisecond)*max(r.target.health.speed, 1), 1)
 }
 
-func (p *pool) adopting() bool {
-	return slices.ContainsFunc(p.targets, func(t *target) bool { return t.state != usable })
-}
-
 // Load tells other VMs how busy the targets of a service are.
 func (s *State) Load(now time.Duration, service string) Load {
 	p := s.poolOf(service)
 	var load Load
-	for _, t := range p.targets {
-		if t.state == usable && !t.Draining && !t.health.suspected {
-			load.CPU += t.Capacity.CPU
-			load.FreeCPU += t.free.CPU
-		}
-	}
+	load.CPU = p.cpu
+	load.FreeCPU = p.free(0)
 	load.Room.Places = s.places(now, p)
 	_, flow := p.supply(now, 0)
 	ahead := int64(0)
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -79,6 +79,7 @@
 		s.silence(now, t, "no connection")
 	case work.VerdictUnhealthy, work.VerdictInvalid:
 		t.health.suspend(now)
+		s.touch(t)
 	default:
 		t.blocked = now + roomPause
 	}
@@ -110,6 +111,7 @@
 	if t.state == usable {
 		s.emit(Note{What: "target is silent", Target: t.ID, Detail: why, Age: now - t.lease.at})
 		t.state = silent
+		s.touch(t)
 	}
 }
 
@@ -120,6 +122,7 @@
 		return
 	}
 	t.looking = false
+	s.touch(t)
 	switch verdict {
 	case work.VerdictDone:
 		s.held(now, t, held)
@@ -162,6 +165,7 @@
 		s.emit(Note{What: "target is usable", Target: t.ID})
 		t.state = usable
 	}
+	s.touch(t)
 }
 
 // seenRunning takes a run that the target lists.
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/burdockward/burdockward/work"
 )
 
 // health is the evidence against a target. Evidence of one job alone may be the
@@ -81,6 +79,7 @@
 		h.suspend(now)
 		return
 	}
+	defer s.touch(t)
 	if len(h.strikes) >= suspicious && s.maySuspect(t.pool) {
 		s.emit(Note{What: "target suspected", Target: t.ID, Job: j.sub.Job.ID})
 		h.suspend(now)
@@ -103,13 +102,7 @@
 }
 
 func (s *State) maySuspect(p *pool) bool {
-	suspected := 0
-	for _, t := range p.targets {
-		if t.health.suspected {
-			suspected++
-		}
-	}
-	return float64(suspected+1) <= maxSuspected*float64(len(p.targets))
+	return float64(len(p.suspects)+1) <= maxSuspected*float64(len(p.targets))
 }
 
 // praise learns from a good end.
@@ -128,6 +121,7 @@
 	if h.suspected {
 		s.emit(Note{What: "target trusted again", Target: t.ID})
 		h.suspected = false
+		s.touch(t)
 		h.speed = min(h.speed, slowSpeed)
 	}
 	h.retry = firstRest
@@ -163,6 +157,7 @@
 		if r.hopeless(now) && !t.health.suspected && s.maySuspect(t.pool) {
 			s.emit(Note{What: "target suspected", Target: t.ID, Task: r.Task, Detail: "a run does not end", Age: now - r.ordered})
 			t.health.suspend(now)
+			s.touch(t)
 		}
 	}
 	if !t.health.suspected {
@@ -204,12 +199,3 @@
 	here := r.ordered + time.Duration(speed*float64(r.expected))
 	return r.overdue(now) || speed > slowSpeed && here > elsewhere+r.expected/2
 }
-
-func (s *State) roomElsewhere(t *target, need work.Resources) bool {
-	for _, other := range t.pool.targets {
-		if other != t && other.state == usable && !other.Draining && !other.health.suspected && need.Fits(other.free) {
-			return true
-		}
-	}
-	return false
-}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -98,18 +98,6 @@
 	}
 }
 
-// pick chooses the target that a task fits most tightly, so that large tasks find
-// room elsewhere.
-func (s *State) pick(now time.Duration, j *job, st *step, tk *task) *target {
-	var best *target
-	for _, t := range j.pool.targets {
-		if s.may(now, t, j, st, tk) && (best == nil || better(t, best, st, tk)) {
-			best = t
-		}
-	}
-	return best
-}
-
 // may reports whether a task may start on a target now.
 func (s *State) may(now time.Duration, t *target, j *job, st *step, tk *task) bool {
 	if t.state != usable || t.Draining || now < t.blocked || !st.Each.Fits(t.free) {
@@ -124,27 +112,12 @@
 	if t.runs[tk.name] != nil || !t.prolongs(now) {
 		return false
 	}
-	h := &t.health
-	if h.suspected {
-		return h.probed(now, t) && tk.fails == 0
-	}
-	if t.slow() {
-		return now+time.Duration(h.speed*float64(st.expected)) <= j.objective || len(t.runs) == 0
+	if t.slow() && !t.health.suspected {
+		return now+time.Duration(t.health.speed*float64(st.expected)) <= j.objective || len(t.runs) == 0
 	}
 	return true
 }
 
-// better reports whether a is a better place for a task than b.
-func better(a, b *target, st *step, tk *task) bool {
-	if ra, rb := a.rank(st, tk), b.rank(st, tk); ra != rb {
-		return ra < rb
-	}
-	if a.free.CPU != b.free.CPU {
-		return a.free.CPU < b.free.CPU
-	}
-	return a.ID < b.ID
-}
-
 // rank is lower for targets that suit a task better by other things than room.
 func (t *target) rank(st *step, tk *task) int {
 	rank := 0
@@ -175,6 +148,9 @@
 	tk.run = r
 	t.runs[tk.name] = r
 	t.free = t.free.Minus(tk.step.Each)
+	r.flow = float64(tk.step.Each.CPU) / r.lasts()
+	t.flow += r.flow
+	s.touch(t)
 	t.lease.until = max(t.lease.until, r.until)
 	if tk.step.on != nil {
 		tk.step.on[t.ID]++
--- /dev/null
+++ b/scheduler/place_bench_test.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// BenchmarkTask measures the decisions of one task, from the submission of its job to
+// its end, at nearly full targets of three places each.
+func BenchmarkTask(b *testing.B) {
+	for _, targets := range []int{16, 117, 1167} {
+		b.Run(fmt.Sprintf("places=%d", 3*targets), func(b *testing.B) { benchmarkTasks(b, targets) })
+	}
+}
+
+const benchTasks = 8
+
+func benchmarkTasks(b *testing.B, targets int) {
+	s := New(Options{})
+	s.Listed()
+	now := time.Second
+	for i := range targets {
+		id := fmt.Sprintf("t%05d", i)
+		s.TargetSeen(now, work.Target{ID: id, Service: "s", Address: id, Capacity: work.Resources{CPU: 46000 + int64(i%7)*500}})
+	}
+	var running []StartRun
+	seen := map[string]int64{}
+	carry := func() {
+		for _, effect := range s.Effects(now) {
+			switch e := effect.(type) {
+			case Look:
+				if e.Until == 0 && e.Wait == 0 {
+					s.Looked(now, e.To.ID, work.Held{Clock: now.Milliseconds()}, work.VerdictDone)
+				}
+			case StartRun:
+				s.Started(now, e.To.ID, e.Run, work.OrderAnswer{Verdict: work.VerdictDone, Clock: now.Milliseconds()})
+				running = append(running, e)
+			}
+		}
+	}
+	carry()
+	submit := func(i int) {
+		s.Submit(now, Submission{
+			Ref: Ref(i + 1),
+			Job: work.Job{ID: fmt.Sprintf("%016x", i), Steps: []work.Step{{
+				Tasks: benchTasks, Each: work.Resources{CPU: 14000 + int64(i%5)*500}, Estimate: 100 * time.Millisecond,
+			}}},
+			Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+		})
+		carry()
+	}
+	next := 0
+	for ; next*benchTasks < 3*targets*9/10; next++ {
+		submit(next)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N / benchTasks {
+		now += 100 * time.Microsecond
+		for range min(benchTasks, len(running)) {
+			e := running[0]
+			running = running[1:]
+			seen[e.To.ID]++
+			t := s.targets[e.To.ID]
+			t.looking = true
+			held := work.Held{Clock: now.Milliseconds(), Ended: []work.End{{Number: seen[e.To.ID], Run: e.Run, Kind: work.EndDone}}}
+			for _, r := range t.runs {
+				if r.Run != e.Run {
+					held.Running = append(held.Running, r.Run)
+				}
+			}
+			s.Looked(now, e.To.ID, held, work.VerdictDone)
+			carry()
+		}
+		submit(next)
+		next++
+	}
+}
--- /dev/null
+++ b/scheduler/pool.go
@@ -0,0 +1,186 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// pool is the targets of a service. Open targets, those that take new tasks, are
+// filed by their free processor, so that a place is found, and what is free is
+// known, without looking at each target.
+type pool struct {
+	targets []*target
+	// suspects are the targets under suspicion.
+	suspects []*target
+	buckets  [bucketCount][]*target
+	// cpu is the whole processor of open targets, flow what their runs give back
+	// each millisecond.
+	cpu  int64
+	flow float64
+	// usual is the median speed of the targets.
+	usual float64
+	// usualCPU is the need of a usual task, a moving average in thousandths of a
+	// core; 0 before the first.
+	usualCPU float64
+	// demand is the work taken lately by priority, in thousandths of a core times
+	// seconds, as of demandAt.
+	demand   [Priorities]float64
+	demandAt time.Duration
+}
+
+// Sizes of the file of open targets.
+const (
+	// bucketWidth is fine against the need of a task, in thousandths of a core.
+	bucketWidth = 1000
+	// bucketCount covers targets of 128 cores; larger rooms share the last one.
+	bucketCount = 128
+)
+
+func bucketOf(cpu int64) int { return int(min(max(cpu, 0)/bucketWidth, bucketCount-1)) }
+
+// filing is where a target stands in its pool's file.
+type filing struct {
+	open      bool
+	suspected bool
+	bucket    int
+	at        int
+	cpu       int64
+	flow      float64
+}
+
+// open reports whether a target takes new tasks like any other.
+func (t *target) open() bool { return t.state == usable && !t.Draining && !t.health.suspected }
+
+// touch files a target anew after a change, and has it looked at if it needs to.
+func (s *State) touch(t *target) {
+	t.pool.remove(t)
+	if s.targets[t.ID] == t {
+		t.pool.insert(t)
+	}
+	if !t.dirty {
+		t.dirty = true
+		s.dirty = append(s.dirty, t)
+	}
+}
+
+func (p *pool) insert(t *target) {
+	if t.health.suspected {
+		t.filed.suspected = true
+		p.suspects = append(p.suspects, t)
+	}
+	if !t.open() {
+		return
+	}
+	bucket := bucketOf(t.free.CPU)
+	t.filed = filing{open: true, bucket: bucket, at: len(p.buckets[bucket]), cpu: t.Capacity.CPU, flow: t.flow}
+	p.buckets[bucket] = append(p.buckets[bucket], t)
+	p.cpu += t.filed.cpu
+	p.flow += t.filed.flow
+}
+
+func (p *pool) remove(t *target) {
+	if t.filed.suspected {
+		p.suspects = slices.DeleteFunc(p.suspects, func(other *target) bool { return other == t })
+	}
+	if t.filed.open {
+		list := p.buckets[t.filed.bucket]
+		last := len(list) - 1
+		list[t.filed.at] = list[last]
+		list[t.filed.at].filed.at = t.filed.at
+		list[last] = nil
+		p.buckets[t.filed.bucket] = list[:last]
+		p.cpu -= t.filed.cpu
+		p.flow -= t.filed.flow
+	}
+	t.filed = filing{}
+}
+
+// free is the processor of open targets that tasks of a size can have now.
+func (p *pool) free(each int64) int64 {
+	total := int64(0)
+	for bucket := bucketOf(each); bucket < bucketCount; bucket++ {
+		list := p.buckets[bucket]
+		if len(list) == 0 {
+			continue
+		}
+		if bucket == bucketOf(each) || bucket == bucketCount-1 {
+			for _, t := range list {
+				total += roomFor(t.free.CPU, each)
+			}
+			continue
+		}
+		total += int64(len(list)) * roomFor(int64(bucket)*bucketWidth, each)
+	}
+	return total
+}
+
+func roomFor(free, each int64) int64 {
+	if each <= 0 {
+		return free
+	}
+	return free / each * each
+}
+
+// pick chooses the target that a task fits most tightly, so that large tasks find
+// room elsewhere; targets that suit it less by other things only where no other has
+// room.
+func (s *State) pick(now time.Duration, j *job, st *step, tk *task) *target {
+	p := j.pool
+	var best *target
+	for bucket := bucketOf(st.Each.CPU); bucket < bucketCount; bucket++ {
+		for _, t := range p.buckets[bucket] {
+			if !s.may(now, t, j, st, tk) || best != nil && best.rank(st, tk) <= t.rank(st, tk) {
+				continue
+			}
+			if best = t; t.rank(st, tk) == 0 {
+				return t
+			}
+		}
+	}
+	if best != nil {
+		return best
+	}
+	for _, t := range p.suspects {
+		if t.health.probed(now, t) && tk.fails == 0 && s.may(now, t, j, st, tk) {
+			return t
+		}
+	}
+	return nil
+}
+
+// holds reports whether any target is large enough for a step.
+func (p *pool) holds(st *step) bool {
+	return slices.ContainsFunc(p.targets, func(t *target) bool {
+		return st.Each.Fits(t.Capacity) && (st.Label == "" || slices.Contains(t.Labels, st.Label))
+	})
+}
+
+func (p *pool) adopting() bool {
+	return slices.ContainsFunc(p.targets, func(t *target) bool { return t.state != usable })
+}
+
+// supply is the processor that tasks of a size can have now, and the processor that
+// running tasks give back each millisecond.
+func (p *pool) supply(now time.Duration, each int64) (room int64, flow float64) {
+	room = p.free(each)
+	for _, t := range p.suspects {
+		if t.state == usable && !t.Draining && t.health.probed(now, t) {
+			room += min(t.free.CPU, each)
+		}
+	}
+	return room, max(p.flow, 0)
+}
+
+// roomElsewhere reports whether another open target has room.
+func (s *State) roomElsewhere(t *target, need work.Resources) bool {
+	for bucket := bucketOf(need.CPU); bucket < bucketCount; bucket++ {
+		for _, other := range t.pool.buckets[bucket] {
+			if other != t && need.Fits(other.free) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -148,6 +148,8 @@
 	targets map[string]*target
 	pools   map[string]*pool
 	jobs    map[Ref]*job
+	// dirty holds the targets that changed since the last Effects.
+	dirty []*target
 	// byID holds the live job of each ID.
 	byID map[string]*job
 	// settling counts the runs of ended jobs, by job ID, that may still go on.
@@ -206,9 +208,14 @@
 // last call. Call it after each batch of messages.
 func (s *State) Effects(now time.Duration) []Effect {
 	s.place(now)
-	for _, t := range s.targets {
-		s.pump(now, t)
+	for _, t := range s.dirty {
+		t.dirty = false
+		if s.targets[t.ID] == t {
+			s.pump(now, t)
+		}
 	}
+	clear(s.dirty)
+	s.dirty = s.dirty[:0]
 	effects := s.effects
 	s.effects = nil
 	return effects
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -20,20 +20,6 @@
 	silent
 )
 
-// pool is the targets of a service.
-type pool struct {
-	targets []*target
-	// usual is the median speed of the targets.
-	usual float64
-	// usualCPU is the need of a usual task, a moving average in thousandths of a
-	// core; 0 before the first.
-	usualCPU float64
-	// demand is the work taken lately by priority, in thousandths of a core times
-	// seconds, as of demandAt.
-	demand   [Priorities]float64
-	demandAt time.Duration
-}
-
 func (s *State) poolOf(service string) *pool {
 	p := s.pools[service]
 	if p == nil {
@@ -52,6 +38,11 @@
 	missing time.Duration
 	free    work.Resources
 	runs    map[string]*run
+	// flow is the processor that the runs give back each millisecond.
+	flow float64
+	// filed is the place in the pool's file; dirty targets may want a look.
+	filed filing
+	dirty bool
 	// strangers are runs of nobody known here, to be stopped.
 	strangers map[work.Run]*orderTry
 	lease     lease
@@ -98,6 +89,8 @@
 	until int64
 	// expected is the run time expected of a target of usual speed.
 	expected time.Duration
+	// flow is the processor that it gives back each millisecond.
+	flow float64
 	// stop is set once the end of the run was ordered.
 	stop *orderTry
 }
@@ -167,21 +160,16 @@
 		}
 		s.targets[entry.ID] = t
 		t.pool.targets = append(t.pool.targets, t)
+		t.ID = entry.ID
+		t.Capacity = entry.Capacity
 	}
 	if entry.Draining && !t.Draining {
 		s.emit(Note{What: "target is draining", Target: entry.ID})
 	}
-	t.free = t.free.Plus(entry.Capacity).Minus(t.capacityOr(entry))
+	t.free = t.free.Plus(entry.Capacity).Minus(t.Capacity)
 	t.missing = 0
 	t.Target = entry
-}
-
-// capacityOr is the capacity before an entry is taken.
-func (t *target) capacityOr(entry work.Target) work.Resources {
-	if t.ID == "" {
-		return entry.Capacity
-	}
-	return t.Capacity
+	s.touch(t)
 }
 
 // TargetMissing says that the registry has no entry of a target any more. It is
@@ -201,6 +189,7 @@
 // are over.
 func (s *State) forget(t *target) {
 	delete(s.targets, t.ID)
+	s.touch(t)
 	t.pool.targets = slices.DeleteFunc(t.pool.targets, func(other *target) bool { return other == t })
 }
 
@@ -229,6 +218,8 @@
 	t := r.target
 	delete(t.runs, r.Task)
 	t.free = t.free.Plus(r.task.step.Each)
+	t.flow -= r.flow
+	s.touch(t)
 	r.task.run = nil
 	if r.task.step.on != nil {
 		r.task.step.on[t.ID]--
@@ -256,6 +247,7 @@
 func (s *State) stop(now time.Duration, r *run) {
 	if r.stop == nil {
 		r.stop = &orderTry{asked: now, sent: now}
+		s.touch(r.target)
 		r.task.job.mark(now, "stopped", r.Task, r.target.ID, "")
 		s.emit(StopRun{To: r.target.address(), Run: r.Run})
 	}
@@ -300,6 +292,7 @@
 		}
 	}
 	s.judge(now, t)
+	s.touch(t)
 	if t.missing > 0 && (t.state == silent && len(t.runs) == 0 || now-t.missing > missingPatience) {
 		s.lose(now, t, "it is not listed any more")
 	}
