--- a/heartbeat/book.go
+++ b/heartbeat/book.go
@@ -112,11 +112,14 @@
 	return v
 }
 
-// answered takes an owner's answer.
-func (b *book) answered(now time.Duration, pong *linkpb.Pong) {
+// answered takes an owner's answer, and returns the time since the last one.
+func (b *book) answered(now time.Duration, pong *linkpb.Pong) (gap time.Duration) {
 	v := b.views[pong.GetLife()]
 	if v == nil || pong.GetStamp() < v.Stamp {
-		return
+		return 0
+	}
+	if v.Heard > 0 {
+		gap = now - v.Heard
 	}
 	if v.Alive.Err() != nil {
 		v.Alive, v.end = context.WithCancel(context.Background())
@@ -125,6 +128,7 @@
 	v.Heard = now
 	v.Loads = pong.GetLoads()
 	v.ConfigurationVersion = pong.GetConfigurationVersion()
+	return gap
 }
 
 // expire gives up silent owners and forgets what is old.
@@ -146,20 +150,23 @@
 	}
 }
 
-// pinged takes an entry VM's ping.
-func (b *book) pinged(now time.Duration, ping *linkpb.Ping) {
+// pinged takes an entry VM's ping, and returns the time since the last one.
+func (b *book) pinged(now time.Duration, ping *linkpb.Ping) (gap time.Duration) {
 	id := EntryID(ping.GetVm(), ping.GetLife())
 	p := b.pingers[id]
 	if p == nil {
 		if len(b.pingers) >= maxPingers {
-			return
+			return 0
 		}
 		p = &Pinger{VM: ping.GetVm(), Life: ping.GetLife(), First: now}
 		b.pingers[id] = p
+	} else {
+		gap = now - p.Heard
 	}
 	p.FailureDomain = ping.GetFailureDomain()
 	p.Control, p.Heartbeat = ping.GetControl(), ping.GetHeartbeat()
 	p.CPUShare, p.Leaving = ping.GetCpuShare(), ping.GetLeaving()
 	p.ConfigurationVersion = ping.GetConfigurationVersion()
 	p.Heard = now
+	return gap
 }
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -40,6 +40,8 @@
 	Owned() *linkpb.Owned
 	// Heard takes the loads that an owner tells of.
 	Heard(owner uint64, loads []*linkpb.Load)
+	// Late hears of a gap between two heartbeats of a VM that is longer than usual.
+	Late(vm string, gap time.Duration)
 	// Learned takes the claim that an owner knows of its group.
 	Learned(owned *linkpb.Owned)
 }
@@ -224,8 +226,9 @@
 		var pong linkpb.Pong
 		if proto.Unmarshal(body, &pong) == nil {
 			s.mu.Lock()
-			s.book.answered(bootclock.Now(), &pong)
+			gap := s.book.answered(bootclock.Now(), &pong)
 			s.mu.Unlock()
+			s.late(pong.GetVm(), gap)
 			s.listener.Heard(pong.GetLife(), pong.GetLoads())
 			if pong.GetOwned() != nil {
 				s.listener.Learned(pong.GetOwned())
@@ -234,11 +237,21 @@
 	}
 }
 
+// lateGap is three heartbeats that didn't come.
+const lateGap = 4 * Interval
+
+func (s *Service) late(vm string, gap time.Duration) {
+	if gap > lateGap {
+		s.listener.Late(vm, gap)
+	}
+}
+
 func (s *Service) pinged(ping *linkpb.Ping, from *net.UDPAddr) {
 	now := bootclock.Now()
 	s.mu.Lock()
-	s.book.pinged(now, ping)
+	gap := s.book.pinged(now, ping)
 	s.mu.Unlock()
+	s.late(ping.GetVm(), gap)
 	if ping.GetOwnerLife() == s.self.Life && ping.GetStamp() > 0 {
 		s.listener.Vouched(EntryID(ping.GetVm(), ping.GetLife()), time.Duration(ping.GetStamp())+Vouch, ping.GetGivenUp())
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -302,6 +302,12 @@
 	return loads
 }
 
+// Late implements heartbeat.Listener.
+func (n *Node) Late(vm string, gap time.Duration) {
+	n.options.Count("notes", "heartbeat late")
+	n.log.Warn("heartbeat late", "vm", vm, "gap", gap)
+}
+
 // Owned implements heartbeat.Listener.
 func (n *Node) Owned() *linkpb.Owned {
 	if held, ok := n.keeper.Claim(); ok {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -243,7 +243,8 @@
 	switch {
 	case j.ended:
 	case !s.vouched(now, j):
-		s.finish(now, j, j.giveUp("its entry VM is silent"))
+		s.finish(now, j, j.giveUp(fmt.Sprintf("its entry VM is silent: vouched until %v ago",
+			(now-s.entries[j.sub.Entry]).Round(time.Millisecond))))
 	case j.deadline > 0 && now >= j.deadline:
 		s.finish(now, j, j.giveUp("the caller's deadline has passed"))
 	case j.sub.Part != nil && !j.started() && now-j.submitted > partPatience:
