--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -21,6 +21,9 @@
 			lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: share("failing"),
 		})
 		w.longest = rapid.SampledFrom([]int{100, 800, 2500}).Draw(rt, "longest")
+		if rapid.Bool().Draw(rt, "lending") {
+			w.addOther(rapid.IntRange(1, 3).Draw(rt, "others"))
+		}
 		w.takeOver()
 		w.run(200 * ms)
 		for range rapid.IntRange(5, 80).Draw(rt, "steps") {
@@ -42,7 +45,7 @@
 	ids := w.targetIDs()
 	target := w.targets[rapid.SampledFrom(ids).Draw(rt, "target")]
 	switch rapid.SampledFrom([]string{
-		"call", "call", "call", "call", "leave", "crash", "hang", "silent", "die", "freeze", "cut", "depose",
+		"call", "call", "call", "call", "leave", "crash", "hang", "silent", "die", "freeze", "cut", "depose", "link",
 	}).Draw(rt, "action") {
 	case "call":
 		w.call(rapid.IntRange(1, 6).Draw(rt, "tasks"))
@@ -78,6 +81,10 @@
 		o.cut = true
 		w.lose(o, entrySilence)
 		w.after(entrySilence, func() { w.takeOver() })
+	case "link":
+		if w.other != nil && !w.linkCut {
+			w.cutLink(time.Duration(100+w.random.IntN(2000)) * ms)
+		}
 	case "depose":
 		// A claim that was written late: the former owner is well and doesn't know.
 		w.takeOver()
--- a/scheduler/guards_test.go
+++ b/scheduler/guards_test.go
@@ -323,16 +323,70 @@
 	b.usable("a", 10)
 	b.submit("first", 1, 8, "")
 	b.do()
-	for i := range 20 {
+	for i := range 40 {
 		b.submit(string(rune('A'+i)), 1, 8, "")
 	}
-	b.do()
-	b.submit("small", 1, 2, "")
+	must.SliceNotEmpty(t, pickEffects[Answer](b.do()))
+	b.submit("large", 1, 8, "")
+	must.SliceLen(t, 1, pickEffects[Answer](b.do()))
+	b.ref++
+	b.s.Submit(b.now, Submission{
+		Ref: b.ref,
+		Job: work.Job{ID: "small", Steps: []work.Step{{Tasks: 1, Each: work.Resources{CPU: 2}, Estimate: 100 * ms}}},
+		// Behind all others, and without the time to wait for them.
+		Queue: work.Queue{Name: "q", Service: "s", Priority: 5, MaxAttempts: 2, Stretch: 2, Allowance: 100 * ms},
+	})
 	effects := b.do()
 	must.SliceEmpty(t, pickEffects[Answer](effects))
 	must.SliceLen(t, 1, pickEffects[StartRun](effects))
 }
 
+// A suspected target that drains gets no probe.
+func TestDrainingSuspectsAreNotProbed(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.s.targets["a"].health.suspend(b.now)
+	b.s.touch(b.s.targets["a"])
+	b.usable("b", 1)
+	b.submit("first", 1, 1, "")
+	b.do()
+	b.submit("second", 1, 1, "")
+	b.listed(work.Target{ID: "a", Capacity: work.Resources{CPU: 1}, Draining: true})
+	must.SliceEmpty(t, pickEffects[StartRun](b.pass(firstRest+40*ms)))
+}
+
+// What another owner may still run is not run here.
+func TestLostPartEndsItsJob(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	ref := b.submit("j", 2, 1, "")
+	b.s.RoomAt(b.now, "other", "s", Room{Places: [Priorities]int{2, 2, 2}})
+	lend := pickEffects[Lend](b.do())[0]
+	b.s.Returned(b.now, lend.Part, work.Outcome{Result: work.Unknown})
+	answer := pickEffects[Answer](b.do())[0]
+	must.Eq(t, ref, answer.Ref)
+	must.Eq(t, work.Unknown, answer.Outcome.Result)
+}
+
+// A part that can't begin goes back while its owner may find it another place.
+func TestPartsGoBackSoon(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 2)
+	b.submit("first", 1, 1, "")
+	b.do()
+	b.ref++
+	b.s.Submit(b.now, Submission{
+		Ref: b.ref, Part: []string{"j.0.0.3"},
+		Job:   work.Job{ID: "j", Steps: []work.Step{{Tasks: 1, Each: work.Resources{CPU: 1}, Estimate: 100 * ms}}},
+		Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+	})
+	b.s.Looked(b.now, "a", work.Held{}, work.VerdictUnknown)
+	b.s.Looked(b.now, "a", work.Held{}, work.VerdictUnknown)
+	answers := pickEffects[Answer](b.pass(partPatience + 40*ms))
+	must.SliceLen(t, 1, answers)
+	must.Eq(t, work.Refused, answers[0].Outcome.Result)
+}
+
 // Urgent jobs that were taken lately count against less urgent ones, which they
 // would overtake.
 func TestUrgentDemandCountsInTheForecast(t *testing.T) {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -34,6 +34,9 @@
 	refs    Ref
 	// longest bounds the run time of tasks, in milliseconds.
 	longest int
+	// other owns targets of its own and takes parts, unless the link to it is cut.
+	other   *fakeOwner
+	linkCut bool
 }
 
 // worldFaults are shares of orders.
@@ -55,6 +58,16 @@
 	// frozen owners do nothing until they thaw; cut ones reach no entry VM.
 	frozen, cut, dead bool
 	refs              map[Ref]*caller
+	// name is what the other owner knows this one by, lenders answer for parts.
+	name    string
+	lenders map[Ref]func(work.Outcome)
+	lent    map[Part]*lentPart
+}
+
+// lentPart is a part on its way or at the other owner.
+type lentPart struct {
+	ref      Ref
+	returned bool
 }
 
 // caller hands in one job until it has an answer.
@@ -85,6 +98,8 @@
 	hung    bool
 	silent  bool
 	poll    func()
+	// others belong to the other owner.
+	others bool
 }
 
 type fakeRun struct {
@@ -118,6 +133,105 @@
 	return t
 }
 
+// addOther adds another owner with targets of its own.
+func (w *world) addOther(targets int) {
+	w.other = &fakeOwner{state: New(Options{}), token: 1, refs: map[Ref]*caller{}, lenders: map[Ref]func(work.Outcome){}}
+	for range targets {
+		owners := w.owners
+		w.owners = []*fakeOwner{w.other}
+		w.addTarget().others = true
+		w.owners = owners
+	}
+	w.other.state.Listed()
+	w.tick(w.other)
+	w.talk()
+}
+
+// talk plays the heartbeats between the newest owner and the other one.
+func (w *world) talk() {
+	for _, o := range w.owners {
+		if o.dead || o.frozen || w.linkCut {
+			continue
+		}
+		w.other.state.EntrySeen(o.name, w.now+entryVouch)
+		o.state.RoomAt(w.now, "other", "s", w.other.state.Load(w.now, "s").Room)
+		w.carryOut(o)
+	}
+	w.after(20*ms, w.talk)
+}
+
+// lend brings a part to the other owner.
+func (w *world) lend(o *fakeOwner, e Lend) {
+	part := &lentPart{}
+	o.lent[e.Part] = part
+	back := func(outcome work.Outcome) {
+		if !part.returned {
+			part.returned = true
+			w.hear(o, func() { o.state.Returned(w.now, e.Part, outcome) })
+		}
+	}
+	w.after(ms, func() {
+		if w.linkCut {
+			w.after(entrySilence, func() { back(work.Outcome{Result: work.Unknown}) })
+			return
+		}
+		w.refs++
+		part.ref = w.refs
+		w.other.lenders[part.ref] = func(outcome work.Outcome) {
+			w.after(ms, func() {
+				if !w.linkCut {
+					back(outcome)
+				}
+			})
+		}
+		sub := e.Submission
+		sub.Ref, sub.Entry = part.ref, o.name
+		w.other.state.Submit(w.now, sub)
+		w.carryOut(w.other)
+	})
+}
+
+// withdraw takes a part back, if the other owner can be told.
+func (w *world) withdraw(o *fakeOwner, e Withdraw) {
+	part := o.lent[e.Part]
+	part.returned = true
+	w.after(ms, func() {
+		if !w.linkCut && part.ref != 0 {
+			w.other.state.Cancel(w.now, part.ref)
+			w.carryOut(w.other)
+		}
+	})
+}
+
+// cutLink cuts the owners off from each other; parts that are away are given up
+// when the silence shows.
+func (w *world) cutLink(length time.Duration) {
+	w.linkCut = true
+	w.after(entrySilence, func() {
+		if !w.linkCut {
+			return
+		}
+		for _, o := range w.owners {
+			for _, id := range sortedParts(o.lent) {
+				if part := o.lent[id]; !part.returned {
+					part.returned = true
+					w.hear(o, func() { o.state.Returned(w.now, id, work.Outcome{Result: work.Unknown}) })
+				}
+			}
+		}
+	})
+	w.after(length, func() { w.linkCut = false })
+}
+
+func sortedParts(lent map[Part]*lentPart) []Part {
+	parts := make([]Part, 0, len(lent))
+	for id := range lent {
+		parts = append(parts, id)
+	}
+	slices.Sort(parts)
+	return parts
+}
+
 func (t *fakeTarget) listed() work.Target {
 	return work.Target{ID: t.id, Service: "s", Address: t.id, Capacity: work.Resources{CPU: fakeCPU}}
 }
@@ -155,9 +269,10 @@
 	w.token++
 	o := &fakeOwner{
 		state: New(Options{RunClock: 0}), token: w.token, refs: map[Ref]*caller{},
+		name: fmt.Sprintf("o%d", w.token), lent: map[Part]*lentPart{},
 	}
 	for _, id := range w.targetIDs() {
-		if t := w.targets[id]; !t.down {
+		if t := w.targets[id]; !t.down && !t.others {
 			o.state.TargetSeen(w.now, t.listed())
 		}
 	}
@@ -272,6 +387,10 @@
 		switch e := effect.(type) {
 		case Answer:
 			w.answered(o, e)
+		case Lend:
+			w.lend(o, e)
+		case Withdraw:
+			w.withdraw(o, e)
 		case StartRun:
 			w.order(o, func() work.OrderAnswer { return w.targets[e.To.ID].start(o.token, e) },
 				func(a work.OrderAnswer) { o.state.Started(w.now, e.To.ID, e.Run, a) })
@@ -287,6 +406,11 @@
 }
 
 func (w *world) answered(o *fakeOwner, e Answer) {
+	if back := o.lenders[e.Ref]; back != nil {
+		delete(o.lenders, e.Ref)
+		back(e.Outcome)
+		return
+	}
 	c := o.refs[e.Ref]
 	if c == nil {
 		return
@@ -520,12 +644,17 @@
 	for _, task := range sortedTasks(t.runs) {
 		t.world.ends(task)
 	}
-	for _, o := range t.world.owners {
+	for _, o := range append(slices.Clone(t.world.owners), t.world.other) {
+		if o == nil {
+			continue
+		}
 		t.world.after(500*ms, func() {
 			if !o.frozen && !o.dead {
 				o.state.TargetMissing(t.world.now, t.id)
 			}
 		})
 	}
-	t.world.addTarget()
+	if !t.others {
+		t.world.addTarget()
+	}
 }
