--- a/node/node.go
+++ b/node/node.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -366,48 +365,3 @@
 	}
 	return false
 }
-
-// runFor runs a job for another VM.
-func (n *Node) runFor(ctx context.Context, order link.Order) work.Outcome {
-	o := n.owned()
-	until := time.Duration(order.Stamp) + heartbeat.Vouch
-	if o == nil || bootclock.Now() >= until {
-		return work.Outcome{Result: work.Moved, Reason: "not the owner, or the order is stale"}
-	}
-	o.Vouched(order.Entry, until, nil)
-	return o.Submit(ctx, scheduler.Submission{
-		Entry: order.Entry, Job: order.Job, Queue: order.Queue, Age: order.Age, Wait: order.Wait, Part: order.Part,
-	})
-}
-
-// handler returns what other VMs may call.
-func (n *Node) handler() http.Handler { return link.NewServer(peerCalls{n}) }
-
-// peerCalls implements link.Handler.
-type peerCalls struct{ node *Node }
-
-func (p peerCalls) Run(ctx context.Context, order link.Order) work.Outcome {
-	return p.node.runFor(ctx, order)
-}
-
-func (p peerCalls) Release(ctx context.Context, _ string) owner.Released {
-	o := p.node.handingOver()
-	if o == nil {
-		return owner.Released{All: true}
-	}
-	released := o.Release(ctx)
-	if released.All {
-		p.node.forgetFormer(o)
-	}
-	return released
-}
-
-func (p peerCalls) Pass(held ownership.Held) { p.node.keeper.Merge([]ownership.Held{held}) }
-
-func (p peerCalls) Tables() link.Tables {
-	tables := link.Tables{Claims: p.node.keeper.Claims()}
-	if held := p.node.config.held.Load(); held != nil {
-		tables.Configuration = held.raw
-	}
-	return tables
-}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -216,14 +216,6 @@
 	}
 }
 
-func (o *Owner) publishLoads(now time.Duration) {
-	loads := make(map[string]scheduler.Load, len(o.services))
-	for service := range o.services {
-		loads[service] = o.state.Load(now, service)
-	}
-	o.loads.Store(&loads)
-}
-
 // Loads is how busy the targets are, by service.
 func (o *Owner) Loads() map[string]scheduler.Load {
 	if loads := o.loads.Load(); loads != nil {
--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -50,15 +50,8 @@
 	case "call":
 		w.call(rapid.IntRange(1, 6).Draw(rt, "tasks"))
 	case "leave":
-		for _, ref := range sortedRefs(o.refs) {
-			c := o.refs[ref]
-			delete(o.refs, ref)
-			if !o.frozen && !o.cut && !o.dead {
-				o.state.Cancel(w.now, ref)
-				w.carryOut(o)
-			}
-			w.again(c)
-			break
+		if refs := sortedRefs(o.refs); len(refs) > 0 {
+			w.leave(o, refs[0])
 		}
 	case "crash":
 		target.crash()
--- /dev/null
+++ b/scheduler/load_test.go
@@ -0,0 +1,315 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+func TestUnservableJobsAreRefusedAtOnce(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	b.submit("j", 1, 5, "")
+	answer := pickEffects[Answer](b.do())[0]
+	must.Eq(t, work.Refused, answer.Outcome.Result)
+	must.StrContains(t, answer.Outcome.Reason, "ask for less")
+}
+
+// A job that fits beside what waits is taken, since those who wait can't use the room.
+func TestSmallJobsFitBesideLargeOnesThatWait(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 10)
+	b.submit("first", 1, 8, "")
+	b.do()
+	for i := range 40 {
+		b.submit(string(rune('A'+i)), 1, 8, "")
+	}
+	must.SliceNotEmpty(t, pickEffects[Answer](b.do()))
+	b.submit("large", 1, 8, "")
+	must.SliceLen(t, 1, pickEffects[Answer](b.do()))
+	b.ref++
+	b.s.Submit(b.now, Submission{
+		Ref: b.ref,
+		Job: work.Job{ID: "small", Steps: []work.Step{{Tasks: 1, Each: work.Resources{CPU: 2}, Estimate: 100 * ms}}},
+		// Behind all others, and without the time to wait for them.
+		Queue: work.Queue{Name: "q", Service: "s", Priority: 5, MaxAttempts: 2, Stretch: 2, Allowance: 100 * ms},
+	})
+	effects := b.do()
+	must.SliceEmpty(t, pickEffects[Answer](effects))
+	must.SliceLen(t, 1, pickEffects[StartRun](effects))
+}
+
+// A suspected target that drains gets no probe.
+func TestDrainingSuspectsAreNotProbed(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.s.targets["a"].health.suspend(b.now)
+	b.s.touch(b.s.targets["a"])
+	b.usable("b", 1)
+	b.submit("first", 1, 1, "")
+	b.do()
+	b.submit("second", 1, 1, "")
+	b.listed(work.Target{ID: "a", Capacity: work.Resources{CPU: 1}, Draining: true})
+	must.SliceEmpty(t, pickEffects[StartRun](b.pass(firstRest+40*ms)))
+}
+
+// What another owner may still run is not run here.
+func TestLostPartEndsItsJob(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	ref := b.submit("j", 2, 1, "")
+	b.s.RoomAt(b.now, "other", "s", Room{Places: [Priorities]int{2, 2, 2}})
+	lend := pickEffects[Lend](b.do())[0]
+	b.s.Returned(b.now, lend.Part, work.Outcome{Result: work.Unknown})
+	answer := pickEffects[Answer](b.do())[0]
+	must.Eq(t, ref, answer.Ref)
+	must.Eq(t, work.Unknown, answer.Outcome.Result)
+}
+
+// A part that can't begin goes back while its owner may find it another place.
+func TestPartsGoBackSoon(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 2)
+	b.submit("first", 1, 1, "")
+	b.do()
+	b.ref++
+	b.s.Submit(b.now, Submission{
+		Ref: b.ref, Part: []string{"j.0.0.3"},
+		Job:   work.Job{ID: "j", Steps: []work.Step{{Tasks: 1, Each: work.Resources{CPU: 1}, Estimate: 100 * ms}}},
+		Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+	})
+	b.s.Looked(b.now, "a", work.Held{}, work.VerdictUnknown)
+	b.s.Looked(b.now, "a", work.Held{}, work.VerdictUnknown)
+	answers := pickEffects[Answer](b.pass(partPatience + 40*ms))
+	must.SliceLen(t, 1, answers)
+	must.Eq(t, work.Refused, answers[0].Outcome.Result)
+}
+
+// Urgent jobs that were taken lately count against less urgent ones, which they
+// would overtake.
+func TestUrgentDemandCountsInTheForecast(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 10)
+	p := b.s.poolOf("s")
+	must.Eq(t, 1, p.left(b.now, 1))
+	for range 4 {
+		b.submit("u", 10, 1, "")
+		b.do()
+		b.s.Cancel(b.now, b.ref)
+	}
+	must.Eq(t, 1, p.left(b.now, 0))
+	must.Less(t, 0.8, p.left(b.now, 1))
+	must.Greater(t, 0.99, p.left(b.now+10*demandTime, 1))
+}
+
+func TestCrowdedOwnerRefusesAtOnceWithATime(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	refused := 0
+	for i := range 60 {
+		b.submit(string(rune('A'+i)), 1, 1, "")
+		for _, answer := range pickEffects[Answer](b.do()) {
+			must.Eq(t, work.Refused, answer.Outcome.Result)
+			must.Positive(t, answer.Outcome.RetryAfter)
+			refused++
+		}
+	}
+	must.Between(t, 40, refused, 55)
+}
+
+// A job fails when one of its tasks has failed as often as its queue allows, and
+// is tried elsewhere before.
+func TestFailedRunsAreBounded(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.usable("b", 1)
+	ref := b.submit("j", 1, 1, "")
+	first := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, first.To.ID, first.Run, done(5000))
+	b.look(first.To.ID, work.Held{Clock: 5010, Ended: []work.End{{Number: 1, Run: first.Run, Kind: work.EndFailed}}})
+	second := pickEffects[StartRun](b.do())[0]
+	must.NotEq(t, first.To.ID, second.To.ID)
+	b.s.Started(b.now, second.To.ID, second.Run, done(5000))
+	b.look(second.To.ID, work.Held{Clock: 5010, Ended: []work.End{{Number: 1, Run: second.Run, Kind: work.EndFailed}}})
+	answer := pickEffects[Answer](b.do())[0]
+	must.Eq(t, ref, answer.Ref)
+	must.Eq(t, work.Failed, answer.Outcome.Result)
+}
+
+// Jobs that fail everywhere bring no target under suspicion, targets at which
+// several jobs fail do.
+func TestSuspicionNeedsSeveralJobs(t *testing.T) {
+	b := newBench(t, Options{})
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		b.usable(id, 1)
+	}
+	fail := func(id string, j *job) { b.s.strikeFailed(b.now, b.s.targets[id], j) }
+	poison := b.s.newJob(b.now, Submission{Job: work.Job{ID: "p", Steps: []work.Step{{Tasks: 1}}}})
+	fail("a", poison)
+	fail("b", poison)
+	other := b.s.newJob(b.now, Submission{Job: work.Job{ID: "o", Steps: []work.Step{{Tasks: 1}}}})
+	fail("a", other)
+	must.False(t, b.s.targets["a"].health.suspected)
+	third := b.s.newJob(b.now, Submission{Job: work.Job{ID: "t", Steps: []work.Step{{Tasks: 1}}}})
+	fail("a", third)
+	must.True(t, b.s.targets["a"].health.suspected)
+}
+
+// A probe on a suspected target is not moved before it is overdue.
+func TestProbesAreLeftAlone(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.usable("b", 1)
+	b.s.targets["a"].health.speed = 5
+	b.s.targets["a"].health.suspend(b.now)
+	b.s.targets["b"].Draining = true
+	effects := b.pass(firstRest + 20*ms)
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	b.submit("j", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.s.targets["b"].Draining = false
+	must.SliceEmpty(t, pickEffects[StopRun](b.pass(100*ms)))
+}
+
+// Tasks that find no place go to an owner with room, and come back if it refuses.
+func TestTasksAreLentAndComeBack(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	ref := b.submit("j", 3, 1, "")
+	b.s.RoomAt(b.now, "other", "s", Room{Places: [Priorities]int{2, 2, 2}})
+	effects := b.do()
+	start := pickEffects[StartRun](effects)[0]
+	lends := pickEffects[Lend](effects)
+	must.SliceLen(t, 1, lends)
+	must.Eq(t, []string{"j.0.0.1", "j.0.0.2"}, lends[0].Submission.Part)
+	b.s.Returned(b.now, lends[0].Part, work.Outcome{Result: work.Refused})
+	must.SliceEmpty(t, pickEffects[Lend](b.do()))
+	b.s.RoomAt(b.now, "other", "s", Room{Places: [Priorities]int{2, 2, 2}})
+	again := pickEffects[Lend](b.do())
+	must.SliceLen(t, 1, again)
+	b.s.Returned(b.now, again[0].Part, work.Outcome{Result: work.Completed})
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.look("a", work.Held{Clock: 5010, Ended: []work.End{{Number: 1, Run: start.Run, Kind: work.EndDone}}})
+	answer := pickEffects[Answer](b.do())[0]
+	must.Eq(t, ref, answer.Ref)
+	must.Eq(t, work.Completed, answer.Outcome.Result)
+}
+
+// A lent part is withdrawn with its job, which then counts as unsettled.
+func TestLentPartsAreWithdrawn(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	ref := b.submit("j", 2, 1, "")
+	b.s.RoomAt(b.now, "other", "s", Room{Places: [Priorities]int{2, 2, 2}})
+	effects := b.do()
+	start, lend := pickEffects[StartRun](effects)[0], pickEffects[Lend](effects)[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.s.Cancel(b.now, ref)
+	must.Eq(t, lend.Part, pickEffects[Withdraw](b.do())[0].Part)
+	b.look("a", work.Held{Clock: 5010, Ended: []work.End{{Number: 1, Run: start.Run, Kind: work.EndStopped}}})
+	b.submit("j", 1, 1, "")
+	must.SliceEmpty(t, pickEffects[StartRun](b.pass(withdrawTime-50*ms)))
+	must.SliceLen(t, 1, pickEffects[StartRun](b.pass(100*ms)))
+}
+
+func TestPartsBeginAtOnceOrNotAtAll(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	part := func(name string) {
+		b.ref++
+		b.s.Submit(b.now, Submission{
+			Ref: b.ref, Part: []string{name},
+			Job:   work.Job{ID: name[:1], Steps: []work.Step{{Tasks: 1, Each: work.Resources{CPU: 1}, Estimate: 100 * ms}}},
+			Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+		})
+	}
+	b.submit("x", 1, 1, "")
+	b.do()
+	part("j.0.0.3")
+	must.Eq(t, work.Refused, pickEffects[Answer](b.do())[0].Outcome.Result)
+	b.s.Cancel(b.now, 1)
+	b.pass(40 * ms)
+	run := b.s.targets["a"].sortedRuns()[0]
+	b.look("a", work.Held{Clock: 5040, Ended: []work.End{{Number: 1, Run: run.Run, Kind: work.EndStopped}}})
+	part("j.0.0.3")
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 1, starts)
+	must.Eq(t, "j.0.0.3", starts[0].Run.Task)
+}
+
+func TestStepsWaitForEarlierOnes(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	b.s.Submit(b.now, Submission{
+		Ref: 1,
+		Job: work.Job{ID: "j", Steps: []work.Step{
+			{Tasks: 1, Each: work.Resources{CPU: 1}, Estimate: 100 * ms},
+			{Tasks: 2, Each: work.Resources{CPU: 1}, Estimate: 100 * ms, After: []int{0}},
+		}},
+		Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+	})
+	first := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 1, first)
+	b.s.Started(b.now, "a", first[0].Run, done(5000))
+	b.look("a", work.Held{Clock: 5010, Ended: []work.End{{Number: 1, Run: first[0].Run, Kind: work.EndDone}}})
+	must.SliceLen(t, 2, pickEffects[StartRun](b.do()))
+}
+
+func TestLabelsAndSpreadAreKept(t *testing.T) {
+	b := newBench(t, Options{})
+	for _, id := range []string{"a", "b"} {
+		b.listed(work.Target{ID: id, Capacity: work.Resources{CPU: 4}, Labels: []string{"fast"}})
+		b.do()
+		b.look(id, work.Held{Clock: 5000})
+	}
+	b.usable("c", 4)
+	b.s.Submit(b.now, Submission{
+		Ref: 1,
+		Job: work.Job{ID: "j", Steps: []work.Step{
+			{Tasks: 3, Each: work.Resources{CPU: 1}, Estimate: 100 * ms, Label: "fast", Spread: 1},
+		}},
+		Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+	})
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 2, starts)
+	must.NotEq(t, starts[0].To.ID, starts[1].To.ID)
+	for _, start := range starts {
+		must.NotEq(t, "c", start.To.ID)
+	}
+}
+
+// A target whose entry lapsed is used while it answers, and forgotten after a while.
+func TestUnlistedTargetsAreForgotten(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	b.s.TargetMissing(b.now, "a")
+	b.submit("j", 1, 1, "")
+	must.SliceLen(t, 1, pickEffects[StartRun](b.do()))
+	b.pass(missingPatience + 40*ms)
+	must.MapEmpty(t, b.s.targets)
+}
+
+func TestDeposedOwnerSaysSo(t *testing.T) {
+	b := newBench(t, Options{})
+	b.target("a", 4)
+	b.do()
+	b.s.Looked(b.now, "a", work.Held{}, work.VerdictFenced)
+	must.Eq(t, []Deposed{{Target: "a"}}, pickEffects[Deposed](b.do()))
+}
+
+func TestAnotherLifeEndsAllRuns(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.usable("b", 1)
+	b.submit("j", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.s.Looked(b.now, "a", work.Held{}, work.VerdictGone)
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 1, starts)
+	must.Eq(t, "b", starts[0].To.ID)
+}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -351,6 +351,17 @@
 	return c
 }
 
+// leave has a caller leave, who comes again later.
+func (w *world) leave(o *fakeOwner, ref Ref) {
+	c := o.refs[ref]
+	delete(o.refs, ref)
+	if !o.frozen && !o.cut && !o.dead {
+		o.state.Cancel(w.now, ref)
+		w.carryOut(o)
+	}
+	w.again(c)
+}
+
 // resend is the shortest time after which a caller sends a job again.
 const resend = 1300 * ms
 
@@ -491,170 +502,3 @@
 }
 
 func (w *world) ends(task string) { w.running[task]-- }
-
-func (t *fakeTarget) refuse(verdict work.Verdict) work.OrderAnswer {
-	return work.OrderAnswer{Verdict: verdict, Clock: t.clock()}
-}
-
-func (t *fakeTarget) fenced(token int64) bool {
-	if token < t.fence {
-		return true
-	}
-	t.fence = token
-	return false
-}
-
-func (t *fakeTarget) start(token int64, e StartRun) work.OrderAnswer {
-	if t.down || t.silent {
-		return work.OrderAnswer{}
-	}
-	if t.fenced(token) {
-		return t.refuse(work.VerdictFenced)
-	}
-	if r := t.runs[e.Run.Task]; r != nil && r.number == e.Run.Number {
-		return t.refuse(work.VerdictDone)
-	}
-	if e.Until <= t.clock() {
-		return t.refuse(work.VerdictLate)
-	}
-	t.until = max(t.until, min(e.Until, t.clock()+1000))
-	if e.Run.Number <= t.highest[e.Run.Task] {
-		return t.refuse(work.VerdictOld)
-	}
-	if t.free < 1 || t.runs[e.Run.Task] != nil {
-		return t.refuse(work.VerdictRoom)
-	}
-	t.begin(e.Run)
-	return t.refuse(work.VerdictDone)
-}
-
-func (t *fakeTarget) begin(run work.Run) {
-	r := &fakeRun{number: run.Number, cpu: 1}
-	t.runs[run.Task] = r
-	t.free--
-	t.world.begins(run.Task)
-	kind := work.EndDone
-	if t.world.random.Float64() < t.world.faults.failing {
-		kind = work.EndFailed
-	}
-	took := time.Duration(20+t.world.random.IntN(t.world.longest)) * ms
-	t.world.after(took, func() {
-		if !t.hung && !t.down {
-			t.end(run.Task, r, kind)
-		}
-	})
-}
-
-func (t *fakeTarget) end(task string, r *fakeRun, kind work.EndKind) {
-	if t.runs[task] != r {
-		return
-	}
-	delete(t.runs, task)
-	t.free++
-	t.world.ends(task)
-	t.highest[task] = max(t.highest[task], r.number)
-	t.number++
-	t.ended = append(t.ended, work.End{Number: t.number, Run: work.Run{Task: task, Number: r.number}, Kind: kind})
-	if t.poll != nil {
-		t.poll()
-	}
-}
-
-func (t *fakeTarget) stop(token int64, run work.Run) work.OrderAnswer {
-	if t.down || t.silent {
-		return work.OrderAnswer{}
-	}
-	if t.fenced(token) {
-		return t.refuse(work.VerdictFenced)
-	}
-	t.highest[run.Task] = max(t.highest[run.Task], run.Number)
-	if r := t.runs[run.Task]; r != nil && r.number == run.Number {
-		t.world.after(time.Duration(t.world.random.IntN(50))*ms, func() { t.end(run.Task, r, work.EndStopped) })
-	}
-	return t.refuse(work.VerdictDone)
-}
-
-func (t *fakeTarget) look(token int64, e Look, reply func(work.Held, work.Verdict)) {
-	if t.down || t.silent {
-		reply(work.Held{}, work.VerdictUnknown)
-		return
-	}
-	if t.fenced(token) {
-		reply(work.Held{}, work.VerdictFenced)
-		return
-	}
-	if e.Until > 0 && e.Until > t.clock() {
-		t.until = max(t.until, min(e.Until, t.clock()+1000))
-	}
-	t.ended = slices.DeleteFunc(t.ended, func(end work.End) bool { return end.Number <= e.Seen })
-	replied := false
-	answer := func() {
-		if replied {
-			return
-		}
-		replied = true
-		t.poll = nil
-		if t.down || t.silent {
-			reply(work.Held{}, work.VerdictUnknown)
-			return
-		}
-		held := work.Held{Clock: t.clock(), Ended: slices.Clone(t.ended)}
-		for task, r := range t.runs {
-			held.Running = append(held.Running, work.Run{Task: task, Number: r.number})
-		}
-		slices.SortFunc(held.Running, func(a, b work.Run) int { return strings.Compare(a.Task, b.Task) })
-		reply(held, work.VerdictDone)
-	}
-	if e.Wait == 0 || len(t.ended) > 0 {
-		answer()
-		return
-	}
-	t.poll = answer
-	t.world.after(e.Wait, answer)
-}
-
-// lapse ends what runs beyond the lease.
-func (t *fakeTarget) lapse() {
-	if t.down {
-		return
-	}
-	if t.clock() > t.until {
-		for _, task := range sortedTasks(t.runs) {
-			t.end(task, t.runs[task], "lapsed")
-		}
-	}
-	t.world.after(ms, t.lapse)
-}
-
-func sortedTasks(runs map[string]*fakeRun) []string {
-	tasks := make([]string, 0, len(runs))
-	for task := range runs {
-		tasks = append(tasks, task)
-	}
-	slices.Sort(tasks)
-	return tasks
-}
-
-// crash ends a target's life; another begins.
-func (t *fakeTarget) crash() {
-	if t.down {
-		return
-	}
-	t.down = true
-	for _, task := range sortedTasks(t.runs) {
-		t.world.ends(task)
-	}
-	for _, o := range append(slices.Clone(t.world.owners), t.world.other) {
-		if o == nil {
-			continue
-		}
-		t.world.after(500*ms, func() {
-			if !o.frozen && !o.dead {
-				o.state.TargetMissing(t.world.now, t.id)
-			}
-		})
-	}
-	if !t.others {
-		t.world.addTarget()
-	}
-}
