--- a/cmd/burdockward/serve.go
+++ b/cmd/burdockward/serve.go
@@ -5,8 +5,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -41,10 +43,13 @@
 }
 
 func (a *app) serve(ctx context.Context, cmd *cli.Command) error {
-	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	load := func() (platform.Settings, error) { return platform.LoadSettings(os.Getenv(platform.SettingsVariable)) }
+	s, err := load()
 	if err != nil {
 		return err
 	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
 	lines := oplog.New(a.stdout, oplog.Options{})
 	defer lines.Close()
@@ -53,7 +58,7 @@
 	defer closeTelemetry(tel)
 	counters := tel.Counters("entry")
 	n, err := node.New(node.Options{
-		Settings: s, Log: log,
+		Settings: s, LoadSettings: load, Reload: reload, Log: log,
 		Count:   func(what, label string) { counters.Add(what, label, 1) },
 		Observe: counters.Observe,
 	})
--- a/lab/prepared/e2e/e2e_test.go
+++ b/lab/prepared/e2e/e2e_test.go
@@ -179,6 +179,24 @@
 	})
 }
 
+// SIGHUP ends nothing; the settings are read again.
+func TestHangupReadsTheSettingsAgain(t *testing.T) {
+	d := start(t, 1, 2)
+	result := under(t, d, func() {
+		let(500 * time.Millisecond)
+		for _, vm := range d.VMs {
+			vm.Signal(syscall.SIGHUP)
+		}
+		let(time.Second)
+	})
+	must.Eq(t, 0, result.Failed+result.Resent+result.Refused)
+	for _, vm := range d.VMs {
+		log, err := os.ReadFile(vm.Log())
+		must.NoError(t, err)
+		must.StrContains(t, string(log), `"settings read again","asked":true,"changed":false`)
+	}
+}
+
 // A VM that the store turns away learns the configuration from the others.
 func TestConfigurationReachesVMsThatTheStoreTurnsAway(t *testing.T) {
 	d := start(t, 1, 2)
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -34,7 +35,10 @@
 // Options of a Node.
 type Options struct {
 	Settings platform.Settings
-	Log      *slog.Logger
+	// LoadSettings reads the settings again; Reload asks for that.
+	LoadSettings func() (platform.Settings, error)
+	Reload       <-chan os.Signal
+	Log          *slog.Logger
 	// Count counts, Observe takes times; they must not block.
 	Count   func(what, label string)
 	Observe func(what string, took time.Duration)
@@ -63,6 +67,8 @@
 	ctx        context.Context
 	duties     *errgroup.Group
 
+	// settings are the newest that were read; only followSettings uses them.
+	settings platform.Settings
 	// seed is the seed that was asked last.
 	seed int
 
@@ -89,8 +95,9 @@
 func New(o Options) (*Node, error) {
 	s := o.Settings
 	n := &Node{
-		options: o,
-		log:     o.Log,
+		options:  o,
+		settings: s,
+		log:      o.Log,
 		self: heartbeat.Self{
 			VM: s.VM, Life: rand.Uint64(), FailureDomain: s.FailureDomain, CPUShare: int32(s.CPUShare * 1000),
 			Control: s.Control, Heartbeat: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
@@ -145,6 +152,7 @@
 	})
 	g.Go(func() error { n.askPeers(duties); return nil })
 	g.Go(func() error { n.yield(duties); return nil })
+	g.Go(func() error { n.followSettings(duties); return nil })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
