Release nothing before the handover is known

Cause: reading the change as a newcomer: a successor may learn of its claim from the store, or by word, a moment before the owner's own write returns. It asked for targets then, was told that all are free, and would have stopped what the owner still ran. Run numbers began at the VM's own clock when claims were read before the configuration. Ruled out: passing the claim with the question (the owner's write settles it within 0.4 s). Change: a VM that still owns a group releases nothing; the store's clock is taken from the claims' table as well.

--- a/node/calls.go
+++ b/node/calls.go
@@ -38,6 +38,10 @@
 }
 
 func (p peerCalls) Release(ctx context.Context, _ string) owner.Released {
+	if p.node.owned() != nil {
+		// The successor knows of its claim before this VM does.
+		return owner.Released{}
+	}
 	o := p.node.handingOver()
 	if o == nil {
 		return owner.Released{All: true}
--- a/node/node.go
+++ b/node/node.go
@@ -114,7 +114,7 @@
 	}
 	n.beats = beats
 	n.keeper = ownership.New(ownership.Options{
-		Self: n.self, Group: n.group, Patience: ownership.PatienceOf(s.VM, s.CPUShare), Log: o.Log, Changed: n.claimed,
+		Self: n.self, Group: n.group, Patience: ownership.PatienceOf(s.VM, s.CPUShare), Log: o.Log, Changed: n.claimed, Clock: n.readClock,
 	}, n.store, beats)
 	n.entry = entry.New(entry.Options{
 		VM: s.VM, Life: n.self.Life, FailureDomain: s.FailureDomain, Log: o.Log, Count: o.Count,
@@ -169,10 +169,15 @@
 }
 
 func (n *Node) tookConfiguration(update mirror.Update) {
-	n.storeClock.Store((update.Clock - bootclock.Now()).Milliseconds())
+	n.readClock(update.Clock)
 	n.config.take(update)
 }
 
+// readClock takes a reading of the store's clock, which numbers runs.
+func (n *Node) readClock(clock time.Duration) {
+	n.storeClock.Store((clock - bootclock.Now()).Milliseconds())
+}
+
 // claimed is told of all claims after a change.
 func (n *Node) claimed(claims []ownership.Held) {
 	owners := make([]heartbeat.Owner, 0, len(claims))
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -53,6 +53,8 @@
 	Log      *slog.Logger
 	// Changed is told of all claims after each change; it must not block.
 	Changed func([]Held)
+	// Clock is told the store's clock with each news; it must not block.
+	Clock func(clock time.Duration)
 }
 
 // Keeper keeps the claims and takes the group of its own failure domain when its
@@ -150,6 +152,7 @@
 }
 
 func (k *Keeper) take(update mirror.Update) {
+	k.options.Clock(update.Clock)
 	k.mu.Lock()
 	k.read = true
 	for _, row := range update.Rows.Rows {
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -108,7 +108,7 @@
 func newKeeper(store Store, changed func([]Held)) *Keeper {
 	return New(Options{
 		Self: heartbeat.Self{VM: "v", Life: 1, FailureDomain: "g"}, Group: "g",
-		Log: slog.New(slog.DiscardHandler), Changed: changed,
+		Log: slog.New(slog.DiscardHandler), Changed: changed, Clock: func(time.Duration) {},
 	}, store, fakeViews{})
 }
 
@@ -196,7 +196,7 @@
 	store.fail = nil
 	next := New(Options{
 		Self: heartbeat.Self{VM: "w", Life: 2, FailureDomain: "g"}, Group: "g",
-		Log: slog.New(slog.DiscardHandler), Changed: func([]Held) {},
+		Log: slog.New(slog.DiscardHandler), Changed: func([]Held) {}, Clock: func(time.Duration) {},
 	}, store, fakeViews{})
 	next.readNothing()
 	next.Merge([]Held{passer.held})
