Ping each life of an owner

Pings were kept by address: an owner that came back as the same VM shared it with its former life, which was remembered until claims changed, and by chance each round pinged only one of the two; the owner ignores pings for another life. Ruled out: lost datagrams (no gap in the heartbeats' own line), a process that stood still (calls went through). Change: a ping for each life; lives without a claim are forgotten once silent, without waiting for a change of claims. Measured: the new test failed before.

--- a/heartbeat/book.go
+++ b/heartbeat/book.go
@@ -82,6 +82,8 @@
 	View
 	since time.Duration
 	end   context.CancelFunc
+	// wanted views are of owners that hold a claim.
+	wanted bool
 }
 
 func newBook() *book {
@@ -98,12 +100,9 @@
 		}
 	}
 	for life, v := range b.views {
-		// An owner that hands over still answers for what it runs.
-		if !wanted[life] && now-max(v.Heard, v.since) > Silence {
-			v.end()
-			delete(b.views, life)
-		}
+		v.wanted = wanted[life]
 	}
+	b.expire(now)
 }
 
 func newView(now time.Duration, owner Owner) *view {
@@ -133,9 +132,14 @@
 
 // expire gives up silent owners and forgets what is old.
 func (b *book) expire(now time.Duration) {
-	for _, v := range b.views {
-		if now-max(v.Heard, v.since) > Silence {
-			v.end()
+	for life, v := range b.views {
+		if now-max(v.Heard, v.since) <= Silence {
+			continue
+		}
+		v.end()
+		// One that hands over still answers for what it runs.
+		if !v.wanted {
+			delete(b.views, life)
 		}
 	}
 	for id, p := range b.pingers {
--- a/heartbeat/book_test.go
+++ b/heartbeat/book_test.go
@@ -105,3 +105,34 @@
 	b.expire(pingerMemory + ms)
 	must.MapEmpty(t, b.pingers)
 }
+
+// An owner that was started again is pinged under its new life in each round, also
+// while its former life is remembered, which is forgotten without any change of
+// claims.
+func TestFormerLifeHidesNoPing(t *testing.T) {
+	s := &Service{listener: silentListener{}, book: newBook()}
+	s.book.follow(0, []Owner{{VM: "o", Life: 1, Heartbeat: "o:1"}})
+	s.book.answered(10*ms, &linkpb.Pong{Life: 1, Stamp: 1})
+	s.book.follow(20*ms, []Owner{{VM: "o", Life: 2, Heartbeat: "o:1"}})
+	for range 50 {
+		lives := map[uint64]bool{}
+		for _, p := range s.pings() {
+			lives[p.ping.GetOwnerLife()] = true
+		}
+		must.True(t, lives[2])
+	}
+	s.book.answered(400*ms, &linkpb.Pong{Life: 2, Stamp: 1})
+	s.book.expire(20*ms + Silence)
+	must.MapLen(t, 1, s.book.views)
+}
+
+type silentListener struct{}
+
+func (silentListener) Vouched(string, time.Duration, []string) {}
+func (silentListener) Loads() []*linkpb.Load                   { return nil }
+func (silentListener) ConfigurationVersion() int64             { return 0 }
+func (silentListener) Leaving() bool                           { return false }
+func (silentListener) Owned() *linkpb.Owned                    { return nil }
+func (silentListener) Heard(uint64, []*linkpb.Load)            {}
+func (silentListener) Learned(*linkpb.Owned)                   {}
+func (silentListener) Late(string, time.Duration)              {}
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -148,12 +148,19 @@
 
 // pingAll pings each owner but this VM itself.
 func (s *Service) pingAll() {
-	for address, ping := range s.pings() {
-		s.write(address, ping)
+	for _, p := range s.pings() {
+		s.write(p.address, p.ping)
 	}
 }
 
-func (s *Service) pings() map[string]*linkpb.Ping {
+// outgoing is a ping with its address. Two lives of a VM, of which one has ended,
+// share an address for a while.
+type outgoing struct {
+	address string
+	ping    *linkpb.Ping
+}
+
+func (s *Service) pings() []outgoing {
 	version, leaving := s.listener.ConfigurationVersion(), s.listener.Leaving()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -161,16 +168,16 @@
 	for job := range s.book.givenUp {
 		givenUp = append(givenUp, job)
 	}
-	pings := make(map[string]*linkpb.Ping, len(s.book.views))
+	pings := make([]outgoing, 0, len(s.book.views))
 	for life, v := range s.book.views {
 		if life == s.self.Life {
 			continue
 		}
-		pings[v.Heartbeat] = &linkpb.Ping{
+		pings = append(pings, outgoing{address: v.Heartbeat, ping: &linkpb.Ping{
 			Vm: s.self.VM, Life: s.self.Life, FailureDomain: s.self.FailureDomain,
 			Stamp: v.Stamp, OwnerLife: life, GivenUp: givenUp, ConfigurationVersion: version,
 			CpuShare: s.self.CPUShare, Leaving: leaving, Control: s.self.Control, Heartbeat: s.self.Heartbeat,
-		}
+		}})
 	}
 	return pings
 }
