--- a/lab/prepared/e2e/e2e_test.go
+++ b/lab/prepared/e2e/e2e_test.go
@@ -179,6 +179,21 @@
 	})
 }
 
+// Orders without an answer, some of which are carried out much later.
+func TestLateAndLostOrders(t *testing.T) {
+	d := start(t, 1, 2)
+	under(t, d, func() {
+		for _, target := range d.Targets {
+			target.Disturb(0.06, 0.04)
+		}
+		let(4 * time.Second)
+		for _, target := range d.Targets {
+			target.Disturb(0, 0)
+		}
+		let(2 * time.Second)
+	})
+}
+
 // SIGHUP ends nothing; the settings are read again.
 func TestHangupReadsTheSettingsAgain(t *testing.T) {
 	d := start(t, 1, 2)
--- a/lab/prepared/target.go
+++ b/lab/prepared/target.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -34,6 +36,28 @@
 	began   time.Time
 	// hung targets end nothing, silent ones answer nothing.
 	hung, silent bool
+	// lateShare of the orders get no answer and are carried out after lateDelay,
+	// lostShare of them are not carried out either.
+	lateShare, lostShare float64
+}
+
+// lateDelay is more than a lease and a caller's pause, so that late orders meet
+// later runs of their task.
+const lateDelay = 1500 * time.Millisecond
+
+// Disturb sets the shares of orders that are late and lost.
+func (t *Target) Disturb(late, lost float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lateShare, t.lostShare = late, lost
+}
+
+// disturbs decides on one order.
+func (t *Target) disturbs() (late, lost bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	draw := rand.Float64()
+	return draw < t.lateShare, draw >= t.lateShare && draw < t.lateShare+t.lostShare
 }
 
 type running struct {
@@ -91,6 +115,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if late, lost := t.disturbs(); late || lost {
+		t.leaveUnanswered(r, late)
+		return
+	}
 	switch r.URL.Path {
 	case wire.StartPath:
 		serve(w, r, t.start)
@@ -103,6 +131,36 @@
 	}
 }
 
+// leaveUnanswered carries an order out late, if at all.
+func (t *Target) leaveUnanswered(r *http.Request, late bool) {
+	body, _ := io.ReadAll(r.Body)
+	if late {
+		time.AfterFunc(lateDelay, func() { t.carryOut(r.URL.Path, body) })
+	}
+	<-r.Context().Done()
+}
+
+func (t *Target) carryOut(path string, body []byte) {
+	switch path {
+	case wire.StartPath:
+		var in wire.Start
+		if json.Unmarshal(body, &in) == nil {
+			t.start(in)
+		}
+	case wire.StopPath:
+		var in wire.Stop
+		if json.Unmarshal(body, &in) == nil {
+			t.stop(in)
+		}
+	case wire.HoldPath:
+		var in wire.Hold
+		if json.Unmarshal(body, &in) == nil {
+			in.WaitMS = 0
+			t.hold(in)
+		}
+	}
+}
+
 // serve decodes a message, has it handled and encodes the answer.
 func serve[In, Out any](w http.ResponseWriter, r *http.Request, handle func(In) (Out, string)) {
 	var in In
