Look in short steps while answers get lost

Ruled out: short looks always (four times the looks at busy targets). Change: for 2 s after a lost answer looks wait 60 ms; a test holds it, which does not build without the change.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -52,6 +52,7 @@
 		return
 	}
 	r.state = doubtful
+	s.disturbed = now
 	r.task.job.mark(now, "start unanswered", r.Task, t.ID, "")
 	s.emit(Note{What: "start unanswered", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered})
 	s.stop(now, r)
@@ -129,6 +130,7 @@
 	case work.VerdictGone, work.VerdictFenced:
 		s.answeredElsewhere(now, t, verdict)
 	default:
+		s.disturbed = now
 		if t.failedLooks++; t.failedLooks >= silentLooks {
 			s.silence(now, t, "looks failed: "+verdict.String())
 		}
@@ -271,7 +273,7 @@
 	case t.state == adopting:
 	case len(t.runs) > 0:
 		if t.failedLooks == 0 {
-			look.Wait = s.options.LookWait
+			look.Wait = s.lookWait(now)
 		}
 		if t.prolongs(now) {
 			look.Until = t.lease.end(now, s.options.Lease)
@@ -286,5 +288,21 @@
 	s.emit(look)
 }
 
+// Figures of looks while answers get lost.
+const (
+	// disturbedTime is how long after a lost answer others are expected to be lost.
+	disturbedTime = 2 * time.Second
+	// disturbedWait bounds how long the end of a run goes unseen when a look is lost.
+	disturbedWait = 60 * time.Millisecond
+)
+
+// lookWait is short while answers get lost: a lost look shows only after its wait.
+func (s *State) lookWait(now time.Duration) time.Duration {
+	if s.disturbed > 0 && now-s.disturbed < disturbedTime {
+		return disturbedWait
+	}
+	return s.options.LookWait
+}
+
 // lookPause paces the looks at a target that doesn't answer.
 const lookPause = 100 * time.Millisecond
--- a/scheduler/guards_test.go
+++ b/scheduler/guards_test.go
@@ -307,3 +307,23 @@
 	b.s.Leave(b.now)
 	must.Eq(t, work.Moved, pickEffects[Answer](b.do())[0].Outcome.Result)
 }
+
+// While answers get lost, ends must not go unseen for the whole wait of a lost look.
+func TestLooksAreShortWhileAnswersGetLost(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.usable("b", 1)
+	b.submit("j", 2, 1, "")
+	effects := b.do()
+	for _, look := range pickEffects[Look](effects) {
+		must.Eq(t, DefaultLookWait, look.Wait)
+	}
+	start := pickEffects[StartRun](effects)[0]
+	b.s.Started(b.now, start.To.ID, start.Run, work.OrderAnswer{})
+	b.look("a", work.Held{Clock: 5000, Running: []work.Run{start.Run}})
+	looks := pickEffects[Look](b.do())
+	must.SliceNotEmpty(t, looks)
+	must.Eq(t, disturbedWait, looks[0].Wait)
+	b.pass(disturbedTime + 20*ms)
+	must.Eq(t, DefaultLookWait, b.s.lookWait(b.now))
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -168,10 +168,12 @@
 	told    int
 	leaving bool
 	// listed is set once the registry was read.
-	listed  bool
-	ticked  time.Duration
-	lastRun int64
-	effects []Effect
+	listed bool
+	ticked time.Duration
+	// disturbed is when an answer was last lost; 0 before the first.
+	disturbed time.Duration
+	lastRun   int64
+	effects   []Effect
 }
 
 // New makes a State without targets.
