Keep an owner whose token rises while orders are on their way

An owner that was given its claim by word writes it once the store is back, and its fencing token rises. Orders under the former token that reach a target behind the first one under the new token are refused there; the owner took that for the token of another owner, gave up all jobs (5 without an answer) and took no more (97 refused) for as long as it lived.

Change: the answer to an order is settled by the token that it was sent under; one that the owner's own newer token has overtaken did nothing and is given again.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -253,17 +253,23 @@
 }
 
 func (o *Owner) start(ctx context.Context, e scheduler.StartRun) {
-	answer := o.targets.Start(ctx, e.To, e.Run, e.Payload, e.Until, o.token.Load())
+	token := o.token.Load()
+	answer := o.targets.Start(ctx, e.To, e.Run, e.Payload, e.Until, token)
+	answer.Verdict = scheduler.Settle(answer.Verdict, token, o.token.Load())
 	o.post(ctx, func(now time.Duration) { o.state.Started(now, e.To.ID, e.Run, answer) })
 }
 
 func (o *Owner) stop(ctx context.Context, e scheduler.StopRun) {
-	answer := o.targets.Stop(ctx, e.To, e.Run, o.token.Load())
+	token := o.token.Load()
+	answer := o.targets.Stop(ctx, e.To, e.Run, token)
+	answer.Verdict = scheduler.Settle(answer.Verdict, token, o.token.Load())
 	o.post(ctx, func(now time.Duration) { o.state.Stopped(now, e.To.ID, e.Run, answer) })
 }
 
 func (o *Owner) look(ctx context.Context, e scheduler.Look) {
-	held, verdict := o.targets.Look(ctx, e.To, o.token.Load(), e.Until, e.Seen, e.Wait)
+	token := o.token.Load()
+	held, verdict := o.targets.Look(ctx, e.To, token, e.Until, e.Seen, e.Wait)
+	verdict = scheduler.Settle(verdict, token, o.token.Load())
 	o.post(ctx, func(now time.Duration) { o.state.Looked(now, e.To.ID, held, verdict) })
 }
 
--- /dev/null
+++ b/owner/owner_test.go
@@ -0,0 +1,227 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/platform/wire"
+	"github.com/burdockward/burdockward/scheduler"
+	"github.com/burdockward/burdockward/work"
+)
+
+const (
+	targetID    = "target-1"
+	targetStart = int64(1_000_000)
+)
+
+// oneTarget is a store that lists one target of a service.
+type oneTarget struct{}
+
+func (oneTarget) Read(context.Context, platform.Table) (platform.Rows, error) {
+	value, err := json.Marshal(wire.Target{
+		Service: "service", Address: "target", Zone: "domain", State: wire.Ready,
+		Capacity: wire.Resources{CPU: 4000, MemoryMB: 4000},
+	})
+	return platform.Rows{Version: 1, Rows: []platform.Row{{Key: targetID, Value: value, Version: 1}}}, err
+}
+
+func (oneTarget) Feed(ctx context.Context, _ platform.Table, _ int64, _ time.Duration) (platform.Rows, error) {
+	<-ctx.Done()
+	return platform.Rows{}, ctx.Err()
+}
+
+// fencingTarget keeps the highest token and ends each run when it is told to. An
+// order can be held on its way: it then meets the fence as it is when it is let go.
+type fencingTarget struct {
+	mu      sync.Mutex
+	fence   int64
+	number  int64
+	ended   []work.End
+	running map[work.Run]bool
+	began   time.Time
+	starts  []work.Run
+	// held starts and looks wait for their channel.
+	heldStart, heldLook chan struct{}
+	// waits is told of each order that is held.
+	waits chan string
+}
+
+func newFencingTarget() *fencingTarget {
+	return &fencingTarget{running: map[work.Run]bool{}, began: time.Now(), waits: make(chan string, 8)}
+}
+
+func (f *fencingTarget) clock() int64 { return targetStart + time.Since(f.began).Milliseconds() }
+
+// fenced must be called with the lock held.
+func (f *fencingTarget) fenced(token int64) bool {
+	if token < f.fence {
+		return true
+	}
+	f.fence = token
+	return false
+}
+
+// pass waits where an order is held.
+func (f *fencingTarget) pass(ctx context.Context, what string, held *chan struct{}) {
+	f.mu.Lock()
+	gate := *held
+	*held = nil
+	f.mu.Unlock()
+	if gate == nil {
+		return
+	}
+	f.waits <- what
+	select {
+	case <-gate:
+	case <-ctx.Done():
+	}
+}
+
+func (f *fencingTarget) Start(ctx context.Context, _ work.Address, run work.Run, _ string, _, token int64) work.OrderAnswer {
+	f.pass(ctx, "start", &f.heldStart)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fenced(token) {
+		return work.OrderAnswer{Verdict: work.VerdictFenced, Clock: f.clock()}
+	}
+	f.starts = append(f.starts, run)
+	f.number++
+	f.ended = append(f.ended, work.End{Number: f.number, Run: run, Kind: work.EndDone})
+	return work.OrderAnswer{Verdict: work.VerdictDone, Clock: f.clock()}
+}
+
+func (f *fencingTarget) Stop(_ context.Context, _ work.Address, _ work.Run, token int64) work.OrderAnswer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fenced(token) {
+		return work.OrderAnswer{Verdict: work.VerdictFenced, Clock: f.clock()}
+	}
+	return work.OrderAnswer{Verdict: work.VerdictDone, Clock: f.clock()}
+}
+
+func (f *fencingTarget) Look(ctx context.Context, _ work.Address, token, _, seen int64, _ time.Duration) (work.Held, work.Verdict) {
+	f.pass(ctx, "look", &f.heldLook)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fenced(token) {
+		return work.Held{Clock: f.clock()}, work.VerdictFenced
+	}
+	held := work.Held{Clock: f.clock()}
+	for _, end := range f.ended {
+		if end.Number > seen {
+			held.Ended = append(held.Ended, end)
+		}
+	}
+	return held, work.VerdictDone
+}
+
+// hold has the next order of a kind wait until the returned function is called.
+func (f *fencingTarget) hold(gate *chan struct{}) (release func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held := make(chan struct{})
+	*gate = held
+	return func() { close(held) }
+}
+
+// run has an owner order a target until the test ends.
+func run(t *testing.T, target *fencingTarget) *Owner {
+	t.Helper()
+	o := New(Options{
+		Group: "domain", FailureDomain: "domain", Token: 5, Log: slog.New(slog.DiscardHandler),
+		Count: func(string, string) {}, Hungry: func() {},
+	}, target, oneTarget{})
+	ctx, end := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- o.Run(ctx) }()
+	t.Cleanup(func() {
+		end()
+		must.NoError(t, <-done)
+	})
+	return o
+}
+
+// submit hands in a job of one task.
+func submit(t *testing.T, o *Owner, id string) chan work.Outcome {
+	t.Helper()
+	outcome := make(chan work.Outcome, 1)
+	sub := scheduler.Submission{
+		Job: work.Job{ID: id, Steps: []work.Step{
+			{Tasks: 1, Each: work.Resources{CPU: 1000, MemoryMB: 100}, Estimate: 50 * time.Millisecond},
+		}},
+		Queue: work.Queue{Name: "queue", Service: "service", MaxAttempts: 2, Stretch: 2, Allowance: 5 * time.Second},
+	}
+	go func() { outcome <- o.Submit(t.Context(), sub) }()
+	return outcome
+}
+
+// An owner that was given its claim by word writes it to the store later, and its
+// token rises while orders are on their way. Those that reach their target behind
+// the first order under the new token are refused, but no other owner is.
+func TestLooksThatTheOwnersNewTokenOvertakesCostNothing(t *testing.T) {
+	target := newFencingTarget()
+	o := run(t, target)
+	must.Eq(t, work.Completed, (<-submit(t, o, "1")).Result)
+
+	release := target.hold(&target.heldLook)
+	first := submit(t, o, "2")
+	must.Eq(t, "look", <-target.waits)
+	o.Raise(6)
+	second := submit(t, o, "3")
+	must.True(t, eventually(func() bool { return target.seen(6) }))
+	release()
+	must.Eq(t, work.Completed, (<-first).Result)
+	must.Eq(t, work.Completed, (<-second).Result)
+	must.Eq(t, work.Completed, (<-submit(t, o, "4")).Result)
+}
+
+// A start that is refused this way did nothing and is sent again.
+func TestStartsThatTheOwnersNewTokenOvertakesAreSentAgain(t *testing.T) {
+	target := newFencingTarget()
+	o := run(t, target)
+	must.Eq(t, work.Completed, (<-submit(t, o, "1")).Result)
+
+	release := target.hold(&target.heldStart)
+	first := submit(t, o, "2")
+	must.Eq(t, "start", <-target.waits)
+	o.Raise(6)
+	must.Eq(t, work.Completed, (<-submit(t, o, "3")).Result)
+	release()
+	must.Eq(t, work.Completed, (<-first).Result)
+}
+
+// A higher token of another owner ends this one's work.
+func TestAnotherOwnersTokenDeposes(t *testing.T) {
+	target := newFencingTarget()
+	o := run(t, target)
+	must.Eq(t, work.Completed, (<-submit(t, o, "1")).Result)
+	target.mu.Lock()
+	target.fence = 9
+	target.mu.Unlock()
+	must.NotEq(t, work.Completed, (<-submit(t, o, "2")).Result)
+	must.Eq(t, work.Moved, (<-submit(t, o, "3")).Result)
+}
+
+func (f *fencingTarget) seen(token int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fence == token
+}
+
+// eventually waits for a condition that is sure to come.
+func eventually(holds func() bool) bool {
+	for range 5000 {
+		if holds() {
+			return true
+		}
+		<-time.After(time.Millisecond)
+	}
+	return false
+}
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -6,6 +6,17 @@
 	"github.com/burdockward/burdockward/work"
 )
 
+// Settle tells an order that the owner's own newer token has overtaken from one that
+// another owner's token bars. sent is the token of the order, current the owner's
+// token when the answer came: it rises with the write of a claim that the owner was
+// given by word, while orders under the former one are on their way.
+func Settle(verdict work.Verdict, sent, current int64) work.Verdict {
+	if verdict == work.VerdictFenced && sent < current {
+		return work.VerdictOvertaken
+	}
+	return verdict
+}
+
 // Started takes the answer to a StartRun.
 func (s *State) Started(now time.Duration, id string, order work.Run, answer work.OrderAnswer) {
 	t := s.targets[id]
@@ -81,6 +92,7 @@
 	case work.VerdictUnhealthy, work.VerdictInvalid:
 		t.health.suspend(now)
 		s.touch(t)
+	case work.VerdictOvertaken:
 	default:
 		t.blocked = now + roomPause
 	}
@@ -104,6 +116,9 @@
 	if r := t.runs[order.Task]; r != nil && r.Run == order && r.stop != nil && agreed && r.stop.acked == 0 {
 		r.stop.acked = now
 	}
+	if answer.Verdict == work.VerdictOvertaken {
+		s.emit(StopRun{To: t.address(), Run: order})
+	}
 	s.answeredElsewhere(now, t, answer.Verdict)
 }
 
@@ -129,6 +144,7 @@
 		s.held(now, t, held)
 	case work.VerdictGone, work.VerdictFenced:
 		s.answeredElsewhere(now, t, verdict)
+	case work.VerdictOvertaken:
 	default:
 		s.disturbed = now
 		if t.failedLooks++; t.failedLooks >= silentLooks {
--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -45,7 +45,7 @@
 	ids := w.targetIDs()
 	target := w.targets[rapid.SampledFrom(ids).Draw(rt, "target")]
 	switch rapid.SampledFrom([]string{
-		"call", "call", "call", "call", "leave", "crash", "hang", "silent", "die", "freeze", "cut", "depose", "link",
+		"call", "call", "call", "call", "leave", "crash", "hang", "silent", "die", "freeze", "cut", "depose", "link", "raise",
 	}).Draw(rt, "action") {
 	case "call":
 		w.call(rapid.IntRange(1, 6).Draw(rt, "tasks"))
@@ -78,12 +78,32 @@
 		if w.other != nil && !w.linkCut {
 			w.cutLink(time.Duration(100+w.random.IntN(2000)) * ms)
 		}
+	case "raise":
+		w.raise()
 	case "depose":
 		// A claim that was written late: the former owner is well and doesn't know.
 		w.takeOver()
 	}
 }
 
+// A token that rises while orders are on their way costs no job.
+func TestServesWhileTheTokenRises(t *testing.T) {
+	w := newWorld(2, 4, worldFaults{})
+	w.takeOver()
+	w.run(200 * ms)
+	for range 100 {
+		w.call(2)
+		w.raise()
+		w.call(2)
+		w.run(100 * ms)
+	}
+	w.run(5 * time.Second)
+	must.SliceEmpty(t, w.violations)
+	for _, c := range w.callers {
+		must.Eq(t, []work.Result{work.Completed}, c.outcomes)
+	}
+}
+
 // Work goes on through each single fault.
 func TestServesThroughFaults(t *testing.T) {
 	w := newWorld(1, 4, worldFaults{lostOrders: 0.02, lateOrders: 0.03, lostAnswers: 0.02})
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -292,6 +292,13 @@
 	return ids
 }
 
+// raise gives the newest owner a higher token, as the write of a claim does that it
+// was given by word.
+func (w *world) raise() {
+	w.token++
+	w.owner().token = w.token
+}
+
 func (w *world) owner() *fakeOwner { return w.owners[len(w.owners)-1] }
 
 func (w *world) tick(o *fakeOwner) {
@@ -403,10 +410,10 @@
 		case Withdraw:
 			w.withdraw(o, e)
 		case StartRun:
-			w.order(o, func() work.OrderAnswer { return w.targets[e.To.ID].start(o.token, e) },
+			w.order(o, func(token int64) work.OrderAnswer { return w.targets[e.To.ID].start(token, e) },
 				func(a work.OrderAnswer) { o.state.Started(w.now, e.To.ID, e.Run, a) })
 		case StopRun:
-			w.order(o, func() work.OrderAnswer { return w.targets[e.To.ID].stop(o.token, e.Run) },
+			w.order(o, func(token int64) work.OrderAnswer { return w.targets[e.To.ID].stop(token, e.Run) },
 				func(a work.OrderAnswer) { o.state.Stopped(w.now, e.To.ID, e.Run, a) })
 		case Look:
 			w.look(o, e)
@@ -442,9 +449,16 @@
 }
 
 // order plays an order's way there and back.
-func (w *world) order(o *fakeOwner, do func() work.OrderAnswer, back func(work.OrderAnswer)) {
+func (w *world) order(o *fakeOwner, carryOut func(token int64) work.OrderAnswer, back func(work.OrderAnswer)) {
+	token := o.token
+	do := func() work.OrderAnswer { return carryOut(token) }
 	reply := func(a work.OrderAnswer, after time.Duration) {
-		w.after(after, func() { w.hear(o, func() { back(a) }) })
+		w.after(after, func() {
+			w.hear(o, func() {
+				a.Verdict = Settle(a.Verdict, token, o.token)
+				back(a)
+			})
+		})
 	}
 	unknown := work.OrderAnswer{}
 	switch draw := w.random.Float64(); {
@@ -457,7 +471,8 @@
 		w.after(ms, func() { do() })
 		reply(unknown, 250*ms)
 	default:
-		w.after(ms, func() {
+		// Orders on their way overtake each other.
+		w.after(ms+time.Duration(w.random.IntN(3))*ms, func() {
 			answer := do()
 			if answer.Verdict == work.VerdictUnknown {
 				reply(answer, 250*ms)
@@ -481,14 +496,15 @@
 }
 
 func (w *world) look(o *fakeOwner, e Look) {
+	token := o.token
 	w.after(ms, func() {
 		t := w.targets[e.To.ID]
-		t.look(o.token, e, func(held work.Held, verdict work.Verdict) {
+		t.look(token, e, func(held work.Held, verdict work.Verdict) {
 			wait := ms
 			if verdict == work.VerdictUnknown {
 				wait = 250 * ms
 			}
-			w.after(wait, func() { w.hear(o, func() { o.state.Looked(w.now, t.id, held, verdict) }) })
+			w.after(wait, func() { w.hear(o, func() { o.state.Looked(w.now, t.id, held, Settle(verdict, token, o.token)) }) })
 		})
 	})
 }
--- a/work/orders.go
+++ b/work/orders.go
@@ -25,12 +25,15 @@
 	VerdictUnhealthy
 	// VerdictInvalid says that the target takes the order for malformed.
 	VerdictInvalid
+	// VerdictOvertaken says that the target did nothing, since it has seen a newer
+	// token of the same owner: the order can be given again.
+	VerdictOvertaken
 )
 
 var verdictNames = map[Verdict]string{
 	VerdictUnknown: "unknown", VerdictDone: "done", VerdictUnsent: "unsent", VerdictFenced: "fenced",
 	VerdictOld: "old", VerdictLate: "late", VerdictRoom: "room", VerdictGone: "gone",
-	VerdictUnhealthy: "unhealthy", VerdictInvalid: "invalid",
+	VerdictUnhealthy: "unhealthy", VerdictInvalid: "invalid", VerdictOvertaken: "overtaken",
 }
 
 // String names the verdict in logs and metrics.
