Keep accepted jobs in the store

Weighed: a home by the hash of the ID (a cut failure domain could accept a third of its callers' jobs alone); a job's row in its home's part (an ID handed in at two homes would be two jobs, as no transaction spans parts); the row in the part of its ID with the home as a column (chosen).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,12 +25,20 @@
 type Remote interface {
 	// RunUntil gives the job up when the caller has left or the owner is silent.
 	RunUntil(ctx, alive context.Context, address string, order link.Order) work.Outcome
+	// State, Cancel and Pending ask an owner about kept jobs.
+	State(ctx context.Context, address, id string) (work.State, error)
+	Cancel(ctx context.Context, address, id string) (work.State, error)
+	Pending(ctx context.Context, address, queue string) (int, error)
 }
 
 // Local is the owner in this process.
 type Local interface {
 	Submit(ctx context.Context, sub scheduler.Submission) work.Outcome
 	Loads() map[string]scheduler.Load
+	// JobState and CancelJob report false where the owner doesn't know the job.
+	JobState(ctx context.Context, id string) (work.State, bool)
+	CancelJob(ctx context.Context, id string) (work.State, bool)
+	PendingJobs(ctx context.Context, queue string) int
 }
 
 // Options of an Entry.
@@ -48,6 +56,8 @@
 	DomainOf func(group string) string
 	// Lost is told of owners whose connection broke; it must not block.
 	Lost func(owner heartbeat.Owner)
+	// Find reads from the store how a kept job stands.
+	Find func(ctx context.Context, id string) (work.State, error)
 }
 
 // Entry has jobs run.
@@ -103,7 +113,7 @@
 	}
 	outcome := e.dispatch(ctx, r)
 	e.options.Count("requests", outcome.Result.String())
-	if outcome.Result != work.Completed {
+	if outcome.Result != work.Completed && outcome.Result != work.Accepted {
 		e.options.Log.LogAttrs(ctx, slog.LevelWarn, "request not served",
 			slog.String("job", job.ID), slog.String("queue", queue.Name), slog.String("result", outcome.Result.String()),
 			slog.String("reason", outcome.Reason), slog.Duration("age", bootclock.Now()-arrived))
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -45,6 +45,11 @@
 	outcomes map[string][]work.Outcome
 	asked    []string
 	givenUp  []string
+	// states and fault are what owners say of kept jobs, inStore and storeFault what the
+	// store says.
+	states            map[string]work.State
+	inStore           work.State
+	fault, storeFault error
 }
 
 func (f *fakePeers) View(life uint64) (heartbeat.View, bool) {
@@ -75,6 +80,7 @@
 		Local:    func(string) (Local, bool) { return nil, false },
 		DomainOf: func(group string) string { return group },
 		Lost:     func(heartbeat.Owner) {},
+		Find:     func(context.Context, string) (work.State, error) { return f.inStore, f.storeFault },
 	}, f, f)
 }
 
--- /dev/null
+++ b/entry/kept_test.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+func (f *fakePeers) State(_ context.Context, address, _ string) (work.State, error) {
+	return f.states[address], f.fault
+}
+
+func (f *fakePeers) Cancel(_ context.Context, address, _ string) (work.State, error) {
+	return f.states[address], f.fault
+}
+
+func (f *fakePeers) Pending(_ context.Context, address, _ string) (int, error) {
+	return len(address), f.fault
+}
+
+func TestTheOwnerTellsHowAJobStands(t *testing.T) {
+	f := peers(nil, nil)
+	f.states = map[string]work.State{"far": work.StateRunning}
+	state, err := newEntry(f).State(t.Context(), "j")
+	must.NoError(t, err)
+	must.Eq(t, work.StateRunning, state)
+}
+
+// Where no owner knows a job, the store does, or there is none.
+func TestTheStoreTellsWhatNoOwnerKnows(t *testing.T) {
+	f := peers(nil, nil)
+	for _, want := range []work.State{work.StateCompleted, work.StateAbsent} {
+		f.inStore = want
+		state, err := newEntry(f).State(t.Context(), "j")
+		must.NoError(t, err)
+		must.Eq(t, want, state)
+	}
+	f.storeFault = errors.New("away")
+	_, err := newEntry(f).State(t.Context(), "j")
+	must.Error(t, err)
+}
+
+func TestCancel(t *testing.T) {
+	for name, test := range map[string]struct {
+		owner, store work.State
+		want         work.State
+		fails        bool
+	}{
+		"at its owner":           {work.StateCancelled, work.StateAbsent, work.StateCancelled, false},
+		"ended before":           {work.StateAbsent, work.StateCompleted, work.StateCompleted, false},
+		"no such job":            {work.StateAbsent, work.StateAbsent, work.StateAbsent, false},
+		"its owner is not there": {work.StateAbsent, work.StateQueued, work.StateQueued, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := peers(nil, nil)
+			f.states = map[string]work.State{"near": test.owner}
+			f.inStore = test.store
+			state, err := newEntry(f).Cancel(t.Context(), "j")
+			must.Eq(t, test.want, state)
+			must.Eq(t, test.fails, errors.Is(err, ErrHomeAway))
+		})
+	}
+}
+
+func TestPendingJobsOfAllOwnersCount(t *testing.T) {
+	must.Eq(t, len("near")+len("far"), newEntry(peers(nil, nil)).Pending(t.Context(), "q"))
+}
--- a/link/convert.go
+++ b/link/convert.go
@@ -13,7 +13,7 @@
 func duration(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 
 func jobToWire(job work.Job) *linkpb.Job {
-	wire := &linkpb.Job{Id: job.ID, Payload: job.Payload}
+	wire := &linkpb.Job{Id: job.ID, Payload: job.Payload, Kept: job.Kept}
 	for _, step := range job.Steps {
 		wire.Steps = append(wire.Steps, stepToWire(step))
 	}
@@ -58,7 +58,7 @@
 }
 
 func jobFromWire(wire *linkpb.Job) work.Job {
-	job := work.Job{ID: wire.GetId(), Payload: wire.GetPayload()}
+	job := work.Job{ID: wire.GetId(), Payload: wire.GetPayload(), Kept: wire.GetKept()}
 	for _, step := range wire.GetSteps() {
 		job.Steps = append(job.Steps, stepFromWire(step))
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -42,6 +42,12 @@
 	Run(ctx context.Context, order Order) work.Outcome
 	// Release tells a successor what it may take.
 	Release(ctx context.Context, group string) owner.Released
+	// State and Cancel tell how a kept job stands, which is absent where this VM
+	// doesn't run it.
+	State(ctx context.Context, id string) work.State
+	Cancel(ctx context.Context, id string) work.State
+	// Pending counts the kept jobs of a queue of which nothing has begun here.
+	Pending(ctx context.Context, queue string) int
 	Tables() Tables
 	// Pass takes over a group from its present owner.
 	Pass(held ownership.Held)
@@ -76,6 +82,21 @@
 	return reply, nil
 }
 
+// State implements linkpb.Fleet.
+func (s server) State(ctx context.Context, r *linkpb.JobRequest) (*linkpb.StateReply, error) {
+	return &linkpb.StateReply{State: int32(s.handler.State(ctx, r.GetId()))}, nil
+}
+
+// Cancel implements linkpb.Fleet.
+func (s server) Cancel(ctx context.Context, r *linkpb.JobRequest) (*linkpb.StateReply, error) {
+	return &linkpb.StateReply{State: int32(s.handler.Cancel(ctx, r.GetId()))}, nil
+}
+
+// Pending implements linkpb.Fleet.
+func (s server) Pending(ctx context.Context, r *linkpb.PendingRequest) (*linkpb.PendingReply, error) {
+	return &linkpb.PendingReply{Jobs: int32(s.handler.Pending(ctx, r.GetQueue()))}, nil
+}
+
 // Tables implements linkpb.Fleet.
 func (s server) Tables(context.Context, *linkpb.TablesRequest) (*linkpb.TablesReply, error) {
 	tables := s.handler.Tables()
@@ -98,6 +119,8 @@
 	dialTimeout = 300 * time.Millisecond
 	// callTimeout bounds calls that don't wait for a job.
 	callTimeout = 400 * time.Millisecond
+	// cancelTimeout lets a slow store note the end.
+	cancelTimeout = 2 * time.Second
 	// maxIdle keeps a connection for each job that is usually on its way to one
 	// owner.
 	maxIdle = 128
@@ -168,6 +191,30 @@
 	return released, nil
 }
 
+// State asks an owner how a kept job stands.
+func (c *Client) State(ctx context.Context, address, id string) (work.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.fleet(address).State(ctx, &linkpb.JobRequest{Id: id})
+	return work.State(reply.GetState()), err
+}
+
+// Cancel has an owner cancel a kept job.
+func (c *Client) Cancel(ctx context.Context, address, id string) (work.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	reply, err := c.fleet(address).Cancel(ctx, &linkpb.JobRequest{Id: id})
+	return work.State(reply.GetState()), err
+}
+
+// Pending asks an owner for the kept jobs of which nothing has begun.
+func (c *Client) Pending(ctx context.Context, address, queue string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := c.fleet(address).Pending(ctx, &linkpb.PendingRequest{Queue: queue})
+	return int(reply.GetJobs()), err
+}
+
 // Tables asks another VM what it last read from the store.
 func (c *Client) Tables(ctx context.Context, address string) (Tables, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/node/calls.go
+++ b/node/calls.go
@@ -27,6 +27,28 @@
 	})
 }
 
+// owners are the owner in this process and the one that hands over, as far as there
+// are any.
+func (n *Node) owners() []*owner.Owner {
+	var owners []*owner.Owner
+	for _, o := range []*owner.Owner{n.owned(), n.handingOver()} {
+		if o != nil {
+			owners = append(owners, o)
+		}
+	}
+	return owners
+}
+
+// askOwners asks the owners in this process about a kept job.
+func (n *Node) askOwners(ask func(*owner.Owner) (work.State, bool)) work.State {
+	for _, o := range n.owners() {
+		if state, known := ask(o); known {
+			return state
+		}
+	}
+	return work.StateAbsent
+}
+
 // handler returns what other VMs may call.
 func (n *Node) handler() http.Handler { return link.NewServer(peerCalls{n}) }
 
@@ -55,6 +77,22 @@
 
 func (p peerCalls) Pass(held ownership.Held) { p.node.keeper.Merge([]ownership.Held{held}) }
 
+func (p peerCalls) State(ctx context.Context, id string) work.State {
+	return p.node.askOwners(func(o *owner.Owner) (work.State, bool) { return o.JobState(ctx, id) })
+}
+
+func (p peerCalls) Cancel(ctx context.Context, id string) work.State {
+	return p.node.askOwners(func(o *owner.Owner) (work.State, bool) { return o.CancelJob(ctx, id) })
+}
+
+func (p peerCalls) Pending(ctx context.Context, queue string) int {
+	pending := 0
+	for _, o := range p.node.owners() {
+		pending += o.PendingJobs(ctx, queue)
+	}
+	return pending
+}
+
 func (p peerCalls) Tables() link.Tables {
 	tables := link.Tables{Claims: p.node.keeper.Claims()}
 	if held := p.node.config.held.Load(); held != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/burdockward/burdockward/bootclock"
 	"github.com/burdockward/burdockward/entry"
 	"github.com/burdockward/burdockward/heartbeat"
+	"github.com/burdockward/burdockward/jobstore"
 	"github.com/burdockward/burdockward/link"
 	"github.com/burdockward/burdockward/link/linkpb"
 	"github.com/burdockward/burdockward/mirror"
@@ -120,6 +121,7 @@
 		VM: s.VM, Life: n.self.Life, FailureDomain: s.FailureDomain, Log: o.Log, Count: o.Count,
 		Claims: n.keeper.Claims, Local: n.local, DomainOf: func(group string) string { return group },
 		Lost: n.suspectOwner,
+		Find: func(ctx context.Context, id string) (work.State, error) { return jobstore.Find(ctx, n.store, id) },
 	}, beats, n.calls)
 	n.servers, err = listen(s, n)
 	return n, err
@@ -178,6 +180,11 @@
 	n.storeClock.Store((clock - bootclock.Now()).Milliseconds())
 }
 
+// storeNow is the store's clock.
+func (n *Node) storeNow() time.Duration {
+	return bootclock.Now() + time.Duration(n.storeClock.Load())*time.Millisecond
+}
+
 // claimed is told of all claims after a change.
 func (n *Node) claimed(claims []ownership.Held) {
 	owners := make([]heartbeat.Owner, 0, len(claims))
@@ -232,7 +239,10 @@
 			RunClock: n.storeClock.Load(),
 		},
 		Log: n.log, Count: n.options.Count,
-		Lend: n.lend, Hungry: n.beats.Hurry,
+		Lend: n.lend, Hungry: n.beats.Hurry, StoreClock: n.storeNow,
+		Jobs: jobstore.New(jobstore.Options{
+			Group: held.Group, Life: n.self.Life, Retention: n.options.Settings.JobRetention, Log: n.log, Clock: n.storeNow,
+		}, n.store),
 	}
 	if former := held.Claim.GetFormer(); former != nil {
 		options.Former = func(ctx context.Context) (owner.Released, error) {
@@ -353,6 +363,19 @@
 	return held.Configuration, true
 }
 
+// State implements platform.Dispatcher.
+func (n *Node) State(ctx context.Context, id string) (work.State, error) {
+	return n.entry.State(ctx, id)
+}
+
+// Cancel implements platform.Dispatcher.
+func (n *Node) Cancel(ctx context.Context, id string) (work.State, error) {
+	return n.entry.Cancel(ctx, id)
+}
+
+// Pending implements platform.Dispatcher.
+func (n *Node) Pending(ctx context.Context, queue string) int { return n.entry.Pending(ctx, queue) }
+
 // Dispatch implements platform.Dispatcher.
 func (n *Node) Dispatch(ctx context.Context, job work.Job, queue work.Queue, wait time.Duration) work.Outcome {
 	n.requests.Add(1)
--- /dev/null
+++ b/owner/kept.go
@@ -0,0 +1,216 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/burdockward/burdockward/bootclock"
+	"github.com/burdockward/burdockward/jobstore"
+	"github.com/burdockward/burdockward/scheduler"
+	"github.com/burdockward/burdockward/work"
+)
+
+// keptJobs is what an owner holds of jobs that outlast their requests.
+type keptJobs struct {
+	// open says that the store's jobs were read and that new ones may be accepted.
+	open bool
+	// ending holds those who wait for the note of a job's end.
+	ending map[string][]chan struct{}
+	// adopted says that nothing of a former owner runs at the targets any more.
+	adopted atomic.Bool
+	// readAt is when the registry was read and all targets were given.
+	readAt time.Duration
+}
+
+// Times of taking over kept jobs.
+const (
+	// adoptPatience is how long a target that doesn't answer keeps the jobs from being
+	// taken over: a lease, and the time until the registry drops a target that is gone.
+	adoptPatience = 2500 * time.Millisecond
+	// openPause paces the tries.
+	openPause = 50 * time.Millisecond
+	// unstoredRetry is told while jobs can't be stored.
+	unstoredRetry = time.Second
+)
+
+// mayOpen reports whether former owners can't acknowledge an end any more.
+func (o *Owner) mayOpen() bool {
+	if !o.registry.read || o.registry.handover {
+		return false
+	}
+	now := bootclock.Now()
+	if o.kept.readAt == 0 {
+		o.kept.readAt = now
+	}
+	return o.state.Adopted() || now-o.kept.readAt > adoptPatience
+}
+
+// openJobs takes over the jobs of the group once former owners are barred from its
+// targets.
+func (o *Owner) openJobs(ctx context.Context) {
+	ticker := time.NewTicker(openPause)
+	defer ticker.Stop()
+	failed := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !o.kept.adopted.Load() {
+			continue
+		}
+		kept, err := o.options.Jobs.Open(ctx, o.token.Load())
+		if err == nil {
+			o.post(ctx, func(now time.Duration) { o.resume(now, kept) })
+			return
+		}
+		if !failed {
+			o.options.Log.Warn("kept jobs not taken over", "group", o.options.Group, "error", err)
+			failed = true
+		}
+		if errors.Is(err, jobstore.ErrSuperseded) {
+			return
+		}
+	}
+}
+
+// resume goes on with the jobs of a former owner.
+func (o *Owner) resume(now time.Duration, kept []jobstore.Kept) {
+	o.kept.open = true
+	o.options.Log.Info("kept jobs taken over", "group", o.options.Group, "jobs", len(kept))
+	clock := o.options.StoreClock()
+	for _, job := range kept {
+		o.lastRef++
+		o.state.Resume(now, scheduler.Submission{
+			Ref: o.lastRef, Job: job.Job, Queue: job.Queue, Age: max(clock-job.Arrived, 0),
+		}, job.Progress.Done, job.Progress.Fails)
+	}
+}
+
+// mayAccept answers a kept job that can't be stored or is known already; it reports
+// whether the job is to be looked at further.
+func (o *Owner) mayAccept(sub scheduler.Submission) bool {
+	outcome := work.Outcome{Result: work.Accepted}
+	if !o.kept.open {
+		outcome = work.Outcome{Result: work.Refused, Reason: "jobs can't be stored yet", RetryAfter: unstoredRetry}
+	} else if _, known := o.options.Jobs.State(sub.Job.ID); !known {
+		return true
+	}
+	o.answer(scheduler.Answer{Ref: sub.Ref, Outcome: outcome})
+	return false
+}
+
+// keep has the store note what the scheduler wants kept.
+func (o *Owner) keep(ctx context.Context, effect scheduler.Effect) {
+	switch e := effect.(type) {
+	case scheduler.Keep:
+		job := e.Submission.Job
+		o.options.Jobs.Accept(job, e.Submission.Queue, e.Submission.Age, func(r jobstore.Result) {
+			o.post(ctx, func(now time.Duration) { o.state.Stored(now, job.ID, acceptance(r), r == jobstore.Stored) })
+		})
+	case scheduler.TaskDone:
+		o.options.Jobs.TaskDone(e.Job, e.Task, func() { o.noted(ctx, e.End) })
+	case scheduler.TaskFailed:
+		o.options.Jobs.TaskFailed(e.Job, e.Task, func() { o.noted(ctx, e.End) })
+	case scheduler.JobEnded:
+		o.kept.ending[e.Job] = append(o.kept.ending[e.Job], nil)
+		o.options.Jobs.End(e.Job, e.State, func() {
+			o.post(ctx, func(time.Duration) { o.endNoted(e.Job) })
+		})
+	}
+}
+
+func (o *Owner) noted(ctx context.Context, end scheduler.EndRef) {
+	o.post(ctx, func(time.Duration) { o.state.Noted(end) })
+}
+
+// acceptance is what a caller is told of its job.
+func acceptance(r jobstore.Result) work.Outcome {
+	switch r {
+	case jobstore.Stored, jobstore.Known:
+		return work.Outcome{Result: work.Accepted}
+	case jobstore.NotStored:
+		return work.Outcome{Result: work.Refused, Reason: "the store takes no jobs", RetryAfter: unstoredRetry}
+	default:
+		return work.Outcome{Result: work.Unknown, Reason: "another VM has taken over while the job was stored"}
+	}
+}
+
+// endNoted tells those who wait for the end of a job.
+func (o *Owner) endNoted(id string) {
+	o.state.EndNoted()
+	for _, waiting := range o.kept.ending[id] {
+		if waiting != nil {
+			close(waiting)
+		}
+	}
+	delete(o.kept.ending, id)
+}
+
+// JobState tells how a kept job stands; false means that this owner doesn't know it.
+func (o *Owner) JobState(ctx context.Context, id string) (work.State, bool) {
+	if o.options.Jobs == nil {
+		return work.StateAbsent, false
+	}
+	state, known := o.options.Jobs.State(id)
+	if !known || state.Final() {
+		return state, known
+	}
+	begun := make(chan bool, 1)
+	o.post(ctx, func(time.Duration) { begun <- o.state.Begun(id) })
+	select {
+	case b := <-begun:
+		if !b {
+			return work.StateQueued, true
+		}
+		return work.StateRunning, true
+	case <-o.done:
+	case <-ctx.Done():
+	}
+	return state, true
+}
+
+// CancelJob cancels a kept job and tells how it stands once that is noted; false means
+// that this owner doesn't know it.
+func (o *Owner) CancelJob(ctx context.Context, id string) (work.State, bool) {
+	if o.options.Jobs == nil {
+		return work.StateAbsent, false
+	}
+	noted := make(chan struct{})
+	o.post(ctx, func(now time.Duration) {
+		if o.state.CancelKept(now, id) {
+			// Its end is among the effects that are carried out after this message.
+			o.kept.ending[id] = append(o.kept.ending[id], noted)
+			return
+		}
+		if waiting, ending := o.kept.ending[id]; ending {
+			o.kept.ending[id] = append(waiting, noted)
+			return
+		}
+		close(noted)
+	})
+	select {
+	case <-noted:
+	case <-o.done:
+		return work.StateAbsent, false
+	case <-ctx.Done():
+		return work.StateAbsent, false
+	}
+	return o.options.Jobs.State(id)
+}
+
+// PendingJobs counts the kept jobs of a queue of which nothing has begun.
+func (o *Owner) PendingJobs(ctx context.Context, queue string) int {
+	pending := make(chan int, 1)
+	o.post(ctx, func(time.Duration) { pending <- o.state.Pending(queue) })
+	select {
+	case n := <-pending:
+		return n
+	case <-o.done:
+	case <-ctx.Done():
+	}
+	return 0
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockward/burdockward/bootclock"
+	"github.com/burdockward/burdockward/jobstore"
 	"github.com/burdockward/burdockward/mirror"
 	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/ring"
@@ -60,6 +61,10 @@
 	Former func(ctx context.Context) (Released, error)
 	// Lend has another owner run a part of a job.
 	Lend func(ctx context.Context, owner string, sub scheduler.Submission) work.Outcome
+	// Jobs keeps the jobs that outlast their requests; nil where none are taken.
+	Jobs *jobstore.Keeper
+	// StoreClock is the store's clock.
+	StoreClock func() time.Duration
 	// Hungry says that tasks wait for a place, so that the room of other owners
 	// matters; it must not block.
 	Hungry func()
@@ -84,6 +89,7 @@
 	deposed bool
 	token   atomic.Int64
 	jobs    atomic.Int64
+	kept    keptJobs
 	// loadsAt is when the loads were published.
 	loadsAt time.Duration
 	// statusAt is when the last status was logged.
@@ -105,6 +111,7 @@
 		lent:        map[scheduler.Part]context.CancelFunc{},
 		services:    map[string]bool{},
 		registry:    newRegistry(o.FailureDomain, o.Former != nil),
+		kept:        keptJobs{ending: map[string][]chan struct{}{}},
 		done:        make(chan struct{}),
 	}
 	owner.token.Store(o.Token)
@@ -132,6 +139,10 @@
 			Table: platform.TargetsTable, Wait: registryWait, Pace: registryPace, Log: o.options.Log,
 		}, func(u mirror.Update) { o.post(ctx, func(now time.Duration) { o.listed(now, u) }) })
 	})
+	if o.options.Jobs != nil {
+		g.Go(func() error { return o.options.Jobs.Run(ctx) })
+		g.Go(func() error { o.openJobs(ctx); return nil })
+	}
 	if o.options.Former != nil {
 		g.Go(func() error { o.takeOver(ctx); return nil })
 	}
@@ -190,7 +201,8 @@
 
 // publish tells others of this process how busy the owner is.
 func (o *Owner) publish() {
-	o.jobs.Store(int64(o.state.Jobs()))
+	o.jobs.Store(int64(o.state.Jobs() + o.state.Unnoted()))
+	o.kept.adopted.Store(o.mayOpen())
 	if o.state.Hungry() {
 		o.options.Hungry()
 	}
@@ -224,7 +236,7 @@
 	return nil
 }
 
-// Jobs is the number of submissions without an answer.
+// Jobs is the number of jobs that have still to end or to be noted.
 func (o *Owner) Jobs() int { return int(o.jobs.Load()) }
 
 func (o *Owner) carryOut(ctx context.Context, effects []scheduler.Effect) {
@@ -242,6 +254,8 @@
 			o.withdraw(e)
 		case scheduler.Answer:
 			o.answer(e)
+		case scheduler.Keep, scheduler.TaskDone, scheduler.TaskFailed, scheduler.JobEnded:
+			o.keep(ctx, e)
 		case scheduler.Note:
 			o.note(e)
 		case scheduler.Trail:
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -26,6 +26,9 @@
 		o.waiting[ref] = outcome
 		sub.Ref = ref
 		sub.Age += time.Since(arrived)
+		if sub.Job.Kept && !o.mayAccept(sub) {
+			return
+		}
 		o.state.Submit(now, sub)
 	})
 	if !accepted {
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -16,7 +16,11 @@
 		return
 	}
 	if j := s.byID[sub.key()]; j != nil {
-		s.attach(now, j, sub)
+		if j.kept() {
+			s.attachKept(j, sub)
+		} else {
+			s.attach(now, j, sub)
+		}
 		return
 	}
 	j := s.newJob(now, sub)
@@ -37,6 +41,10 @@
 	j.mark(now, "taken", "", "", s.crowd(j))
 	s.jobs[sub.Ref] = j
 	s.byID[sub.key()] = j
+	if j.kept() {
+		s.keep(j)
+		return
+	}
 	s.wait(j)
 }
 
@@ -110,7 +118,7 @@
 	need := j.firstNeed()
 	ahead := s.ahead(j)
 	room, flow := j.pool.supply(now, need.each)
-	if j.sub.Part == nil {
+	if j.lendable() {
 		_, elsewhere := s.roomiest(now, j.sub.Queue)
 		room += int64(elsewhere.Places[priorityOf(j.sub.Queue)]) * need.each
 	}
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -159,8 +159,7 @@
 
 func (s *State) held(now time.Duration, t *target, held work.Held) {
 	t.failedLooks = 0
-	// The look left with all ends up to seen.
-	t.told = t.seen
+	t.told = t.asked
 	t.lease.read(held.Clock, now)
 	for _, end := range held.Ended {
 		if end.Number > t.seen {
@@ -232,8 +231,10 @@
 	}
 	switch end.Kind {
 	case work.EndDone:
+		s.note(t, r, end.Number, false)
 		s.done(now, t, r)
 	case work.EndFailed:
+		s.note(t, r, end.Number, true)
 		s.failed(now, t, r)
 	default:
 		s.lost(now, r, string(end.Kind))
@@ -280,7 +281,11 @@
 	if t.looking || t.failedLooks >= silentLooks && now < t.lookAt+lookPause {
 		return
 	}
-	look := Look{To: t.address(), Seen: t.seen}
+	waits := len(t.unnoted) > 0
+	if waits && now < t.lookAt+unnotedPause {
+		return
+	}
+	look := Look{To: t.address(), Seen: t.ackable()}
 	switch {
 	case t.state == silent:
 	case t.state == adopting && !t.lease.known:
@@ -288,18 +293,19 @@
 		look.Wait = s.options.StopTime
 	case t.state == adopting:
 	case len(t.runs) > 0:
-		if t.failedLooks == 0 {
+		if t.failedLooks == 0 && !waits {
 			look.Wait = s.lookWait(now)
 		}
 		if t.prolongs(now) {
 			look.Until = t.lease.end(now, s.options.Lease)
 			t.lease.until = max(t.lease.until, look.Until)
 		}
-	case t.told < t.seen:
+	case t.told < look.Seen:
 	default:
 		return
 	}
 	t.looking = true
+	t.asked = look.Seen
 	t.lookAt = now
 	s.emit(look)
 }
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -188,7 +188,7 @@
 // elsewhere, while its job is of use.
 func (s *State) worthMoving(now time.Duration, t *target, r *run) bool {
 	elsewhere := now + s.options.StopTime + r.expected
-	if elsewhere > r.task.job.useful || !s.roomElsewhere(t, r.task.step.Each) {
+	if elsewhere > r.task.job.useful && !r.task.job.kept() || !s.roomElsewhere(t, r.task.step.Each) {
 		return false
 	}
 	if r.ordered > t.health.since {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -23,12 +23,14 @@
 	// submitted is when this owner took the job.
 	submitted time.Duration
 	// key is the place in the order of waiting jobs.
-	key    time.Duration
-	late   bool
-	ended  bool
-	queued bool
-	steps  []*step
-	tasks  []*task
+	key   time.Duration
+	late  bool
+	ended bool
+	// stored kept jobs lie in the store; cancelled ones are over for good.
+	stored, cancelled bool
+	queued            bool
+	steps             []*step
+	tasks             []*task
 	// begun counts the orders that may have started something.
 	begun int
 	// open counts the tasks that are not done.
@@ -221,8 +223,17 @@
 	delete(s.jobs, j.sub.Ref)
 	delete(s.byID, j.sub.key())
 	s.withdraw(now, j)
-	s.emit(Answer{Ref: j.sub.Ref, Outcome: outcome})
+	if j.stored {
+		s.endKept(j, outcome)
+	} else {
+		s.emit(Answer{Ref: j.sub.Ref, Outcome: outcome})
+	}
 	s.tell(now, j, outcome)
+	s.stopRuns(now, j)
+}
+
+// stopRuns stops what runs of a job that has ended.
+func (s *State) stopRuns(now time.Duration, j *job) {
 	for _, t := range j.tasks {
 		if t.run != nil {
 			s.settling[j.sub.Job.ID]++
@@ -233,7 +244,7 @@
 
 // Cancel gives up a submission, since its caller has left.
 func (s *State) Cancel(now time.Duration, ref Ref) {
-	if j := s.jobs[ref]; j != nil {
+	if j := s.jobs[ref]; j != nil && !j.kept() {
 		s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "the caller left"})
 	}
 }
@@ -242,6 +253,8 @@
 func (s *State) expire(now time.Duration, j *job) {
 	switch {
 	case j.ended:
+	case j.kept():
+		s.delay(now, j)
 	case !s.vouched(now, j):
 		s.finish(now, j, j.giveUp(fmt.Sprintf("its entry VM is silent: vouched until %v ago",
 			(now-s.entries[j.sub.Entry]).Round(time.Millisecond))))
@@ -251,11 +264,19 @@
 		s.finish(now, j, work.Outcome{Result: work.Refused, Reason: "no room for a part"})
 	case !j.started() && now > j.useful-j.chain():
 		s.finish(now, j, j.giveUp("it can't be done while it is of use"))
-	case !j.started() && !j.late && now > j.latest:
-		j.late = true
-		j.mark(now, "late", "", "", "no place in time; goes behind work that can be in time")
-		s.reorder(j)
+	default:
+		s.delay(now, j)
+	}
+}
+
+// delay puts a job behind others once it can't be in time.
+func (s *State) delay(now time.Duration, j *job) {
+	if j.started() || j.late || !j.queued || now <= j.latest {
+		return
 	}
+	j.late = true
+	j.mark(now, "late", "", "", "no place in time; goes behind work that can be in time")
+	s.reorder(j)
 }
 
 // chain is the expected run time of the job.
@@ -281,7 +302,7 @@
 // GiveUp gives up a job by its ID, with its parts, if it is still an entry VM's.
 func (s *State) GiveUp(now time.Duration, entry, id string) {
 	for _, j := range s.sortedJobs() {
-		if j.sub.Job.ID == id && j.sub.Entry == entry {
+		if j.sub.Job.ID == id && j.sub.Entry == entry && !j.kept() {
 			s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "its entry VM has given it up"})
 		}
 	}
--- /dev/null
+++ b/scheduler/kept.go
@@ -0,0 +1,231 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// Kept jobs differ from others in this: nobody waits for them, so that they are never
+// given up; what happens to them is noted in the store; and an end at a target is
+// acknowledged only when its note lies there, so that a successor that reads the store
+// after it has barred this owner from the targets knows of every end that is no longer
+// listed.
+
+// Keep has a job stored; what comes of it goes to Stored.
+type Keep struct{ Submission Submission }
+
+// TaskDone is to be noted in the store, and then told to Noted.
+type TaskDone struct {
+	Job string
+	// Task is its place in the job.
+	Task int
+	End  EndRef
+}
+
+// TaskFailed is a failed run, to be noted in the store, and then told to Noted.
+type TaskFailed struct {
+	Job  string
+	Task int
+	End  EndRef
+}
+
+// JobEnded is to be noted in the store, and then told to EndNoted.
+type JobEnded struct {
+	Job   string
+	State work.State
+}
+
+// EndRef names the end of a run at a target.
+type EndRef struct {
+	Target string
+	Number int64
+}
+
+func (Keep) effect()       {}
+func (TaskDone) effect()   {}
+func (TaskFailed) effect() {}
+func (JobEnded) effect()   {}
+
+// kept reports whether the job is stored and runs whoever waits.
+func (j *job) kept() bool { return j.sub.Job.Kept }
+
+// keep has an admitted job stored before anything of it starts.
+func (s *State) keep(j *job) {
+	s.emit(Keep{Submission: j.sub})
+}
+
+// attachKept answers a kept job that is handed in again.
+func (s *State) attachKept(j *job, sub Submission) {
+	if j.stored {
+		s.answer(sub, work.Outcome{Result: work.Accepted})
+		return
+	}
+	s.answer(j.sub, work.Outcome{Result: work.Unknown, Reason: "the job was sent again"})
+	delete(s.jobs, j.sub.Ref)
+	j.sub.Ref = sub.Ref
+	s.jobs[sub.Ref] = j
+}
+
+// Stored takes how the storing of a job ended: accepted jobs are run here, others not.
+func (s *State) Stored(now time.Duration, id string, outcome work.Outcome, here bool) {
+	j := s.byID[id]
+	if j == nil || j.stored {
+		return
+	}
+	j.mark(now, "stored", "", "", outcome.Result.String()+" "+outcome.Reason)
+	s.answer(j.sub, outcome)
+	if !here || s.leaving {
+		s.drop(now, j)
+		return
+	}
+	j.stored = true
+	s.wait(j)
+}
+
+// Resume takes a stored job over from a former owner, with the tasks that are done and
+// the failed runs of the others.
+func (s *State) Resume(now time.Duration, sub Submission, done []int, fails map[int]int) {
+	if s.byID[sub.Job.ID] != nil {
+		return
+	}
+	j := s.newJob(now, sub)
+	j.stored = true
+	j.mark(now, "resumed", "", "", "")
+	s.jobs[sub.Ref] = j
+	s.byID[sub.Job.ID] = j
+	for _, place := range done {
+		if place < len(j.tasks) {
+			j.skip(j.tasks[place])
+		}
+	}
+	for place, n := range fails {
+		if place < len(j.tasks) {
+			j.tasks[place].fails = n
+		}
+		if n >= sub.Queue.MaxAttempts {
+			s.finish(now, j, work.Outcome{Result: work.Failed, Reason: "a task had failed as often as its queue allows"})
+			return
+		}
+	}
+	if j.open == 0 {
+		s.finish(now, j, work.Outcome{Result: work.Completed})
+		return
+	}
+	// Anything of it may have run, so that it is never refused and goes first.
+	j.begun++
+	j.order()
+	s.wait(j)
+}
+
+// skip takes a task that is done off those to be placed.
+func (j *job) skip(t *task) {
+	at := slices.Index(t.step.pending, t)
+	if at < 0 {
+		return
+	}
+	t.step.pending = slices.Delete(t.step.pending, at, at+1)
+	t.step.open--
+	j.open--
+}
+
+// CancelKept cancels a kept job for good and reports whether it was here to be
+// cancelled. Its end is told by a JobEnded.
+func (s *State) CancelKept(now time.Duration, id string) bool {
+	j := s.byID[id]
+	if j == nil || !j.stored {
+		return false
+	}
+	j.cancelled = true
+	s.finish(now, j, work.Outcome{Result: work.Failed, Reason: "cancelled"})
+	return true
+}
+
+// Begun reports whether a task of a kept job has begun.
+func (s *State) Begun(id string) bool {
+	j := s.byID[id]
+	return j != nil && j.started()
+}
+
+// Pending counts the kept jobs of a queue of which nothing has begun.
+func (s *State) Pending(queue string) int {
+	pending := 0
+	for _, j := range s.jobs {
+		if j.stored && !j.started() && j.sub.Queue.Name == queue {
+			pending++
+		}
+	}
+	return pending
+}
+
+// Noted says that the end of a run lies in the store: it may be acknowledged.
+func (s *State) Noted(end EndRef) {
+	s.unnoted--
+	if t := s.targets[end.Target]; t != nil {
+		delete(t.unnoted, end.Number)
+		s.touch(t)
+	}
+}
+
+// EndNoted says that the end of a job lies in the store.
+func (s *State) EndNoted() { s.unnoted-- }
+
+// note has the end of a kept job's run noted before it is acknowledged.
+func (s *State) note(t *target, r *run, number int64, failed bool) {
+	j := r.task.job
+	if !j.kept() || j.ended {
+		return
+	}
+	s.unnoted++
+	t.unnoted[number] = true
+	end := EndRef{Target: t.ID, Number: number}
+	place := slices.Index(j.tasks, r.task)
+	if failed {
+		s.emit(TaskFailed{Job: j.sub.Job.ID, Task: place, End: end})
+		return
+	}
+	s.emit(TaskDone{Job: j.sub.Job.ID, Task: place, End: end})
+}
+
+// ackable is the newest end that may be acknowledged together with all before it.
+func (t *target) ackable() int64 {
+	newest := t.seen
+	for number := range t.unnoted {
+		newest = min(newest, number-1)
+	}
+	return newest
+}
+
+// unnotedPause paces the looks at a target whose ends wait for their notes: it lists
+// them again at once.
+const unnotedPause = 20 * time.Millisecond
+
+// endKept tells of the end of a kept job in place of an answer to its caller.
+func (s *State) endKept(j *job, outcome work.Outcome) {
+	state := work.StateFailed
+	switch {
+	case j.cancelled:
+		state = work.StateCancelled
+	case outcome.Result == work.Completed:
+		state = work.StateCompleted
+	}
+	s.unnoted++
+	s.emit(JobEnded{Job: j.sub.Job.ID, State: state})
+}
+
+// drop forgets a job without an answer: it isn't stored, or another owner goes on with
+// it. What runs of it is stopped.
+func (s *State) drop(now time.Duration, j *job) {
+	j.ended = true
+	delete(s.jobs, j.sub.Ref)
+	delete(s.byID, j.sub.key())
+	s.stopRuns(now, j)
+}
+
+// handBack leaves a kept job to another owner.
+func (s *State) handBack(now time.Duration, j *job) {
+	if j.stored {
+		s.drop(now, j)
+	}
+}
--- a/scheduler/lend.go
+++ b/scheduler/lend.go
@@ -66,12 +66,16 @@
 
 // Hungry reports whether tasks wait for a place, so that the room of others
 // matters.
-func (s *State) Hungry() bool { return len(s.waiting) > 0 }
+func (s *State) Hungry() bool { return slices.ContainsFunc(s.waiting, (*job).lendable) }
+
+// lendable reports whether other owners may run tasks of a job. What they would have
+// to note of a kept job only its home may write.
+func (j *job) lendable() bool { return j.sub.Part == nil && !j.kept() }
 
 // lendJob hands the tasks of a step that found no place here to others that have
 // room, or whose queue is shorter.
 func (s *State) lendJob(now time.Duration, j *job, st *step) {
-	if j.sub.Part != nil || st.on != nil || s.leaving {
+	if !j.lendable() || st.on != nil || s.leaving {
 		return
 	}
 	priority := priorityOf(j.sub.Queue)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -172,8 +172,10 @@
 	ticked time.Duration
 	// disturbed is when an answer was last lost; 0 before the first.
 	disturbed time.Duration
-	lastRun   int64
-	effects   []Effect
+	// unnoted counts what is not yet noted in the store.
+	unnoted int
+	lastRun int64
+	effects []Effect
 }
 
 // New makes a State without targets.
@@ -230,7 +232,7 @@
 
 // vouched reports whether the entry VM of a job still stands for its caller.
 func (s *State) vouched(now time.Duration, j *job) bool {
-	return j.sub.Entry == "" || now < s.entries[j.sub.Entry]
+	return j.kept() || j.sub.Entry == "" || now < s.entries[j.sub.Entry]
 }
 
 // Tick looks at all that time alone changes. It is to be called every 20 ms or so.
@@ -259,12 +261,14 @@
 // entryMemory keeps the last word of an entry VM while a job of it may arrive.
 const entryMemory = 10 * time.Second
 
-// resume gives up all jobs after this process stood still: their callers may have
-// sent them again to others meanwhile.
+// resume gives up all jobs that callers wait for after this process stood still: they
+// may have been sent again to others meanwhile.
 func (s *State) resume(now, gap time.Duration) {
 	s.emit(Note{Failure: true, What: "process stood still", Age: gap})
 	for _, j := range s.sortedJobs() {
-		s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "the VM stood still"})
+		if !j.kept() {
+			s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "the VM stood still"})
+		}
 	}
 }
 
@@ -272,7 +276,11 @@
 func (s *State) Leave(now time.Duration) {
 	s.leaving = true
 	for _, j := range s.sortedJobs() {
-		if !j.started() {
+		switch {
+		case j.started():
+		case j.kept():
+			s.handBack(now, j)
+		default:
 			s.finish(now, j, work.Outcome{Result: work.Moved, Reason: "another VM takes over"})
 		}
 	}
@@ -282,8 +290,12 @@
 func (s *State) Abandon(now time.Duration) {
 	s.leaving = true
 	for _, j := range s.sortedJobs() {
+		if j.stored {
+			s.drop(now, j)
+			continue
+		}
 		result := work.Unknown
-		if !j.started() {
+		if !j.started() && !j.kept() {
 			result = work.Moved
 		}
 		s.finish(now, j, work.Outcome{Result: result, Reason: "another VM has taken over"})
@@ -293,6 +305,20 @@
 // Jobs is the number of submissions without an answer.
 func (s *State) Jobs() int { return len(s.jobs) }
 
+// Unnoted is how much has still to be noted in the store.
+func (s *State) Unnoted() int { return s.unnoted }
+
+// Adopted reports whether each target that is known has shown that nothing of a former
+// owner runs there.
+func (s *State) Adopted() bool {
+	for _, t := range s.targets {
+		if t.state == adopting {
+			return false
+		}
+	}
+	return true
+}
+
 // AtRest reports whether there is no job and no run left.
 func (s *State) AtRest() bool {
 	for _, t := range s.targets {
@@ -300,7 +326,7 @@
 			return false
 		}
 	}
-	return len(s.jobs) == 0 && len(s.parts) == 0
+	return len(s.jobs) == 0 && len(s.parts) == 0 && s.unnoted == 0
 }
 
 // Load is what other VMs need to know to choose an owner.
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -49,8 +49,12 @@
 	// seen is the newest end taken note of, told the newest that the target knows
 	// to be taken note of.
 	seen, told int64
-	looking    bool
-	lookAt     time.Duration
+	// unnoted holds the ends that are not yet noted in the store, asked the newest one
+	// acknowledged by the look on its way.
+	unnoted map[int64]bool
+	asked   int64
+	looking bool
+	lookAt  time.Duration
 	// failedLooks counts the looks without an answer since the last good one.
 	failedLooks int
 	// blocked bars starts for a while after a refused one.
@@ -156,6 +160,7 @@
 			free:      entry.Capacity,
 			runs:      map[string]*run{},
 			strangers: map[work.Run]*orderTry{},
+			unnoted:   map[int64]bool{},
 			health:    newHealth(),
 		}
 		s.targets[entry.ID] = t
--- a/work/work.go
+++ b/work/work.go
@@ -56,6 +56,10 @@
 	Payload string
 	// Steps has at least one step.
 	Steps []Step
+	// Kept jobs are stored before they are accepted, and are done whatever fails;
+	// their callers ask for their state later. All others are answered when they
+	// have ended.
+	Kept bool
 }
 
 // Tasks is the number of tasks of all steps.
@@ -135,6 +139,8 @@
 	// Moved says that nothing was started here and that another VM now orders the
 	// targets; callers never see it.
 	Moved
+	// Accepted says that a kept job lies in the store.
+	Accepted
 )
 
 // String names the result in logs and metrics.
@@ -148,6 +154,8 @@
 		return "refused"
 	case Moved:
 		return "moved"
+	case Accepted:
+		return "accepted"
 	default:
 		return "unknown"
 	}
