Note the ends that a former owner did not

Traced: a run ended as done while the store was away; its owner lost power; the next one's first look listed the end, which it didn't know and acknowledged, and then started the task again.

Ruled out: a run believed lost (the run's own end was listed), a fence (the former owner wrote nothing more).

Change: runs of kept jobs have odd numbers; the ends of those that an owner doesn't know wait until it has taken the jobs over, and are noted with them.

--- a/owner/kept.go
+++ b/owner/kept.go
@@ -96,6 +96,7 @@
 			Ref: o.lastRef, Job: job.Job, Queue: job.Queue, Age: max(clock-job.Arrived, 0),
 		}, job.Progress.Done, job.Progress.Fails)
 	}
+	o.state.Resumed()
 }
 
 // mayAccept answers a kept job that can't be stored or is known already; it reports
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -115,6 +115,9 @@
 		done:        make(chan struct{}),
 	}
 	owner.token.Store(o.Token)
+	if o.Jobs == nil {
+		owner.state.Resumed()
+	}
 	return owner
 }
 
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -227,6 +227,7 @@
 func (s *State) runEnded(now time.Duration, t *target, end work.End) {
 	r := t.runs[end.Run.Task]
 	if r == nil || r.Run != end.Run {
+		s.orphaned(now, t, end)
 		return
 	}
 	switch end.Kind {
--- a/scheduler/kept.go
+++ b/scheduler/kept.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/burdockward/burdockward/work"
@@ -104,19 +105,99 @@
 		if place < len(j.tasks) {
 			j.tasks[place].fails = n
 		}
-		if n >= sub.Queue.MaxAttempts {
+	}
+	for _, t := range j.tasks {
+		for _, o := range s.orphans[t.name] {
+			s.adopt(j, t, o)
+		}
+		delete(s.orphans, t.name)
+	}
+	// Anything of it may have run, so that it is never refused and goes first.
+	j.begun++
+	if !s.over(now, j) {
+		j.order()
+		s.wait(j)
+	}
+}
+
+// over ends a job whose tasks are all done, or one of which has failed too often.
+func (s *State) over(now time.Duration, j *job) bool {
+	for _, t := range j.tasks {
+		if t.fails >= j.sub.Queue.MaxAttempts {
 			s.finish(now, j, work.Outcome{Result: work.Failed, Reason: "a task had failed as often as its queue allows"})
-			return
+			return true
 		}
 	}
 	if j.open == 0 {
 		s.finish(now, j, work.Outcome{Result: work.Completed})
+		return true
+	}
+	return false
+}
+
+// orphan is the end of a run that a former owner ordered and did not note.
+type orphan struct {
+	end    EndRef
+	failed bool
+}
+
+// orphaned takes the end of a run that isn't known here. That of a kept job is kept from
+// being acknowledged until the job was taken over and the end is noted.
+func (s *State) orphaned(now time.Duration, t *target, end work.End) {
+	if !keptRun(end.Run) || end.Kind != work.EndDone && end.Kind != work.EndFailed {
 		return
 	}
-	// Anything of it may have run, so that it is never refused and goes first.
-	j.begun++
-	j.order()
-	s.wait(j)
+	o := orphan{end: EndRef{Target: t.ID, Number: end.Number}, failed: end.Kind == work.EndFailed}
+	if !s.resumed {
+		t.unnoted[end.Number] = true
+		s.orphans[end.Run.Task] = append(s.orphans[end.Run.Task], o)
+		return
+	}
+	id, _, _ := strings.Cut(end.Run.Task, ".")
+	j := s.byID[id]
+	if j == nil || !j.stored {
+		return
+	}
+	for _, task := range j.tasks {
+		if task.name == end.Run.Task && task.run == nil {
+			t.unnoted[end.Number] = true
+			s.adopt(j, task, o)
+			s.over(now, j)
+			return
+		}
+	}
+}
+
+// adopt takes the orphaned end of a task that isn't running.
+func (s *State) adopt(j *job, t *task, o orphan) {
+	place := slices.Index(j.tasks, t)
+	if !slices.Contains(t.step.pending, t) {
+		// It is done already.
+		s.unnoted++
+		s.Noted(o.end)
+		return
+	}
+	s.unnoted++
+	if o.failed {
+		t.fails++
+		s.emit(TaskFailed{Job: j.sub.Job.ID, Task: place, End: o.end})
+		return
+	}
+	j.skip(t)
+	s.emit(TaskDone{Job: j.sub.Job.ID, Task: place, End: o.end})
+}
+
+// Resumed says that all jobs of former owners were taken over: ends that belong to none
+// of them may be acknowledged.
+func (s *State) Resumed() {
+	s.resumed = true
+	for task, orphans := range s.orphans {
+		for _, o := range orphans {
+			s.unnoted++
+			s.Noted(o.end)
+		}
+		delete(s.orphans, task)
+	}
 }
 
 // skip takes a task that is done off those to be placed.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -137,7 +137,7 @@
 func (s *State) start(now time.Duration, t *target, tk *task) {
 	j := tk.job
 	r := &run{
-		Run:      work.Run{Task: tk.name, Number: s.nextRun(now)},
+		Run:      work.Run{Task: tk.name, Number: s.nextRun(now, j.kept())},
 		task:     tk,
 		target:   t,
 		ordered:  now,
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -174,6 +174,10 @@
 	disturbed time.Duration
 	// unnoted counts what is not yet noted in the store.
 	unnoted int
+	// orphans are ends that a former owner did not note, by task, until resumed says that
+	// all jobs were taken over.
+	orphans map[string][]orphan
+	resumed bool
 	lastRun int64
 	effects []Effect
 }
@@ -191,21 +195,29 @@
 		kinds:    map[string]*kind{},
 		rooms:    map[roomKey]room{},
 		parts:    map[Part]*lent{},
+		orphans:  map[string][]orphan{},
 		lastRun:  o.RunClock * runsPerMilli,
 	}
 }
 
 // runsPerMilli keeps the numbers of runs rising with RunClock at more starts than
 // one VM can order.
-const runsPerMilli = 16
+const runsPerMilli = 32
 
 // nextRun numbers a run higher than any run of the same task under an earlier
-// owner, since a job comes again a second or more later.
-func (s *State) nextRun(now time.Duration) int64 {
-	s.lastRun = max(s.lastRun+1, (s.options.RunClock+now.Milliseconds())*runsPerMilli)
+// owner, since a job comes again a second or more later. The numbers of kept jobs are
+// odd, so that a successor knows which ends it has to take note of.
+func (s *State) nextRun(now time.Duration, kept bool) int64 {
+	s.lastRun = max(s.lastRun+2, (s.options.RunClock+now.Milliseconds())*runsPerMilli) &^ 1
+	if kept {
+		return s.lastRun | 1
+	}
 	return s.lastRun
 }
 
+// keptRun reports whether a run is of a kept job, whoever ordered it.
+func keptRun(run work.Run) bool { return run.Number&1 == 1 }
+
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
 // Effects places what can be placed and returns all that is to be done since the
