--- a/jobstore/keeper.go
+++ b/jobstore/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 const (
 	// pace is the least time between two writes to a part; see Parts.
 	pace = 25 * time.Millisecond
+	// writeTimeout is beyond an answer slowed sixty times; what is taken for lost too
+	// early is found to be done by the next write.
+	writeTimeout = 400 * time.Millisecond
 	// retryPause is the pause after a write without an answer.
 	retryPause = 100 * time.Millisecond
 	// sweepInterval paces the look for jobs to be forgotten.
@@ -71,19 +75,26 @@
 // Open bars former owners from writing and returns the jobs that haven't ended. It
 // may be called again after an error.
 func (k *Keeper) Open(ctx context.Context, token int64) ([]Kept, error) {
-	var all []Kept
+	var parts [Parts][]Kept
+	g, ctx := errgroup.WithContext(ctx)
 	for i := range Parts {
-		version, err := k.bar(ctx, partName(i), token)
-		if err != nil {
-			return nil, err
-		}
-		kept, err := k.load(ctx, i, version)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, kept...)
+		g.Go(func() (err error) {
+			parts[i], err = k.openPart(ctx, i, token)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
 	}
-	return all, nil
+	return slices.Concat(parts[:]...), nil
+}
+
+func (k *Keeper) openPart(ctx context.Context, part int, token int64) ([]Kept, error) {
+	version, err := k.bar(ctx, partName(part), token)
+	if err != nil {
+		return nil, err
+	}
+	return k.load(ctx, part, version)
 }
 
 // bar writes the fence row of a part and returns its version.
@@ -211,7 +222,8 @@
 	}
 }
 
-// Accept has a job stored. accepted is told once how that ended, on another goroutine.
+// Accept has a job stored. accepted is told how that ended, on another goroutine: once,
+// but for Doubtful, which another result may follow.
 func (k *Keeper) Accept(job work.Job, queue work.Queue, age time.Duration, accepted func(Result)) {
 	value, err := json.Marshal(Accepted{
 		Job: job, Queue: queue, Home: k.options.Group, Life: k.options.Life, Arrived: k.options.Clock() - age,
@@ -288,6 +300,7 @@
 
 // write carries out the batches of a part.
 func (k *Keeper) write(ctx context.Context, part int) {
+	away := false
 	for ctx.Err() == nil {
 		s, changes := k.batch(part)
 		if changes == nil {
@@ -298,17 +311,26 @@
 			continue
 		}
 		began := bootclock.Now()
-		written, err := k.store.Write(ctx, partName(part), changes)
+		written, err := k.writeOnce(ctx, partName(part), changes)
 		k.settle(s, written, err)
 		pause := pace - (bootclock.Now() - began)
 		if err != nil {
-			k.options.Log.Warn("jobs not written", "part", partName(part), "changes", len(changes), "error", err)
 			pause = retryPause
 		}
+		if (err != nil) != away {
+			away = err != nil
+			k.options.Log.Warn("store of jobs", "part", partName(part), "away", away, "changes", len(changes), "error", err)
+		}
 		sleep(ctx, pause)
 	}
 }
 
+func (k *Keeper) writeOnce(ctx context.Context, part string, changes []platform.Change) (platform.Written, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return k.store.Write(ctx, part, changes)
+}
+
 func (k *Keeper) batch(part int) (*shard, []platform.Change) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/jobstore/shard.go
+++ b/jobstore/shard.go
@@ -20,6 +20,8 @@
 	Known
 	// NotStored says that the job doesn't lie in the store and never will.
 	NotStored
+	// Doubtful says that the store doesn't tell: the result follows when it does.
+	Doubtful
 	// Uncertain says that another owner has the group, so that nobody here can tell.
 	Uncertain
 )
@@ -33,8 +35,8 @@
 	jobVersion, progressVersion int64
 	// created says that the job's row lies in the store.
 	created bool
-	// doubtful says that the answer to a write was lost: it may be done later.
-	doubtful bool
+	// doubts counts the writes in a row whose answer was lost: they may be done later.
+	doubts int
 	// changes counts what was noted, written what lies in the store.
 	changes, written int
 	// sending is how many changes the write on its way holds.
@@ -69,6 +71,8 @@
 	sent         []*entry
 	// lost is set once another owner's fence was seen.
 	lost bool
+	// away says that the last write had no answer, or was turned away.
+	away bool
 	// calls are to be made once the state is consistent.
 	calls []func()
 }
@@ -104,7 +108,7 @@
 // accept has a job written; accepted is told how that ended.
 func (s *shard) accept(id string, job []byte, accepted func(Result)) {
 	switch e := s.entries[id]; {
-	case s.lost || s.fenceVersion == 0:
+	case s.lost || s.fenceVersion == 0 || s.away && e == nil:
 		s.later(func() { accepted(NotStored) })
 	case e == nil && len(s.entries) >= maxEntries:
 		s.later(func() { accepted(NotStored) })
@@ -171,9 +175,10 @@
 // maxBatch is how many jobs go into one write: a job takes up to three changes.
 const maxBatch = (platform.MaxChanges - 1) / 3
 
-// batch returns the changes to write now, if any.
+// batch returns the changes to write now, if any: while the store is away at least the
+// check of the fence, which shows when it is back.
 func (s *shard) batch(now time.Duration) []platform.Change {
-	if len(s.queue) == 0 || s.lost || s.fenceVersion == 0 || len(s.sent) > 0 {
+	if len(s.queue) == 0 && !s.away || s.lost || s.fenceVersion == 0 || len(s.sent) > 0 {
 		return nil
 	}
 	n := min(len(s.queue), maxBatch)
@@ -214,6 +219,7 @@
 func (s *shard) result(now time.Duration, written platform.Written, err error) {
 	sent := s.sent
 	s.sent = nil
+	s.away = err != nil && !errors.Is(err, platform.ErrConflict)
 	switch {
 	case err == nil:
 		for _, e := range sent {
@@ -223,8 +229,7 @@
 		s.conflict(now, sent, written.Current)
 	case errors.Is(err, platform.ErrStoreUnknown):
 		for _, e := range sent {
-			e.doubtful = true
-			s.enqueue(e)
+			s.doubt(e)
 		}
 	default:
 		for _, e := range sent {
@@ -233,8 +238,21 @@
 	}
 }
 
+// maxDoubts is how many lost answers a caller waits for: one is lost now and then.
+const maxDoubts = 2
+
+// doubt has a write repeated whose answer was lost.
+func (s *shard) doubt(e *entry) {
+	e.doubts++
+	if !e.created && e.doubts == maxDoubts {
+		accepted := e.accepted
+		s.later(func() { accepted(Doubtful) })
+	}
+	s.enqueue(e)
+}
+
 func (s *shard) notWritten(e *entry) {
-	if e.created || e.doubtful {
+	if e.created || e.doubts > 0 {
 		s.enqueue(e)
 		return
 	}
@@ -244,7 +262,7 @@
 }
 
 func (s *shard) wrote(now time.Duration, e *entry, version int64) {
-	e.doubtful = false
+	e.doubts = 0
 	switch {
 	case !e.created:
 		s.stored(e, version)
@@ -257,7 +275,7 @@
 }
 
 func (s *shard) stored(e *entry, version int64) {
-	e.created, e.job, e.jobVersion, e.doubtful = true, nil, version, false
+	e.created, e.job, e.jobVersion, e.doubts = true, nil, version, 0
 	accepted := e.accepted
 	e.accepted = nil
 	s.later(func() { accepted(Stored) })
--- a/jobstore/world_test.go
+++ b/jobstore/world_test.go
@@ -304,6 +304,9 @@
 			}
 		}
 		must.LessEq(w.t, 1, stored, must.Sprintf("%s was accepted as new %d times", id, stored))
+		if slices.Contains(results, Doubtful) {
+			continue
+		}
 		if stored == 0 && !slices.Contains(results, Known) && !slices.Contains(results, Uncertain) && w.refusedByAll(id) {
 			must.False(w.t, w.store.seen[id], must.Sprintf("%s was refused and is stored", id))
 		}
--- a/owner/kept.go
+++ b/owner/kept.go
@@ -118,7 +118,7 @@
 	case scheduler.Keep:
 		job := e.Submission.Job
 		o.options.Jobs.Accept(job, e.Submission.Queue, e.Submission.Age, func(r jobstore.Result) {
-			o.post(ctx, func(now time.Duration) { o.state.Stored(now, job.ID, acceptance(r), r == jobstore.Stored) })
+			o.post(ctx, func(now time.Duration) { o.accepted(now, job.ID, r) })
 		})
 	case scheduler.TaskDone:
 		o.options.Jobs.TaskDone(e.Job, e.Task, func() { o.noted(ctx, e.End) })
@@ -132,6 +132,15 @@
 	}
 }
 
+// accepted takes how the storing of a job ended, or that this can't be told now.
+func (o *Owner) accepted(now time.Duration, id string, r jobstore.Result) {
+	if r == jobstore.Doubtful {
+		o.state.Doubted(id)
+		return
+	}
+	o.state.Stored(now, id, acceptance(r), r == jobstore.Stored)
+}
+
 func (o *Owner) noted(ctx context.Context, end scheduler.EndRef) {
 	o.post(ctx, func(time.Duration) { o.state.Noted(end) })
 }
--- a/scheduler/kept.go
+++ b/scheduler/kept.go
@@ -85,6 +85,14 @@
 	s.wait(j)
 }
 
+// Doubted says that the store doesn't tell whether it has a job. Its caller is told so;
+// the job waits for Stored.
+func (s *State) Doubted(id string) {
+	if j := s.byID[id]; j != nil && !j.stored {
+		s.answer(j.sub, work.Outcome{Result: work.Unknown, Reason: "the store doesn't tell whether it has the job"})
+	}
+}
+
 // Resume takes a stored job over from a former owner, with the tasks that are done and
 // the failed runs of the others.
 func (s *State) Resume(now time.Duration, sub Submission, done []int, fails map[int]int) {
