Play kept jobs on the stand-in

Cause: kept jobs had no test over processes. Seven e2e tests: calm, owner killed and frozen, all VMs killed, planned stop, store away while the owner dies, lost answers, late and lost orders.

--- /dev/null
+++ b/lab/prepared/e2e/kept_test.go
@@ -0,0 +1,113 @@
+package e2e
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/lab/prepared"
+)
+
+// underKept plays trouble beside a load of jobs that are to be kept: none of them may
+// be lost, run twice or end wrongly.
+func underKept(t *testing.T, d *prepared.Deployment, trouble func()) *prepared.KeptTally {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	tally := make(chan *prepared.KeptTally, 1)
+	go func() { tally <- d.LoadKept(ctx, 20) }()
+	trouble()
+	stop()
+	result := <-tally
+	t.Log(result)
+	must.SliceEmpty(t, result.Wrong)
+	must.SliceEmpty(t, d.Recorder.Doubled())
+	must.SliceEmpty(t, d.Recorder.Repeated())
+	must.Positive(t, result.Completed)
+	return result
+}
+
+func TestKeptJobsOnACalmDay(t *testing.T) {
+	d := start(t, 2, 2)
+	result := underKept(t, d, func() { let(2 * time.Second) })
+	must.Eq(t, 0, result.Refused+result.Unsaid)
+	must.Positive(t, result.Cancelled)
+}
+
+func TestKeptJobsOutliveTheirOwner(t *testing.T) {
+	d := start(t, 2, 2)
+	underKept(t, d, func() {
+		let(time.Second)
+		d.Owner(0).Kill()
+		let(2 * time.Second)
+		d.Owner(1).Signal(syscall.SIGSTOP)
+		let(2 * time.Second)
+	})
+}
+
+func TestKeptJobsOutliveAllVMs(t *testing.T) {
+	d := start(t, 2, 2)
+	underKept(t, d, func() {
+		let(time.Second)
+		for _, vm := range d.VMs {
+			vm.Kill()
+		}
+		for _, vm := range d.VMs {
+			must.NoError(t, vm.Start())
+		}
+		must.True(t, d.WaitReady(readyTime))
+		let(time.Second)
+	})
+}
+
+func TestKeptJobsThroughAPlannedStop(t *testing.T) {
+	d := start(t, 1, 3)
+	underKept(t, d, func() {
+		let(time.Second)
+		owner := d.Owner(0)
+		owner.Signal(syscall.SIGTERM)
+		must.NoError(t, owner.Wait(t.Context()))
+		let(time.Second)
+	})
+}
+
+// The owner is lost while the store is away: its jobs wait for the store.
+func TestKeptJobsWhileTheStoreIsAway(t *testing.T) {
+	d := start(t, 1, 2)
+	underKept(t, d, func() {
+		let(time.Second)
+		d.Store.Away("", true)
+		let(500 * time.Millisecond)
+		d.Owner(0).Kill()
+		let(time.Second)
+		d.Store.Away("", false)
+		let(2 * time.Second)
+	})
+}
+
+func TestKeptJobsWhileAnswersOfTheStoreAreLost(t *testing.T) {
+	d := start(t, 1, 2)
+	underKept(t, d, func() {
+		for range 10 {
+			d.Store.LoseAnswers(3)
+			let(300 * time.Millisecond)
+		}
+	})
+}
+
+func TestKeptJobsWithLateAndLostOrders(t *testing.T) {
+	d := start(t, 1, 2)
+	underKept(t, d, func() {
+		for _, target := range d.Targets {
+			target.Disturb(0.05, 0.05)
+		}
+		let(3 * time.Second)
+		for _, target := range d.Targets {
+			target.Disturb(0, 0)
+		}
+		let(time.Second)
+	})
+}
--- a/lab/prepared/store.go
+++ b/lab/prepared/store.go
@@ -83,9 +83,12 @@
 	s.put(wire.Row{Table: table, Key: key, Deleted: true})
 }
 
+// place is where a row lies.
+func place(table, part, key string) string { return table + "/" + part + "/" + key }
+
 func (s *Store) put(row wire.Row) {
 	row.Version = s.version
-	id := row.Table + "/" + row.Key
+	id := place(row.Table, row.Part, row.Key)
 	if row.Deleted {
 		delete(s.rows, id)
 	} else {
@@ -103,7 +106,7 @@
 // claim reads who owns a group.
 func (s *Store) claim(group string) *linkpb.Claim {
 	s.mu.Lock()
-	row, ok := s.rows["owners/"+group]
+	row, ok := s.rows[place("owners", "", group)]
 	s.mu.Unlock()
 	if !ok {
 		return nil
@@ -144,26 +147,37 @@
 	return s.away[""] || s.away[host]
 }
 
+// readLimit is the most rows in one answer.
+const readLimit = 500
+
 func (s *Store) answer(w http.ResponseWriter, status int, rows []wire.Row) {
+	s.page(w, status, rows, false)
+}
+
+func (s *Store) page(w http.ResponseWriter, status int, rows []wire.Row, truncated bool) {
 	s.mu.Lock()
-	body := wire.Rows{Rows: rows, Version: s.version, NowMS: time.Since(s.began).Milliseconds()}
+	body := wire.Rows{Rows: rows, Truncated: truncated, Version: s.version, NowMS: time.Since(s.began).Milliseconds()}
 	s.mu.Unlock()
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
 }
 
 func (s *Store) read(w http.ResponseWriter, r *http.Request) {
-	table := r.URL.Query().Get(wire.TableParameter)
+	query := r.URL.Query()
+	limit, err := strconv.Atoi(query.Get(wire.LimitParameter))
+	if err != nil {
+		limit = readLimit
+	}
 	s.mu.Lock()
 	var rows []wire.Row
 	for _, row := range s.rows {
-		if row.Table == table {
+		if row.Table == query.Get(wire.TableParameter) && row.Part == query.Get(wire.PartParameter) && row.Key >= query.Get(wire.FromParameter) {
 			rows = append(rows, row)
 		}
 	}
 	s.mu.Unlock()
 	slices.SortFunc(rows, func(a, b wire.Row) int { return strings.Compare(a.Key, b.Key) })
-	s.answer(w, http.StatusOK, rows)
+	s.page(w, http.StatusOK, rows[:min(limit, len(rows))], limit < len(rows))
 }
 
 func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
@@ -211,32 +225,43 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	applied, lost := s.apply(tx)
+	current, applied, lost := s.apply(tx)
 	switch {
 	case lost:
 		panic(http.ErrAbortHandler)
 	case !applied:
-		s.answer(w, http.StatusPreconditionFailed, nil)
+		s.answer(w, http.StatusPreconditionFailed, current)
 	default:
 		s.answer(w, http.StatusOK, nil)
 	}
 }
 
-func (s *Store) apply(tx wire.Transaction) (applied, lost bool) {
+// apply makes all changes or none, and returns the rows that were expected as they are.
+func (s *Store) apply(tx wire.Transaction) (current []wire.Row, applied, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	conflict := false
 	for _, expected := range tx.Expected {
-		if s.rows[expected.Table+"/"+expected.Key].Version != expected.Version {
-			return false, false
+		row, ok := s.rows[place(expected.Table, expected.Part, expected.Key)]
+		conflict = conflict || row.Version != expected.Version
+		if ok {
+			current = append(current, row)
 		}
 	}
+	if conflict {
+		return current, false, false
+	}
 	s.version++
 	for _, row := range tx.Put {
 		s.put(row)
 	}
+	for _, row := range tx.Remove {
+		row.Deleted = true
+		s.put(row)
+	}
 	if s.lost > 0 {
 		s.lost--
-		return true, true
+		return current, true, true
 	}
-	return true, false
+	return current, true, false
 }
--- a/lab/prepared/target.go
+++ b/lab/prepared/target.go
@@ -257,6 +257,9 @@
 	t.number++
 	t.ended = append(t.ended, wire.End{Number: t.number, Task: task, Run: r.run, How: how})
 	t.recorder.ended(task)
+	if how == "done" {
+		t.recorder.finish(task)
+	}
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
@@ -315,17 +318,24 @@
 	starts   map[string]int
 	doubled  []string
 	finished int
+	// done holds the tasks of which a run has ended as done, repeated those that were
+	// started again afterwards.
+	done     map[string]bool
+	repeated []string
 }
 
 // NewRecorder makes an empty recorder.
 func NewRecorder() *Recorder {
-	return &Recorder{running: map[string]int{}, starts: map[string]int{}}
+	return &Recorder{running: map[string]int{}, starts: map[string]int{}, done: map[string]bool{}}
 }
 
 func (r *Recorder) began(task string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.starts[task]++
+	if r.done[task] {
+		r.repeated = append(r.repeated, fmt.Sprintf("%s at %s", task, time.Now().Format(time.StampMilli)))
+	}
 	if r.running[task]++; r.running[task] > 1 {
 		r.doubled = append(r.doubled, fmt.Sprintf("%s at %s", task, time.Now().Format(time.StampMilli)))
 	}
@@ -338,6 +348,20 @@
 	r.finished++
 }
 
+// finish takes the end of a run that did its work.
+func (r *Recorder) finish(task string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.done[task] = true
+}
+
+// Repeated lists tasks that were started again after they were done.
+func (r *Recorder) Repeated() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.repeated)
+}
+
 // Doubled lists tasks that ran twice at one time.
 func (r *Recorder) Doubled() []string {
 	r.mu.Lock()
