Hold back ends that another owner has to note

Cause, found by the new fuzz of kept jobs: an owner that has lost its place went on to acknowledge ends of jobs that it had dropped, of runs that it had given up as lapsed, and of jobs whose end was not noted yet; the next owner started these tasks again. A run that hung on the only target was never begun anew.

Ruled out: a fault of the oracle.

Change: such ends are never acknowledged by an owner without its place, and wait for the note of the job's end otherwise; a run that takes over six times its time begins anew, with doubled patience.

--- a/owner/kept.go
+++ b/owner/kept.go
@@ -159,7 +159,7 @@
 
 // endNoted tells those who wait for the end of a job.
 func (o *Owner) endNoted(id string) {
-	o.state.EndNoted()
+	o.state.EndNoted(id)
 	delete(o.kept.ending, id)
 	for _, noted := range o.kept.watched[id] {
 		close(noted)
--- a/scheduler/fake_target_test.go
+++ b/scheduler/fake_target_test.go
@@ -70,6 +70,7 @@
 	t.world.ends(task)
 	t.highest[task] = max(t.highest[task], r.number)
 	t.number++
+	t.endedAt[t.number] = t.world.now
 	t.ended = append(t.ended, work.End{Number: t.number, Run: work.Run{Task: task, Number: r.number}, Kind: kind})
 	if t.poll != nil {
 		t.poll()
@@ -102,7 +103,12 @@
 	if e.Until > 0 && e.Until > t.clock() {
 		t.until = max(t.until, min(e.Until, t.clock()+1000))
 	}
-	t.ended = slices.DeleteFunc(t.ended, func(end work.End) bool { return end.Number <= e.Seen })
+	t.ended = slices.DeleteFunc(t.ended, func(end work.End) bool {
+		if end.Number <= e.Seen {
+			t.acknowledge(end)
+		}
+		return end.Number <= e.Seen
+	})
 	replied := false
 	answer := func() {
 		if replied {
@@ -129,12 +135,21 @@
 	t.world.after(e.Wait, answer)
 }
 
+// acknowledge remembers the end of a task that must not start again. An end counts as
+// taken note of unless the lease has lapsed since.
+func (t *fakeTarget) acknowledge(end work.End) {
+	if end.Kind == work.EndDone && strings.HasPrefix(end.Run.Task, "kept") && t.lapsed < t.endedAt[end.Number] {
+		t.world.acknowledged[end.Run.Task] = true
+	}
+}
+
 // lapse ends what runs beyond the lease.
 func (t *fakeTarget) lapse() {
 	if t.down {
 		return
 	}
 	if t.clock() > t.until {
+		t.lapsed = t.world.now
 		for _, task := range sortedTasks(t.runs) {
 			t.end(task, t.runs[task], "lapsed")
 		}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -159,6 +159,11 @@
 			t.health.suspend(now)
 			s.touch(t)
 		}
+		if r.stuck(now) {
+			s.emit(Note{What: "run takes too long", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered})
+			r.task.restarts++
+			s.stop(now, r)
+		}
 	}
 	if !t.health.suspected {
 		return
@@ -184,6 +189,22 @@
 	return now-r.ordered > hopelessFactor*r.expected+overdueSlack
 }
 
+// stuckTime is the least time after which a run of a kept job is taken for stuck: the
+// other runs of its target have shown by then whether it is the target's fault.
+const stuckTime = 2 * time.Second
+
+// stuck reports whether a run of a kept job should begin anew, wherever that may be:
+// nobody gives the job up. Each time the patience doubles, as the run may just be long.
+func (r *run) stuck(now time.Duration) bool {
+	if !r.task.job.kept() {
+		return false
+	}
+	return now-r.ordered > max(hopelessFactor*r.expected, stuckTime)<<min(r.task.restarts, maxDoublings)
+}
+
+// maxDoublings bounds the patience with a stuck run at minutes.
+const maxDoublings = 6
+
 // worthMoving reports whether a run on a suspected target would end earlier
 // elsewhere, while its job is of use.
 func (s *State) worthMoving(now time.Duration, t *target, r *run) bool {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -26,11 +26,12 @@
 	key   time.Duration
 	late  bool
 	ended bool
-	// stored kept jobs lie in the store; cancelled ones are over for good.
-	stored, cancelled bool
-	queued            bool
-	steps             []*step
-	tasks             []*task
+	// stored kept jobs lie in the store; cancelled ones are over for good, dropped ones
+	// are left to another owner.
+	stored, cancelled, dropped bool
+	queued                     bool
+	steps                      []*step
+	tasks                      []*task
 	// begun counts the orders that may have started something.
 	begun int
 	// open counts the tasks that are not done.
@@ -61,6 +62,8 @@
 	step  *step
 	run   *run
 	fails int
+	// restarts counts the runs that took too long.
+	restarts int
 	// avoid is the target of the last run that failed or was lost.
 	avoid string
 }
--- a/scheduler/kept.go
+++ b/scheduler/kept.go
@@ -164,6 +164,10 @@
 	id, _, _ := strings.Cut(end.Run.Task, ".")
 	j := s.byID[id]
 	if j == nil || !j.stored {
+		if s.leaving {
+			// The job may be another owner's by now.
+			t.unnoted[end.Number] = true
+		}
 		return
 	}
 	for _, task := range j.tasks {
@@ -257,18 +261,37 @@
 	}
 }
 
-// EndNoted says that the end of a job lies in the store.
-func (s *State) EndNoted() { s.unnoted-- }
+// EndNoted says that the end of a job lies in the store, and with it that of each run.
+func (s *State) EndNoted(job string) {
+	s.unnoted--
+	held := s.ending[job]
+	delete(s.ending, job)
+	for _, end := range held {
+		s.Noted(end)
+	}
+}
 
 // note has the end of a kept job's run noted before it is acknowledged.
 func (s *State) note(t *target, r *run, number int64, failed bool) {
 	j := r.task.job
-	if !j.kept() || j.ended {
+	if !j.kept() {
+		return
+	}
+	held, ending := s.ending[j.sub.Job.ID]
+	if j.ended && !ending && !j.dropped {
 		return
 	}
-	s.unnoted++
 	t.unnoted[number] = true
+	if j.dropped {
+		// It is for the owner that goes on with the job to take note of it.
+		return
+	}
+	s.unnoted++
 	end := EndRef{Target: t.ID, Number: number}
+	if ending {
+		s.ending[j.sub.Job.ID] = append(held, end)
+		return
+	}
 	place := slices.Index(j.tasks, r.task)
 	if failed {
 		s.emit(TaskFailed{Job: j.sub.Job.ID, Task: place, End: end})
@@ -300,13 +323,14 @@
 		state = work.StateCompleted
 	}
 	s.unnoted++
+	s.ending[j.sub.Job.ID] = nil
 	s.emit(JobEnded{Job: j.sub.Job.ID, State: state})
 }
 
 // drop forgets a job without an answer: it isn't stored, or another owner goes on with
 // it. What runs of it is stopped.
 func (s *State) drop(now time.Duration, j *job) {
-	j.ended = true
+	j.ended, j.dropped = true, true
 	delete(s.jobs, j.sub.Ref)
 	delete(s.byID, j.sub.key())
 	s.stopRuns(now, j)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -174,6 +174,9 @@
 	disturbed time.Duration
 	// unnoted counts what is not yet noted in the store.
 	unnoted int
+	// ending holds, for each kept job whose end is being noted, the ends of runs that
+	// came after it.
+	ending map[string][]EndRef
 	// orphans are ends that a former owner did not note, by task, until resumed says that
 	// all jobs were taken over.
 	orphans map[string][]orphan
@@ -196,6 +199,7 @@
 		rooms:    map[roomKey]room{},
 		parts:    map[Part]*lent{},
 		orphans:  map[string][]orphan{},
+		ending:   map[string][]EndRef{},
 		lastRun:  o.RunClock * runsPerMilli,
 	}
 }
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -37,6 +37,9 @@
 	// other owns targets of its own and takes parts, unless the link to it is cut.
 	other   *fakeOwner
 	linkCut bool
+	kept    keptStore
+	// acknowledged holds the tasks of which an end as done was acknowledged.
+	acknowledged map[string]bool
 }
 
 // worldFaults are shares of orders.
@@ -62,6 +65,8 @@
 	name    string
 	lenders map[Ref]func(work.Outcome)
 	lent    map[Part]*lentPart
+	// accepting owners have taken over the kept jobs.
+	accepting bool
 }
 
 // lentPart is a part on its way or at the other owner.
@@ -100,6 +105,9 @@
 	poll    func()
 	// others belong to the other owner.
 	others bool
+	// lapsed is when the lease was last over, endedAt when each run ended.
+	lapsed  time.Duration
+	endedAt map[int64]time.Duration
 }
 
 type fakeRun struct {
@@ -113,6 +121,7 @@
 	w := &world{
 		now: time.Second, random: rand.New(rand.NewPCG(seed, 7)), targets: map[string]*fakeTarget{},
 		callers: map[string]*caller{}, running: map[string]int{}, started: map[string]bool{}, faults: faults, longest: 100,
+		kept: keptStore{jobs: map[string]*keptRecord{}}, acknowledged: map[string]bool{},
 	}
 	for range targets {
 		w.addTarget()
@@ -123,7 +132,7 @@
 func (w *world) addTarget() *fakeTarget {
 	t := &fakeTarget{
 		world: w, id: fmt.Sprintf("t%02d", len(w.targets)), rate: 0.98 + 0.02*w.random.Float64(),
-		free: fakeCPU, runs: map[string]*fakeRun{}, highest: map[string]int64{},
+		free: fakeCPU, endedAt: map[int64]time.Duration{}, runs: map[string]*fakeRun{}, highest: map[string]int64{},
 	}
 	w.targets[t.id] = t
 	for _, o := range w.owners {
@@ -280,6 +289,7 @@
 	w.owners = append(w.owners, o)
 	w.tick(o)
 	w.vouch(o)
+	w.takeOverJobs(o, w.now)
 	return o
 }
 
@@ -419,6 +429,8 @@
 			w.look(o, e)
 		case Deposed:
 			o.state.Abandon(w.now)
+		default:
+			w.carryOutKept(o, effect)
 		}
 	}
 }
@@ -512,6 +524,7 @@
 // begins and ends keep the oracle's count.
 func (w *world) begins(task string) {
 	w.started[strings.SplitN(task, ".", 2)[0]] = true
+	w.startsKept(task)
 	if w.running[task]++; w.running[task] > 1 {
 		w.violations = append(w.violations, fmt.Sprintf("%v: %s runs twice", w.now, task))
 	}
