Look once more before a stopped run of a kept job counts as not begun

It was taken for never begun and the task started again; a look listed its end afterwards.

Ruled out: the bar of stopped runs (it held: the run was done before).

Change: for kept jobs a look sent after the stop's answer has to come back first.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -160,6 +160,7 @@
 func (s *State) held(now time.Duration, t *target, held work.Held) {
 	t.failedLooks = 0
 	t.told = t.asked
+	t.answered = t.lookAt
 	t.lease.read(held.Clock, now)
 	for _, end := range held.Ended {
 		if end.Number > t.seen {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -55,6 +55,8 @@
 	asked   int64
 	looking bool
 	lookAt  time.Duration
+	// answered is when the newest look that was answered was sent.
+	answered time.Duration
 	// failedLooks counts the looks without an answer since the last good one.
 	failedLooks int
 	// blocked bars starts for a while after a refused one.
@@ -303,10 +305,14 @@
 	}
 }
 
+// wouldList reports whether the end of a run that was done before its stop came would
+// be known by now. A run of a job that isn't kept may be repeated all the same.
+func (t *target) wouldList(r *run) bool { return !r.task.job.kept() || t.answered > r.stop.acked }
+
 func (s *State) tickRun(now time.Duration, t *target, r *run) {
 	if r.stop != nil {
 		switch {
-		case r.stop.acked > 0 && r.state != running && now-r.stop.acked > s.options.StopTime+stopMargin:
+		case r.stop.acked > 0 && r.state != running && now-r.stop.acked > s.options.StopTime+stopMargin && t.wouldList(r):
 			s.lost(now, r, "stopped before it was seen to run")
 			return
 		case r.stop.acked == 0 && now-r.stop.sent >= stopRetry:
