Test and break the decisions on kept jobs

Change: the fuzz writes where there is something to write, 1,500 histories; the scheduler's plays 600; decision tests for each guard. One guard could not be broken by anything and is gone.

--- a/jobstore/keeper.go
+++ b/jobstore/keeper.go
@@ -181,9 +181,7 @@
 			e = s.entries[row.Key]
 		}
 		e.jobVersion = row.Version
-		if !e.progress.State.Final() {
-			kept = append(kept, Kept{Accepted: a, Progress: e.progress})
-		}
+		kept = append(kept, Kept{Accepted: a, Progress: e.progress})
 	}
 	return kept
 }
--- a/jobstore/world_test.go
+++ b/jobstore/world_test.go
@@ -24,6 +24,7 @@
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.checks", "1500")
 	os.Exit(m.Run())
 }
 
@@ -257,6 +258,11 @@
 
 func (w *world) note(id string) {
 	s := w.owner("note").shard(id)
+	// What a caller sees of a job's end, its successor finds.
+	if state, known := s.state(id); known && state.Final() && !s.lost {
+		p, ok := w.store.progress(id)
+		must.True(w.t, ok && p.State == state, must.Sprintf("the end of %s is shown and isn't stored", id))
+	}
 	if e := s.entries[id]; e == nil || !e.created || e.progress.State.Final() {
 		return
 	}
@@ -279,14 +285,26 @@
 	})
 }
 
+// busy lists the shards that have something to write.
+func (w *world) busy() (busy []*shard, parts []int) {
+	for _, o := range append(slices.Clone(w.former), w.owners["a"], w.owners["b"]) {
+		for part, s := range o.shards {
+			if len(s.queue) > 0 && !s.lost {
+				busy, parts = append(busy, s), append(parts, part)
+			}
+		}
+	}
+	return busy, parts
+}
+
 func (w *world) write() {
-	o := w.owner("write")
-	part := rapid.IntRange(0, Parts-1).Draw(w.t, "part")
-	s := o.shards[part]
-	changes := s.batch(w.now)
-	if changes == nil {
+	busy, parts := w.busy()
+	if len(busy) == 0 {
 		return
 	}
+	at := rapid.IntRange(0, len(busy)-1).Draw(w.t, "shard")
+	s, part := busy[at], parts[at]
+	changes := s.batch(w.now)
 	must.LessEq(w.t, platform.MaxChanges, len(changes))
 	w.store.fail = []failure{rapid.SampledFrom([]failure{fine, fine, fine, turnedAway, answerLost, requestLost, doneLate}).Draw(w.t, "failure")}
 	written, err := w.store.Write(context.Background(), partName(part), changes)
--- /dev/null
+++ b/scheduler/kept_test.go
@@ -0,0 +1,305 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+const maxFails = 2
+
+func (b *bench) keptJob(id string, tasks int) Submission {
+	b.ref++
+	return Submission{
+		Ref: b.ref,
+		Job: work.Job{ID: id, Kept: true, Steps: []work.Step{{
+			Tasks: tasks, Each: work.Resources{CPU: 1}, Estimate: 100 * ms,
+		}}},
+		Queue: work.Queue{Name: "k", Service: "s", MaxAttempts: maxFails, Stretch: 2, Allowance: time.Second},
+	}
+}
+
+// runKept has a kept job of one task stored and begun at target a.
+func runKept(b *bench) work.Run {
+	b.s.Resumed()
+	b.usable("a", 4)
+	b.do()
+	b.s.Submit(b.now, b.keptJob("j", 1))
+	b.do()
+	b.s.Stored(b.now, "j", work.Outcome{Result: work.Accepted}, true)
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, work.OrderAnswer{Verdict: work.VerdictDone, Clock: 5000})
+	b.do()
+	return start.Run
+}
+
+func ended(number int64, run work.Run, kind work.EndKind) work.Held {
+	return work.Held{Clock: 5100, Ended: []work.End{{Number: number, Run: run, Kind: kind}}}
+}
+
+// seen is the newest end that looks have acknowledged.
+func seen(effects []Effect) int64 {
+	newest := int64(0)
+	for _, look := range pickEffects[Look](effects) {
+		newest = max(newest, look.Seen)
+	}
+	return newest
+}
+
+// Nothing of a kept job starts before the store has it, and then its caller is told.
+func TestKeptJobsAreStoredFirst(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	b.do()
+	b.s.Submit(b.now, b.keptJob("j", 1))
+	effects := b.do()
+	must.SliceLen(t, 1, pickEffects[Keep](effects))
+	must.SliceEmpty(t, pickEffects[Answer](effects))
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	must.Eq(t, 0, b.s.Pending("k"))
+	b.s.Stored(b.now, "j", work.Outcome{Result: work.Accepted}, true)
+	must.Eq(t, 1, b.s.Pending("k"))
+	effects = b.do()
+	must.Eq(t, work.Accepted, pickEffects[Answer](effects)[0].Outcome.Result)
+	must.SliceLen(t, 1, pickEffects[StartRun](effects))
+	must.Eq(t, 0, b.s.Pending("k"))
+}
+
+// What the store didn't take is not run, nor what another owner has.
+func TestWhatIsNotStoredHereIsNotRun(t *testing.T) {
+	for _, outcome := range []work.Outcome{{Result: work.Refused}, {Result: work.Accepted}, {Result: work.Unknown}} {
+		b := newBench(t, Options{})
+		b.usable("a", 4)
+		b.s.Submit(b.now, b.keptJob("j", 1))
+		b.do()
+		b.s.Stored(b.now, "j", outcome, false)
+		effects := b.pass(time.Second)
+		must.Eq(t, outcome, pickEffects[Answer](effects)[0].Outcome)
+		must.SliceEmpty(t, pickEffects[StartRun](effects))
+		must.True(t, b.s.AtRest())
+	}
+}
+
+// A job that was handed in twice is one, whether the first answer came or not.
+func TestKeptJobsHandedInAgain(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	first, second, third := b.keptJob("j", 1), b.keptJob("j", 1), b.keptJob("j", 1)
+	b.s.Submit(b.now, first)
+	b.s.Submit(b.now, second)
+	must.Eq(t, []Answer{{Ref: first.Ref, Outcome: work.Outcome{Result: work.Unknown, Reason: "the job was sent again"}}}, pickEffects[Answer](b.do()))
+	b.s.Stored(b.now, "j", work.Outcome{Result: work.Accepted}, true)
+	b.s.Submit(b.now, third)
+	effects := b.do()
+	must.Eq(t, []Answer{
+		{Ref: second.Ref, Outcome: work.Outcome{Result: work.Accepted}}, {Ref: third.Ref, Outcome: work.Outcome{Result: work.Accepted}},
+	}, pickEffects[Answer](effects))
+	must.SliceLen(t, 1, pickEffects[StartRun](effects))
+}
+
+// An end is acknowledged once the store has it, and not before.
+func TestEndsAreAcknowledgedOnceNoted(t *testing.T) {
+	b := newBench(t, Options{})
+	run := runKept(b)
+	b.look("a", ended(1, run, work.EndDone))
+	effects := append(b.do(), b.pass(200*ms)...)
+	must.Eq(t, 0, seen(effects))
+	done := pickEffects[TaskDone](effects)
+	must.Eq(t, []TaskDone{{Job: "j", Task: 0, End: EndRef{Target: "a", Number: 1}}}, done)
+	must.Eq(t, []JobEnded{{Job: "j", State: work.StateCompleted}}, pickEffects[JobEnded](effects))
+	must.False(t, b.s.AtRest())
+	b.look("a", ended(1, run, work.EndDone))
+	b.s.Noted(done[0].End)
+	b.s.EndNoted("j")
+	must.Eq(t, 1, seen(b.pass(200*ms)))
+	must.True(t, b.s.AtRest())
+}
+
+// Ends that come after a job's own are acknowledged once that one is noted.
+func TestEndsAfterTheJobsEndWaitForIt(t *testing.T) {
+	b := newBench(t, Options{})
+	run := runKept(b)
+	must.True(t, b.s.CancelKept(b.now, "j"))
+	effects := b.do()
+	must.Eq(t, []JobEnded{{Job: "j", State: work.StateCancelled}}, pickEffects[JobEnded](effects))
+	must.SliceLen(t, 1, pickEffects[StopRun](effects))
+	b.look("a", ended(1, run, work.EndDone))
+	must.Eq(t, 0, seen(b.pass(200*ms)))
+	b.look("a", ended(1, run, work.EndDone))
+	b.s.EndNoted("j")
+	must.Eq(t, 1, seen(b.pass(200*ms)))
+	must.False(t, b.s.CancelKept(b.now, "j"))
+}
+
+// An owner that has lost its place acknowledges nothing of kept jobs: its successor
+// goes by what is listed.
+func TestAnOwnerWithoutItsPlaceAcknowledgesNothing(t *testing.T) {
+	for name, unknown := range map[string]bool{"its own run": false, "a run that it has given up": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{})
+			run := runKept(b)
+			if unknown {
+				run.Number += 2
+			}
+			b.s.Abandon(b.now)
+			b.do()
+			b.look("a", ended(1, run, work.EndDone))
+			effects := append(b.do(), b.pass(time.Second)...)
+			must.Eq(t, 0, seen(effects))
+			must.SliceEmpty(t, pickEffects[TaskDone](effects))
+		})
+	}
+}
+
+// A run that was stopped without an answer to its start may have ended before the stop
+// came: only a later look tells.
+func TestAStoppedRunMayHaveBeenDone(t *testing.T) {
+	for name, done := range map[string]bool{"it was done": true, "it never began": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{})
+			b.s.Resumed()
+			b.usable("a", 4)
+			b.do()
+			b.s.Submit(b.now, b.keptJob("j", 1))
+			b.do()
+			b.s.Stored(b.now, "j", work.Outcome{Result: work.Accepted}, true)
+			run := pickEffects[StartRun](b.do())[0].Run
+			b.now += 100 * ms
+			b.s.Started(b.now, "a", run, work.OrderAnswer{})
+			must.SliceLen(t, 1, pickEffects[StopRun](b.do()))
+			b.s.Stopped(b.now, "a", run, work.OrderAnswer{Verdict: work.VerdictDone, Clock: 5100})
+			must.SliceEmpty(t, pickEffects[StartRun](b.pass(200*ms)))
+			// The look that was on its way all the while tells nothing of the stop.
+			b.look("a", work.Held{Clock: 5200})
+			must.SliceEmpty(t, pickEffects[StartRun](b.pass(40*ms)))
+			if done {
+				b.look("a", ended(1, run, work.EndDone))
+			} else {
+				b.look("a", work.Held{Clock: 5300})
+			}
+			effects := append(b.do(), b.pass(100*ms)...)
+			must.Eq(t, done, len(pickEffects[JobEnded](effects)) == 1)
+			must.Eq(t, done, len(pickEffects[StartRun](effects)) == 0)
+		})
+	}
+}
+
+// A job that is taken over goes on where it was.
+func TestResumedJobs(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 4)
+	b.do()
+	b.s.Resume(b.now, b.keptJob("j", 3), []int{1}, map[int]int{2: 1})
+	b.s.Resumed()
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 2, starts)
+	must.Eq(t, "j.0.0.0", starts[0].Run.Task)
+	must.Eq(t, "j.0.0.2", starts[1].Run.Task)
+	must.True(t, b.s.Begun("j"))
+	// One more failed run of the task that has failed before is one too many.
+	b.look("a", ended(1, starts[1].Run, work.EndFailed))
+	must.Eq(t, []JobEnded{{Job: "j", State: work.StateFailed}}, pickEffects[JobEnded](b.do()))
+}
+
+// A job whose tasks had all ended is over as it is taken over.
+func TestResumedJobsThatAreOver(t *testing.T) {
+	for name, test := range map[string]struct {
+		done  []int
+		fails map[int]int
+		want  work.State
+	}{
+		"done":   {[]int{0, 1}, nil, work.StateCompleted},
+		"failed": {[]int{0}, map[int]int{1: maxFails}, work.StateFailed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{})
+			b.usable("a", 4)
+			b.s.Resume(b.now, b.keptJob("j", 2), test.done, test.fails)
+			effects := b.do()
+			must.Eq(t, []JobEnded{{Job: "j", State: test.want}}, pickEffects[JobEnded](effects))
+			must.SliceEmpty(t, pickEffects[StartRun](effects))
+		})
+	}
+}
+
+// Ends that a former owner left unnoted are noted with the job, and acknowledged where
+// there is no such job any more.
+func TestEndsOfAFormerOwner(t *testing.T) {
+	b := newBench(t, Options{})
+	b.target("a", 4)
+	b.do()
+	b.look("a", work.Held{Clock: 5000, Ended: []work.End{
+		{Number: 1, Run: work.Run{Task: "j.0.0.0", Number: 31}, Kind: work.EndDone},
+		{Number: 2, Run: work.Run{Task: "gone.0.0.0", Number: 33}, Kind: work.EndDone},
+		{Number: 3, Run: work.Run{Task: "other.0.0.0", Number: 34}, Kind: work.EndDone},
+	}})
+	must.Eq(t, 0, seen(b.pass(100*ms)))
+	b.s.Resume(b.now, b.keptJob("j", 2), nil, nil)
+	b.s.Resumed()
+	effects := b.do()
+	must.Eq(t, []TaskDone{{Job: "j", Task: 0, End: EndRef{Target: "a", Number: 1}}}, pickEffects[TaskDone](effects))
+	must.Eq(t, "j.0.0.1", pickEffects[StartRun](effects)[0].Run.Task)
+	b.look("a", work.Held{Clock: 5100})
+	must.Eq(t, 0, seen(b.pass(100*ms)))
+	b.s.Noted(EndRef{Target: "a", Number: 1})
+	b.look("a", work.Held{Clock: 5200})
+	must.Eq(t, 3, seen(b.pass(100*ms)))
+}
+
+// An owner that leaves goes on with what has begun and leaves the rest to the next.
+func TestLeavingOwnersHandKeptJobsBack(t *testing.T) {
+	b := newBench(t, Options{})
+	runKept(b)
+	b.s.Submit(b.now, b.keptJob("late", 1))
+	b.do()
+	b.s.Leave(b.now)
+	b.s.Stored(b.now, "late", work.Outcome{Result: work.Accepted}, true)
+	effects := b.do()
+	must.Eq(t, work.Accepted, pickEffects[Answer](effects)[0].Outcome.Result)
+	must.SliceEmpty(t, pickEffects[StartRun](append(effects, b.pass(100*ms)...)))
+	must.True(t, b.s.Begun("j"))
+	must.Eq(t, 1, b.s.Jobs())
+}
+
+// Whoever waits, and however late it is, a kept job is done.
+func TestKeptJobsAreNeverGivenUp(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed()
+	sub := b.keptJob("j", 1)
+	sub.Entry, sub.Wait = "e", time.Second
+	b.usable("a", 0)
+	b.s.Resume(b.now, sub, nil, nil)
+	b.s.Cancel(b.now, sub.Ref)
+	b.s.GiveUp(b.now, "e", "j")
+	b.now += time.Minute
+	effects := b.pass(time.Second)
+	must.SliceEmpty(t, pickEffects[JobEnded](effects))
+	b.usable("b", 1)
+	must.SliceLen(t, 1, pickEffects[StartRun](b.do()))
+}
+
+// A run that doesn't end is begun anew, with more patience each time.
+func TestStuckRunsBeginAnew(t *testing.T) {
+	b := newBench(t, Options{})
+	run := runKept(b)
+	listed := func() {
+		b.look("a", work.Held{Clock: 5000 + (b.now - 10*time.Second).Milliseconds(), Running: []work.Run{run}})
+	}
+	var stopped []time.Duration
+	for range 60 {
+		listed()
+		effects := b.pass(100 * ms)
+		if len(pickEffects[StopRun](effects)) > 0 {
+			stopped = append(stopped, b.now)
+			b.look("a", ended(int64(len(stopped)), run, work.EndStopped))
+			run = pickEffects[StartRun](b.do())[0].Run
+			b.s.Started(b.now, "a", run, work.OrderAnswer{Verdict: work.VerdictDone, Clock: 5000 + (b.now - 10*time.Second).Milliseconds()})
+			b.do()
+		}
+	}
+	must.SliceLen(t, 1, stopped)
+	must.Between(t, stuckTime, stopped[0]-10*time.Second, stuckTime+300*ms)
+}
--- a/scheduler/kept_world_test.go
+++ b/scheduler/kept_world_test.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -158,6 +160,7 @@
 // twice at one time or after its end was acknowledged, nothing runs of a job that isn't
 // stored, and every stored job ends once things are calm.
 func TestFuzzKeptJobs(t *testing.T) {
+	checks(t, 600)
 	rapid.Check(t, func(rt *rapid.T) {
 		share := func(name string) float64 { return float64(rapid.IntRange(0, 6).Draw(rt, name)) / 100 }
 		w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
@@ -190,6 +193,18 @@
 	}
 }
 
+// checks sets how many histories the test plays, unless the command line says so.
+func checks(t *testing.T, count int) {
+	t.Helper()
+	asked := false
+	flag.Visit(func(f *flag.Flag) { asked = asked || f.Name == "rapid.checks" })
+	if asked {
+		return
+	}
+	must.NoError(t, flag.Set("rapid.checks", strconv.Itoa(count)))
+	t.Cleanup(func() { _ = flag.Set("rapid.checks", "100") })
+}
+
 func strikeKept(rt *rapid.T, w *world) {
 	switch rapid.SampledFrom([]string{"kept", "kept", "kept", "kept", "cancel", "store", "leave", "other"}).Draw(rt, "action") {
 	case "kept":
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -214,7 +214,7 @@
 func (s *State) nextRun(now time.Duration, kept bool) int64 {
 	s.lastRun = max(s.lastRun+2, (s.options.RunClock+now.Milliseconds())*runsPerMilli) &^ 1
 	if kept {
-		return s.lastRun | 1
+		return s.lastRun + 1
 	}
 	return s.lastRun
 }
