Count causes, waits, orders and the ages of beliefs

Cause: metrics told how requests ended, not why, nor how long jobs waited, how targets answered, or how old is what a VM goes by; an engineer on call had the logs alone for that.

Change: counters of refusals and losses by cause, of starts, stops and looks by verdict, of acceptances and ends of kept jobs; histograms of waits, runs and answers to starts; gauges of the owner's status and of the ages of configuration, claims and registry.

TestMetricsTellWaitsCausesAndAges was written with the change and passes over real processes.

--- a/cmd/burdockward/serve.go
+++ b/cmd/burdockward/serve.go
@@ -60,7 +60,7 @@
 	n, err := node.New(node.Options{
 		Settings: s, LoadSettings: load, Reload: reload, Log: log,
 		Count:   func(what, label string) { counters.Add(what, label, 1) },
-		Observe: counters.Observe,
+		Observe: counters.Observe, Gauge: counters.Set,
 	})
 	if err != nil {
 		return &exitError{status: runStatus(err), err: err}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -113,6 +114,11 @@
 	}
 	outcome := e.dispatch(ctx, r)
 	e.options.Count("requests", outcome.Result.String())
+	if outcome.Result == work.Refused || outcome.Result == work.Unknown {
+		// What follows a colon differs from case to case.
+		cause, _, _ := strings.Cut(outcome.Reason, ":")
+		e.options.Count("requests_"+outcome.Result.String(), cause)
+	}
 	if outcome.Result != work.Completed && outcome.Result != work.Accepted {
 		e.options.Log.LogAttrs(ctx, slog.LevelWarn, "request not served",
 			slog.String("job", job.ID), slog.String("queue", queue.Name), slog.String("result", outcome.Result.String()),
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -70,8 +70,8 @@
 
 func newEntry(f *fakePeers) *Entry {
 	claims := []ownership.Held{
-		{Group: "near", Version: 1, Claim: &linkpb.Claim{Life: 1}},
-		{Group: "far", Version: 2, Claim: &linkpb.Claim{Life: 2}},
+		{Group: "near", Version: 1, Claim: &linkpb.Claim{Life: 1, Control: "near"}},
+		{Group: "far", Version: 2, Claim: &linkpb.Claim{Life: 2, Control: "far"}},
 	}
 	return New(Options{
 		VM: "v", Life: 9, FailureDomain: "near", Log: slog.New(slog.DiscardHandler),
--- a/jobstore/shard.go
+++ b/jobstore/shard.go
@@ -26,6 +26,13 @@
 	Uncertain
 )
 
+var resultNames = map[Result]string{
+	Stored: "stored", Known: "known", NotStored: "not stored", Doubtful: "doubtful", Uncertain: "uncertain",
+}
+
+// String names the result in metrics.
+func (r Result) String() string { return resultNames[r] }
+
 // entry is a job of a shard.
 type entry struct {
 	id       string
--- a/lab/prepared/callers.go
+++ b/lab/prepared/callers.go
@@ -159,3 +159,14 @@
 	_ = json.Unmarshal(data, &answer)
 	return response.StatusCode, answer.State
 }
+
+// Oversized hands in a job whose task fits no target.
+func (d *Deployment) Oversized() {
+	body, err := json.Marshal(wire.Job{BestEffort: true, Steps: []wire.Step{{Count: 1, CPU: 2 * targetCPU, EstimateMS: 50}}})
+	if err != nil {
+		panic("a stand-in's job: " + err.Error())
+	}
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	post(client, d.VMs[0], fmt.Sprintf("%016x", rand.Uint64()), body)
+}
--- a/lab/prepared/deployment.go
+++ b/lab/prepared/deployment.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,9 @@
 	lastPort     = 7735
 )
 
+// MetricsPort is where each VM serves its metrics.
+const MetricsPort = 9464
+
 // targetCPU lets a target run three tasks at a time.
 const targetCPU = 3*taskCPU + taskCPU/2
 
@@ -218,7 +222,7 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	process := exec.Command(v.binary, "serve", "--metrics-port", "9464")
+	process := exec.Command(v.binary, "serve", "--metrics-port", strconv.Itoa(MetricsPort))
 	process.Env = append(os.Environ(), platform.SettingsVariable+"="+settings)
 	process.Stdout, process.Stderr = log, log
 	if err := process.Start(); err != nil {
--- /dev/null
+++ b/lab/prepared/e2e/metrics_test.go
@@ -0,0 +1,47 @@
+package e2e
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/lab/prepared"
+)
+
+// metrics reads what a VM serves at its metrics address.
+func metrics(t *testing.T, vm *prepared.VM) string {
+	t.Helper()
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", vm.IP, prepared.MetricsPort))
+	must.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	return string(body)
+}
+
+// Metrics tell how long jobs waited and ran, how orders were answered, why requests were
+// not served and how old the beliefs are.
+func TestMetricsTellWaitsCausesAndAges(t *testing.T) {
+	d := start(t, 1, 2)
+	under(t, d, func() { let(2500 * time.Millisecond) })
+	underKept(t, d, func() { let(time.Second) })
+	// A task that fits nowhere.
+	d.Oversized()
+	let(1500 * time.Millisecond)
+	all := metrics(t, d.VMs[0]) + metrics(t, d.VMs[1])
+	for _, want := range []string{
+		`burdockward_entry_job_wait_seconds_count`, `burdockward_entry_job_run_seconds_count`, `burdockward_entry_start_answer_seconds_count`,
+		`burdockward_entry_starts_total{kind="done"}`, `burdockward_entry_looks_total{kind="done"}`,
+		`burdockward_entry_acceptances_total{kind="stored"}`, `burdockward_entry_kept_jobs_total{kind="completed"}`,
+		`burdockward_entry_requests_refused_total{kind="no_target_can_hold_one_of_its_tasks"}`,
+		`burdockward_entry_age_configuration_seconds`, `burdockward_entry_age_claims_seconds`, `burdockward_entry_age_registry_seconds`,
+		`burdockward_entry_targets_usable`, `burdockward_entry_configuration_version`,
+	} {
+		must.True(t, strings.Contains(all, want), must.Sprintf("no %s", want))
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -27,6 +27,8 @@
 	// time come in batches.
 	Pace time.Duration
 	Log  *slog.Logger
+	// Heard is told when the store has answered; it must not block, and may be nil.
+	Heard func(now time.Duration)
 }
 
 // retryPause is the pause after a failed call: ten tries within the bound in which
@@ -75,6 +77,9 @@
 		return false
 	}
 	f.back()
+	if f.options.Heard != nil {
+		f.options.Heard(bootclock.Now())
+	}
 	whole := f.after == 0
 	f.after = rows.Version
 	if whole || len(rows.Rows) > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,8 @@
 	// Count counts, Observe takes times; they must not block.
 	Count   func(what, label string)
 	Observe func(what string, took time.Duration)
+	// Gauge sets the present value of something; it must not block.
+	Gauge func(what string, value float64)
 }
 
 // Node is one entry VM.
@@ -59,6 +61,7 @@
 	entry    *entry.Entry
 	config   configuration
 	servers  servers
+	ages     ages
 	leaving  atomic.Bool
 	requests atomic.Int64
 	// asking is set while an owner is suspected to have ended.
@@ -116,6 +119,7 @@
 	n.beats = beats
 	n.keeper = ownership.New(ownership.Options{
 		Self: n.self, Group: n.group, Patience: ownership.PatienceOf(s.VM, s.CPUShare), Log: o.Log, Changed: n.claimed, Clock: n.readClock,
+		Heard: n.ages.heard(&n.ages.claims),
 	}, n.store, beats)
 	n.entry = entry.New(entry.Options{
 		VM: s.VM, Life: n.self.Life, FailureDomain: s.FailureDomain, Log: o.Log, Count: o.Count,
@@ -149,11 +153,12 @@
 	g.Go(func() error { return n.keeper.Run(duties) })
 	g.Go(func() error {
 		return mirror.Follow(duties, n.store, mirror.Options{
-			Table: platform.OperatorTable, Wait: configurationWait, Log: n.log,
+			Table: platform.OperatorTable, Wait: configurationWait, Log: n.log, Heard: n.ages.heard(&n.ages.configuration),
 		}, n.tookConfiguration)
 	})
 	g.Go(func() error { n.askPeers(duties); return nil })
 	g.Go(func() error { n.yield(duties); return nil })
+	g.Go(func() error { n.gauge(duties); return nil })
 	g.Go(func() error { n.followSettings(duties); return nil })
 	g.Go(func() error {
 		select {
@@ -238,7 +243,7 @@
 			StopTime: n.options.Settings.StopTime,
 			RunClock: n.storeClock.Load(),
 		},
-		Log: n.log, Count: n.options.Count,
+		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, Heard: n.ages.heard(&n.ages.registry),
 		Lend: n.lend, Hungry: n.beats.Hurry, StoreClock: n.storeNow,
 		Jobs: jobstore.New(jobstore.Options{
 			Group: held.Group, Life: n.self.Life, Retention: n.options.Settings.JobRetention, Log: n.log, Clock: n.storeNow,
--- a/owner/kept.go
+++ b/owner/kept.go
@@ -126,6 +126,8 @@
 		o.options.Jobs.TaskFailed(e.Job, e.Task, func() { o.noted(ctx, e.End) })
 	case scheduler.JobEnded:
 		o.kept.ending[e.Job] = true
+		o.options.Count("kept_jobs", e.State.String())
+		o.observe(e.Times)
 		o.options.Jobs.End(e.Job, e.State, func() {
 			o.post(ctx, func(time.Duration) { o.endNoted(e.Job) })
 		})
@@ -134,6 +136,7 @@
 
 // accepted takes how the storing of a job ended, or that this can't be told now.
 func (o *Owner) accepted(now time.Duration, id string, r jobstore.Result) {
+	o.options.Count("acceptances", r.String())
 	if r == jobstore.Doubtful {
 		o.state.Doubted(id)
 		return
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -56,6 +56,9 @@
 	Log      *slog.Logger
 	// Count counts what is noted and how submissions end; it must not block.
 	Count func(what, label string)
+	// Observe takes times and Gauge values; they must not block.
+	Observe func(what string, took time.Duration)
+	Gauge   func(what string, value float64)
 	// Former asks an owner that hands over what it has released; nil when there is
 	// none.
 	Former func(ctx context.Context) (Released, error)
@@ -63,6 +66,8 @@
 	Lend func(ctx context.Context, owner string, sub scheduler.Submission) work.Outcome
 	// Jobs keeps the jobs that outlast their requests; nil where none are taken.
 	Jobs *jobstore.Keeper
+	// Heard is told when the store has answered about the registry; it may be nil.
+	Heard func(now time.Duration)
 	// StoreClock is the store's clock.
 	StoreClock func() time.Duration
 	// Hungry says that tasks wait for a place, so that the room of other owners
@@ -139,7 +144,7 @@
 	})
 	g.Go(func() error {
 		return mirror.Follow(ctx, o.store, mirror.Options{
-			Table: platform.TargetsTable, Wait: registryWait, Pace: registryPace, Log: o.options.Log,
+			Table: platform.TargetsTable, Wait: registryWait, Pace: registryPace, Log: o.options.Log, Heard: o.options.Heard,
 		}, func(u mirror.Update) { o.post(ctx, func(now time.Duration) { o.listed(now, u) }) })
 	})
 	if o.options.Jobs != nil {
@@ -270,9 +275,11 @@
 }
 
 func (o *Owner) start(ctx context.Context, e scheduler.StartRun) {
-	token := o.token.Load()
+	token, began := o.token.Load(), bootclock.Now()
 	answer := o.targets.Start(ctx, e.To, e.Run, e.Payload, e.Until, token)
 	answer.Verdict = scheduler.Settle(answer.Verdict, token, o.token.Load())
+	o.options.Count("starts", answer.Verdict.String())
+	o.options.Observe("start_answer", bootclock.Now()-began)
 	o.post(ctx, func(now time.Duration) { o.state.Started(now, e.To.ID, e.Run, answer) })
 }
 
@@ -280,6 +287,7 @@
 	token := o.token.Load()
 	answer := o.targets.Stop(ctx, e.To, e.Run, token)
 	answer.Verdict = scheduler.Settle(answer.Verdict, token, o.token.Load())
+	o.options.Count("stops", answer.Verdict.String())
 	o.post(ctx, func(now time.Duration) { o.state.Stopped(now, e.To.ID, e.Run, answer) })
 }
 
@@ -287,6 +295,7 @@
 	token := o.token.Load()
 	held, verdict := o.targets.Look(ctx, e.To, token, e.Until, e.Seen, e.Wait)
 	verdict = scheduler.Settle(verdict, token, o.token.Load())
+	o.options.Count("looks", verdict.String())
 	o.post(ctx, func(now time.Duration) { o.state.Looked(now, e.To.ID, held, verdict) })
 }
 
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -136,7 +136,7 @@
 	t.Helper()
 	o := New(Options{
 		Group: "domain", FailureDomain: "domain", Token: 5, Log: slog.New(slog.DiscardHandler),
-		Count: func(string, string) {}, Hungry: func() {},
+		Count: func(string, string) {}, Observe: func(string, time.Duration) {}, Gauge: func(string, float64) {}, Hungry: func() {},
 	}, target, oneTarget{})
 	ctx, end := context.WithCancel(t.Context())
 	done := make(chan error, 1)
--- a/owner/status.go
+++ b/owner/status.go
@@ -21,4 +21,11 @@
 		"jobs", summary.Jobs, "waiting_jobs", summary.Waiting, "runs", summary.Runs,
 		"targets", summary.Targets, "usable", summary.Usable, "suspected", summary.Suspected, "draining", summary.Draining,
 		"cpu", summary.CPU, "free_cpu", summary.FreeCPU)
+	for what, value := range map[string]int{
+		"jobs_present": summary.Jobs, "jobs_waiting": summary.Waiting, "runs": summary.Runs, "unnoted": o.state.Unnoted(),
+		"targets": summary.Targets, "targets_usable": summary.Usable, "targets_suspected": summary.Suspected,
+		"targets_draining": summary.Draining, "free_cpu": int(summary.FreeCPU),
+	} {
+		o.options.Gauge(what, float64(value))
+	}
 }
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -82,10 +82,19 @@
 	if waiter := o.waiting[e.Ref]; waiter != nil {
 		delete(o.waiting, e.Ref)
 		o.options.Count("jobs", e.Outcome.Result.String())
+		o.observe(e.Times)
 		waiter <- e.Outcome
 	}
 }
 
+// observe takes how long a job waited and ran.
+func (o *Owner) observe(times scheduler.Times) {
+	if times != (scheduler.Times{}) {
+		o.options.Observe("job_wait", times.Wait)
+		o.options.Observe("job_run", times.Run)
+	}
+}
+
 // Vouched says that an entry VM stands for its callers until a time, but for the
 // jobs it has given up. It is dropped when the owner is busy: the next one follows.
 func (o *Owner) Vouched(entry string, until time.Duration, givenUp []string) {
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -55,6 +55,8 @@
 	Changed func([]Held)
 	// Clock is told the store's clock with each news; it must not block.
 	Clock func(clock time.Duration)
+	// Heard is told when the store has answered; it must not block, and may be nil.
+	Heard func(now time.Duration)
 }
 
 // Keeper keeps the claims and takes the group of its own failure domain when its
@@ -89,7 +91,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		return mirror.Follow(ctx, k.store, mirror.Options{Table: claimsTable, Wait: feedWait, Log: k.options.Log}, k.take)
+		return mirror.Follow(ctx, k.store, mirror.Options{Table: claimsTable, Wait: feedWait, Log: k.options.Log, Heard: k.options.Heard}, k.take)
 	})
 	g.Go(func() error { k.decide(ctx); return nil })
 	return g.Wait()
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -20,8 +20,9 @@
 	// deadline is when the caller leaves; 0 means never.
 	deadline time.Duration
 	arrived  time.Duration
-	// submitted is when this owner took the job.
-	submitted time.Duration
+	// submitted is when this owner took the job, first when it first ordered a run of it;
+	// 0 before.
+	submitted, first time.Duration
 	// key is the place in the order of waiting jobs.
 	key   time.Duration
 	late  bool
@@ -227,14 +228,22 @@
 	delete(s.byID, j.sub.key())
 	s.withdraw(now, j)
 	if j.stored {
-		s.endKept(j, outcome)
+		s.endKept(now, j, outcome)
 	} else {
-		s.emit(Answer{Ref: j.sub.Ref, Outcome: outcome})
+		s.emit(Answer{Ref: j.sub.Ref, Outcome: outcome, Times: j.times(now)})
 	}
 	s.tell(now, j, outcome)
 	s.stopRuns(now, j)
 }
 
+// times is how long a job waited and ran, zero if nothing of it began here.
+func (j *job) times(now time.Duration) Times {
+	if j.first == 0 {
+		return Times{}
+	}
+	return Times{Wait: j.first - j.submitted, Run: now - j.first}
+}
+
 // stopRuns stops what runs of a job that has ended.
 func (s *State) stopRuns(now time.Duration, j *job) {
 	for _, t := range j.tasks {
--- a/scheduler/kept.go
+++ b/scheduler/kept.go
@@ -36,6 +36,7 @@
 type JobEnded struct {
 	Job   string
 	State work.State
+	Times Times
 }
 
 // EndRef names the end of a run at a target.
@@ -314,7 +315,7 @@
 const unnotedPause = 20 * time.Millisecond
 
 // endKept tells of the end of a kept job in place of an answer to its caller.
-func (s *State) endKept(j *job, outcome work.Outcome) {
+func (s *State) endKept(now time.Duration, j *job, outcome work.Outcome) {
 	state := work.StateFailed
 	switch {
 	case j.cancelled:
@@ -324,7 +325,7 @@
 	}
 	s.unnoted++
 	s.ending[j.sub.Job.ID] = nil
-	s.emit(JobEnded{Job: j.sub.Job.ID, State: state})
+	s.emit(JobEnded{Job: j.sub.Job.ID, State: state, Times: j.times(now)})
 }
 
 // drop forgets a job without an answer: it isn't stored, or another owner goes on with
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -145,6 +145,9 @@
 		expected: tk.step.expected,
 	}
 	j.begun++
+	if j.first == 0 {
+		j.first = now
+	}
 	tk.run = r
 	t.runs[tk.name] = r
 	t.free = t.free.Minus(tk.step.Each)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -73,8 +73,13 @@
 type Answer struct {
 	Ref     Ref
 	Outcome work.Outcome
+	// Times are those of a job that has begun.
+	Times Times
 }
 
+// Times is how long a job waited for its first place and ran from then on.
+type Times struct{ Wait, Run time.Duration }
+
 // Deposed says that a target has seen the fencing token of another owner.
 type Deposed struct{ Target string }
 
