Soak the daemon under random faults; yield sooner to a strong VM

Ruled out: waiting longer before a weak VM claims (nobody would own the targets meanwhile). Change: it looks every 250 ms, not every 3 s, for a strong VM that has been heard for 250 ms.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 # Extra flags of go test, such as -run or -skip.
 TESTFLAGS ?=
 
-.PHONY: help build test race vet lint fmt fmt-check generate generate-check demo demo-own mutants ci clean
+.PHONY: help build test race vet lint fmt fmt-check generate generate-check demo demo-own soak mutants ci clean
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
@@ -55,6 +55,9 @@
 demo-own: build ## the same for burdockward's own interfaces
 	bin/lab demo
 
+soak: build ## play random faults on the stand-in for two minutes
+	bin/lab soak
+
 mutants: ## break the code line by line and see that tests notice
 	scripts/mutants.sh
 
--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -41,6 +41,7 @@
 			compare.Command(),
 			orders.Command(),
 			prepared.Command(),
+			prepared.SoakCommand(),
 			experiment.LoadCommand(),
 		},
 	}
--- a/lab/prepared/callers.go
+++ b/lab/prepared/callers.go
@@ -64,7 +64,7 @@
 
 // call hands in one job as the platform's callers do.
 func (d *Deployment) call(client *http.Client, tally *Tally) {
-	id := fmt.Sprintf("%016x", rand.Uint64())
+	id := fmt.Sprintf("%s%015x", otherDigit, rand.Uint64()>>4)
 	domain := domainName(rand.IntN(d.options.Domains))
 	run := 20 + rand.IntN(150)
 	body, err := json.Marshal(wire.Job{
--- a/lab/prepared/kept.go
+++ b/lab/prepared/kept.go
@@ -13,6 +13,12 @@
 	"github.com/burdockward/burdockward/platform/wire"
 )
 
+// keptDigit begins the IDs of kept jobs, otherDigit those of others.
+const (
+	keptDigit  = "f"
+	otherDigit = "0"
+)
+
 // Times of callers whose jobs are kept.
 const (
 	// askPause is between two questions for a job's state.
@@ -72,7 +78,7 @@
 
 // keep hands in one job and follows it to its end.
 func (d *Deployment) keep(ctx context.Context, client *http.Client, tally *KeptTally) {
-	id := fmt.Sprintf("%016x", rand.Uint64())
+	id := fmt.Sprintf("%s%015x", keptDigit, rand.Uint64()>>4)
 	domain := domainName(rand.IntN(d.options.Domains))
 	run := 20 + rand.IntN(300)
 	body, err := json.Marshal(wire.Job{
--- /dev/null
+++ b/lab/prepared/soak.go
@@ -0,0 +1,265 @@
+package prepared
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// The soak's size and times.
+const (
+	soakLoad, soakKept = 60, 15
+	// soakPause is the longest pause between two faults, soakFault the longest fault: a
+	// fault often begins before the last one is over.
+	soakPause = 3 * time.Second
+	soakFault = 4 * time.Second
+	// soakLost is the share of jobs that may have no answer, as their callers' VMs were
+	// lost with them.
+	soakLost = 0.02
+)
+
+// SoakCommand runs the soak.
+func SoakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run burdockward on a stand-in of the prepared machines under random faults, and judge what callers and targets see",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "binary", Usage: "the daemon's program", Value: "bin/burdockward"},
+			&cli.DurationFlag{Name: "for", Usage: "how long faults come", Value: 2 * time.Minute},
+			&cli.Uint64Flag{Name: "seed", Usage: "draws the faults; the same seed draws the same ones", Value: 1},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return soak(ctx, cmd.String("binary"), cmd.Duration("for"), cmd.Uint64("seed"))
+		},
+	}
+}
+
+func soak(ctx context.Context, binary string, length time.Duration, seed uint64) error {
+	binary, err := filepath.Abs(binary)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "burdockward-soak")
+	if err != nil {
+		return err
+	}
+	d, err := Start(Options{Binary: binary, Dir: dir, Domains: demoDomains, VMs: demoVMs, Targets: demoTargets})
+	if err != nil {
+		return err
+	}
+	defer d.Stop()
+	if !d.WaitReady(demoStart) {
+		return errors.New("not all VMs were ready in time: see whether the loopback addresses are free")
+	}
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	tally, kept := make(chan *Tally, 1), make(chan *KeptTally, 1)
+	go func() { tally <- d.Load(load, soakLoad) }()
+	go func() { kept <- d.LoadKept(load, soakKept) }()
+	s := &soaker{Deployment: d, random: rand.New(rand.NewPCG(seed, 0)), hurt: map[*VM]bool{}}
+	counts := s.play(ctx, length)
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Printf("%4d %s\n", counts[name], name)
+	}
+	pause(ctx, demoStep)
+	stop()
+	if err := d.judgeSoak(<-tally, <-kept); err != nil {
+		return fmt.Errorf("%w; logs are in %s", err, dir)
+	}
+	return os.RemoveAll(dir)
+}
+
+// soaker plays faults on a deployment. A VM is under one fault at a time.
+type soaker struct {
+	*Deployment
+	random *rand.Rand
+
+	mu   sync.Mutex
+	hurt map[*VM]bool
+}
+
+// take marks a VM as under a fault and reports whether it was free.
+func (s *soaker) take(vm *VM) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if vm == nil || s.hurt[vm] {
+		return false
+	}
+	s.hurt[vm] = true
+	return true
+}
+
+func (s *soaker) release(vm *VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.hurt, vm)
+}
+
+// on plays a fault on a VM, if it is free.
+func (s *soaker) on(vm *VM, begin, heal func(*VM)) (end func()) {
+	if !s.take(vm) {
+		return nothing
+	}
+	begin(vm)
+	return func() {
+		heal(vm)
+		s.release(vm)
+	}
+}
+
+// any is a VM drawn at random.
+func (s *soaker) any() *VM { return s.VMs[s.random.IntN(len(s.VMs))] }
+
+func kill(vm *VM) { vm.Kill() }
+
+func restart(vm *VM) {
+	_ = vm.Wait(context.Background())
+	_ = vm.Start()
+}
+
+func nothing() {}
+
+// fault is one kind of trouble: it begins and returns what ends it.
+type fault struct {
+	name  string
+	begin func(s *soaker) (end func())
+}
+
+// soakFaults are drawn with equal chance.
+var soakFaults = []fault{
+	{"VM killed", func(s *soaker) func() { return s.on(s.any(), kill, restart) }},
+	{"owner killed", func(s *soaker) func() { return s.on(s.Owner(s.random.IntN(s.options.Domains)), kill, restart) }},
+	{"VM frozen", func(s *soaker) func() {
+		return s.on(s.any(), func(vm *VM) { vm.Signal(syscall.SIGSTOP) }, func(vm *VM) { vm.Signal(syscall.SIGCONT) })
+	}},
+	{"VM stopped as planned", func(s *soaker) func() {
+		return s.on(s.any(), func(vm *VM) { vm.Signal(syscall.SIGTERM) }, restart)
+	}},
+	{"failure domain killed", func(s *soaker) func() {
+		domain := domainName(s.random.IntN(s.options.Domains))
+		var ends []func()
+		for _, vm := range s.VMs {
+			if vm.Domain == domain {
+				ends = append(ends, s.on(vm, kill, restart))
+			}
+		}
+		return func() {
+			for _, end := range ends {
+				end()
+			}
+		}
+	}},
+	{"store away", func(s *soaker) func() {
+		s.Store.Away("", true)
+		return func() { s.Store.Away("", false) }
+	}},
+	{"store away for one VM", func(s *soaker) func() {
+		vm := s.any()
+		s.Store.Away(vm.StoreIP, true)
+		return func() { s.Store.Away(vm.StoreIP, false) }
+	}},
+	{"answers of the store lost", func(s *soaker) func() {
+		s.Store.LoseAnswers(1 + s.random.IntN(4))
+		return nothing
+	}},
+	{"history of the store lost", func(s *soaker) func() {
+		s.Store.Compact()
+		return nothing
+	}},
+	{"target silent", func(s *soaker) func() {
+		target := s.Targets[s.random.IntN(len(s.Targets))]
+		target.Silence(true)
+		return func() { target.Silence(false) }
+	}},
+	{"target hung", func(s *soaker) func() {
+		target := s.Targets[s.random.IntN(len(s.Targets))]
+		target.Hang(true)
+		return func() { target.Hang(false) }
+	}},
+	{"orders late and lost", func(s *soaker) func() {
+		for _, target := range s.Targets {
+			target.Disturb(0.04, 0.04)
+		}
+		return func() {
+			for _, target := range s.Targets {
+				target.Disturb(0, 0)
+			}
+		}
+	}},
+	{"new configuration", func(s *soaker) func() {
+		s.Configure()
+		return nothing
+	}},
+}
+
+// play plays faults for a time, several at once, and counts them.
+func (s *soaker) play(ctx context.Context, length time.Duration) map[string]int {
+	counts := map[string]int{}
+	ended := make(chan struct{}, len(soakFaults))
+	under := 0
+	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; {
+		f := soakFaults[s.random.IntN(len(soakFaults))]
+		lasts := time.Duration(s.random.Int64N(int64(soakFault)))
+		next := time.Duration(s.random.Int64N(int64(soakPause)))
+		counts[f.name]++
+		heal := f.begin(s)
+		under++
+		go func() {
+			pause(ctx, lasts)
+			heal()
+			ended <- struct{}{}
+		}()
+		pause(ctx, next)
+		for ; under > 0 && len(ended) > 0; under-- {
+			<-ended
+		}
+	}
+	for ; under > 0; under-- {
+		<-ended
+	}
+	return counts
+}
+
+// judgeSoak prints what was seen and tells what must not be.
+func (d *Deployment) judgeSoak(tally *Tally, kept *KeptTally) error {
+	fmt.Println("answered when done:", tally)
+	fmt.Println("kept:", kept)
+	jobs := tally.Completed + tally.Failed + tally.Refused + tally.Lost
+	switch doubled, repeated := d.Recorder.Doubled(), d.Recorder.Repeated(); {
+	case len(doubled) > 0:
+		return fmt.Errorf("tasks ran twice at one time: %v", doubled)
+	case len(tally.Untrue) > 0:
+		return fmt.Errorf("jobs were refused though they had begun: %v", tally.Untrue)
+	case len(kept.Wrong) > 0:
+		return fmt.Errorf("kept jobs went wrong: %v", kept.Wrong)
+	case len(ofKept(repeated)) > 0:
+		return fmt.Errorf("tasks of kept jobs started again after they were done: %v", ofKept(repeated))
+	case float64(tally.Lost) > soakLost*float64(jobs):
+		return fmt.Errorf("%d of %d jobs had no answer", tally.Lost, jobs)
+	}
+	fmt.Println("nothing ran twice, nothing accepted was lost, no refusal was untrue")
+	return nil
+}
+
+// ofKept picks the tasks of kept jobs: others may run again when their callers send
+// them again.
+func ofKept(tasks []string) []string {
+	var kept []string
+	for _, task := range tasks {
+		if strings.HasPrefix(task, keptDigit) {
+			kept = append(kept, task)
+		}
+	}
+	return kept
+}
--- a/node/leave.go
+++ b/node/leave.go
@@ -73,25 +73,33 @@
 	return false
 }
 
-// yieldInterval paces the look for a VM that should own the group instead; it
-// outlasts a handover.
-const yieldInterval = 3 * time.Second
+// Times of yielding.
+const (
+	// yieldInterval paces the look for a VM that should own the group instead: when all
+	// VMs start again, the strong ones may come a fraction of a second later.
+	yieldInterval = 250 * time.Millisecond
+	// yieldPause outlasts a handover.
+	yieldPause = 3 * time.Second
+)
 
 // yield hands the group to a much stronger VM of the failure domain, if there is one:
 // a weak VM may have claimed it while the others were away.
 func (n *Node) yield(ctx context.Context) {
 	ticker := time.NewTicker(yieldInterval)
 	defer ticker.Stop()
+	tried := bootclock.Now() - yieldPause
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		pingers := n.beats.Pingers()
-		if n.Leaving() || n.owned() == nil || !ownership.Stronger(n.self.FailureDomain, n.self.CPUShare, pingers) {
+		now, pingers := bootclock.Now(), n.beats.Pingers()
+		if n.Leaving() || n.owned() == nil || now-tried < yieldPause ||
+			!ownership.Stronger(n.self.FailureDomain, n.self.CPUShare, pingers, now) {
 			continue
 		}
+		tried = now
 		if err := n.keeper.HandOver(ctx, pingers, n.calls); err != nil {
 			n.log.Warn("not handed over to a stronger VM", "group", n.group, "error", err)
 		}
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -119,10 +119,14 @@
 // owner to hand over to it unasked.
 const muchStronger = 2
 
+// settledTime is how long a VM has to be heard before it is given a group unasked: one
+// that has just started has read the claims and the configuration by then.
+const settledTime = 250 * time.Millisecond
+
 // Stronger reports whether a VM should own a group instead of its present owner.
-func Stronger(domain string, own int32, pingers []heartbeat.Pinger) bool {
+func Stronger(domain string, own int32, pingers []heartbeat.Pinger, now time.Duration) bool {
 	best, ok := Successor(domain, pingers)
-	return ok && best.CPUShare >= muchStronger*own
+	return ok && best.CPUShare >= muchStronger*own && now-best.First >= settledTime
 }
 
 func better(a, b heartbeat.Pinger) bool {
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -52,9 +52,11 @@
 
 func TestStronger(t *testing.T) {
 	pingers := []heartbeat.Pinger{{VM: "x", FailureDomain: "d", CPUShare: 800}}
-	must.True(t, Stronger("d", 192, pingers))
-	must.False(t, Stronger("d", 500, pingers))
-	must.False(t, Stronger("e", 192, pingers))
+	must.True(t, Stronger("d", 192, pingers, time.Second))
+	must.False(t, Stronger("d", 500, pingers, time.Second))
+	must.False(t, Stronger("e", 192, pingers, time.Second))
+	// One that has just started may not know the claims yet.
+	must.False(t, Stronger("d", 192, pingers, settledTime-ms))
 }
 
 func TestSuccessor(t *testing.T) {
