Count waiting jobs from heartbeats, those of cut-off owners included

Ruled out: counting rows in the store (2,000 reads a second are all there are, and rows don't tell what has begun).

Change: answers to heartbeats carry the count by queue, taken every 200 ms; what an owner said last counts while it is silent: it accepts nothing without the store. The call for it is gone.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,10 +26,9 @@
 type Remote interface {
 	// RunUntil gives the job up when the caller has left or the owner is silent.
 	RunUntil(ctx, alive context.Context, address string, order link.Order) work.Outcome
-	// State, Cancel and Pending ask an owner about kept jobs.
+	// State and Cancel ask an owner about kept jobs.
 	State(ctx context.Context, address, id string) (work.State, error)
 	Cancel(ctx context.Context, address, id string) (work.State, error)
-	Pending(ctx context.Context, address, queue string) (int, error)
 }
 
 // Local is the owner in this process.
@@ -39,7 +38,7 @@
 	// JobState and CancelJob report false where the owner doesn't know the job.
 	JobState(ctx context.Context, id string) (work.State, bool)
 	CancelJob(ctx context.Context, id string) (work.State, bool)
-	PendingJobs(ctx context.Context, queue string) int
+	PendingJobs() map[string]int32
 }
 
 // Options of an Entry.
--- a/entry/kept.go
+++ b/entry/kept.go
@@ -55,20 +55,18 @@
 	return state, err
 }
 
-// Pending counts the kept jobs of a queue of which nothing has begun. Owners that don't
-// answer are left out: their jobs begin with their successors.
-func (e *Entry) Pending(ctx context.Context, queue string) int {
-	var pending atomic.Int64
-	e.each(func(held ownership.Held) {
+// Pending counts the kept jobs of a queue of which nothing has begun. An owner that is
+// cut off counts with what it last said: it accepts nothing without the store.
+func (e *Entry) Pending(queue string) int {
+	pending := int32(0)
+	for _, held := range e.options.Claims() {
 		if local, ok := e.local(held); ok {
-			pending.Add(int64(local.PendingJobs(ctx, queue)))
-			return
+			pending += local.PendingJobs()[queue]
+		} else if view, ok := e.peers.View(held.Claim.GetLife()); ok {
+			pending += view.Pending[queue]
 		}
-		n, err := e.remote.Pending(ctx, held.Claim.GetControl(), queue)
-		e.unanswered(ctx, held, "", err)
-		pending.Add(int64(n))
-	})
-	return int(pending.Load())
+	}
+	return int(pending)
 }
 
 // ask asks all owners at once and returns what the one says that knows the job.
--- a/heartbeat/book.go
+++ b/heartbeat/book.go
@@ -46,6 +46,8 @@
 	// Stamp is the newest of the owner's clock, 0 before the first answer.
 	Stamp int64
 	Loads []*linkpb.Load
+	// Pending counts the owner's kept jobs of which nothing has begun, by queue.
+	Pending map[string]int32
 	// Heard is when the newest answer came.
 	Heard time.Duration
 	// Alive ends when the owner has been silent for too long or another has its
@@ -126,6 +128,7 @@
 	v.Stamp = pong.GetStamp()
 	v.Heard = now
 	v.Loads = pong.GetLoads()
+	v.Pending = pong.GetPending()
 	v.ConfigurationVersion = pong.GetConfigurationVersion()
 	return gap
 }
--- a/heartbeat/book_test.go
+++ b/heartbeat/book_test.go
@@ -131,8 +131,10 @@
 func (silentListener) Vouched(string, time.Duration, []string) {}
 func (silentListener) Loads() []*linkpb.Load                   { return nil }
 func (silentListener) ConfigurationVersion() int64             { return 0 }
-func (silentListener) Leaving() bool                           { return false }
-func (silentListener) Owned() *linkpb.Owned                    { return nil }
-func (silentListener) Heard(uint64, []*linkpb.Load)            {}
-func (silentListener) Learned(*linkpb.Owned)                   {}
-func (silentListener) Late(string, time.Duration)              {}
+func (silentListener) Pending() map[string]int32               { return nil }
+
+func (silentListener) Leaving() bool                { return false }
+func (silentListener) Owned() *linkpb.Owned         { return nil }
+func (silentListener) Heard(uint64, []*linkpb.Load) {}
+func (silentListener) Learned(*linkpb.Owned)        {}
+func (silentListener) Late(string, time.Duration)   {}
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -34,6 +34,8 @@
 	Vouched(entry string, until time.Duration, givenUp []string)
 	// Loads is what to answer to a ping; nil when this VM owns nothing.
 	Loads() []*linkpb.Load
+	// Pending counts this VM's kept jobs of which nothing has begun, by queue.
+	Pending() map[string]int32
 	ConfigurationVersion() int64
 	Leaving() bool
 	// Owned is the claim of this VM's group; nil before the first.
@@ -265,6 +267,6 @@
 	s.writeTo(from, &linkpb.Pong{
 		Vm: s.self.VM, Life: s.self.Life, Stamp: int64(bootclock.Now()), Control: s.self.Control,
 		ConfigurationVersion: s.listener.ConfigurationVersion(), Loads: s.listener.Loads(),
-		Owned: s.listener.Owned(),
+		Owned: s.listener.Owned(), Pending: s.listener.Pending(),
 	})
 }
--- a/lab/prepared/target.go
+++ b/lab/prepared/target.go
@@ -52,6 +52,13 @@
 	t.lateShare, t.lostShare = late, lost
 }
 
+// Disturb sets the shares of orders that are late and lost at all targets.
+func (d *Deployment) Disturb(late, lost float64) {
+	for _, target := range d.Targets {
+		target.Disturb(late, lost)
+	}
+}
+
 // disturbs decides on one order.
 func (t *Target) disturbs() (late, lost bool) {
 	t.mu.Lock()
--- a/link/link.go
+++ b/link/link.go
@@ -46,8 +46,6 @@
 	// doesn't run it.
 	State(ctx context.Context, id string) work.State
 	Cancel(ctx context.Context, id string) work.State
-	// Pending counts the kept jobs of a queue of which nothing has begun here.
-	Pending(ctx context.Context, queue string) int
 	Tables() Tables
 	// Pass takes over a group from its present owner.
 	Pass(held ownership.Held)
@@ -92,11 +90,6 @@
 	return &linkpb.StateReply{State: int32(s.handler.Cancel(ctx, r.GetId()))}, nil
 }
 
-// Pending implements linkpb.Fleet.
-func (s server) Pending(ctx context.Context, r *linkpb.PendingRequest) (*linkpb.PendingReply, error) {
-	return &linkpb.PendingReply{Jobs: int32(s.handler.Pending(ctx, r.GetQueue()))}, nil
-}
-
 // Tables implements linkpb.Fleet.
 func (s server) Tables(context.Context, *linkpb.TablesRequest) (*linkpb.TablesReply, error) {
 	tables := s.handler.Tables()
@@ -207,14 +200,6 @@
 	return work.State(reply.GetState()), err
 }
 
-// Pending asks an owner for the kept jobs of which nothing has begun.
-func (c *Client) Pending(ctx context.Context, address, queue string) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	reply, err := c.fleet(address).Pending(ctx, &linkpb.PendingRequest{Queue: queue})
-	return int(reply.GetJobs()), err
-}
-
 // Tables asks another VM what it last read from the store.
 func (c *Client) Tables(ctx context.Context, address string) (Tables, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/node/calls.go
+++ b/node/calls.go
@@ -85,14 +85,6 @@
 	return p.node.askOwners(func(o *owner.Owner) (work.State, bool) { return o.CancelJob(ctx, id) })
 }
 
-func (p peerCalls) Pending(ctx context.Context, queue string) int {
-	pending := 0
-	for _, o := range p.node.owners() {
-		pending += o.PendingJobs(ctx, queue)
-	}
-	return pending
-}
-
 func (p peerCalls) Tables() link.Tables {
 	tables := link.Tables{Claims: p.node.keeper.Claims()}
 	if held := p.node.config.held.Load(); held != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -329,6 +329,14 @@
 	return loads
 }
 
+// Pending implements heartbeat.Listener.
+func (n *Node) Pending() map[string]int32 {
+	if o := n.owned(); o != nil {
+		return o.PendingJobs()
+	}
+	return nil
+}
+
 // Late implements heartbeat.Listener.
 func (n *Node) Late(vm string, gap time.Duration) {
 	n.options.Count("notes", "heartbeat late")
@@ -378,8 +386,8 @@
 	return n.entry.Cancel(ctx, id)
 }
 
-// Pending implements platform.Dispatcher.
-func (n *Node) Pending(ctx context.Context, queue string) int { return n.entry.Pending(ctx, queue) }
+// PendingOf implements platform.Dispatcher.
+func (n *Node) PendingOf(queue string) int { return n.entry.Pending(queue) }
 
 // Dispatch implements platform.Dispatcher.
 func (n *Node) Dispatch(ctx context.Context, job work.Job, queue work.Queue, wait time.Duration) work.Outcome {
--- a/owner/kept.go
+++ b/owner/kept.go
@@ -25,6 +25,9 @@
 	adopted atomic.Bool
 	// readAt is when the registry was read and all targets were given.
 	readAt time.Duration
+	// pending is the count of jobs of which nothing has begun, as of countedAt.
+	pending   atomic.Pointer[map[string]int32]
+	countedAt time.Duration
 }
 
 // Times of taking over kept jobs.
@@ -251,15 +254,24 @@
 	return o.options.Jobs.State(id)
 }
 
-// PendingJobs counts the kept jobs of a queue of which nothing has begun.
-func (o *Owner) PendingJobs(ctx context.Context, queue string) int {
-	pending := make(chan int, 1)
-	o.post(ctx, func(time.Duration) { pending <- o.state.Pending(queue) })
-	select {
-	case n := <-pending:
-		return n
-	case <-o.done:
-	case <-ctx.Done():
+// pendingInterval paces the count of jobs of which nothing has begun: callers are told
+// what may be 2 s old.
+const pendingInterval = 200 * time.Millisecond
+
+// countPending counts the jobs of which nothing has begun for those who ask.
+func (o *Owner) countPending(now time.Duration) {
+	if now-o.kept.countedAt < pendingInterval {
+		return
+	}
+	o.kept.countedAt = now
+	pending := o.state.Pending()
+	o.kept.pending.Store(&pending)
+}
+
+// PendingJobs counts the kept jobs of which nothing has begun, by queue.
+func (o *Owner) PendingJobs() map[string]int32 {
+	if pending := o.kept.pending.Load(); pending != nil {
+		return *pending
 	}
-	return 0
+	return nil
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -219,6 +219,7 @@
 		return
 	}
 	o.loadsAt = now
+	o.countPending(now)
 	loads := make(map[string]scheduler.Load, len(o.services))
 	for service := range o.services {
 		loads[service] = o.state.Load(now, service)
--- a/scheduler/kept.go
+++ b/scheduler/kept.go
@@ -242,12 +242,12 @@
 	return j != nil && j.started()
 }
 
-// Pending counts the kept jobs of a queue of which nothing has begun.
-func (s *State) Pending(queue string) int {
-	pending := 0
+// Pending counts the kept jobs of which nothing has begun, by queue.
+func (s *State) Pending() map[string]int32 {
+	pending := map[string]int32{}
 	for _, j := range s.jobs {
-		if j.stored && !j.started() && j.sub.Queue.Name == queue {
-			pending++
+		if j.stored && !j.started() {
+			pending[j.sub.Queue.Name]++
 		}
 	}
 	return pending
