--- a/scheduler/fake_target_test.go
+++ b/scheduler/fake_target_test.go
@@ -140,6 +140,9 @@
 func (t *fakeTarget) acknowledge(end work.End) {
 	if end.Kind == work.EndDone && strings.HasPrefix(end.Run.Task, "kept") && t.lapsed < t.endedAt[end.Number] {
 		t.world.acknowledged[end.Run.Task] = true
+		if started := t.world.startedAt[end.Run.Task]; started > t.endedAt[end.Number] {
+			t.world.violations = append(t.world.violations, end.Run.Task+" started again after an end that is taken note of later")
+		}
 	}
 }
 
--- a/scheduler/kept_world_test.go
+++ b/scheduler/kept_world_test.go
@@ -135,6 +135,7 @@
 
 // startsKept looks at the start of a kept job's task.
 func (w *world) startsKept(task string) {
+	w.startedAt[task] = w.now
 	if w.acknowledged[task] {
 		w.violations = append(w.violations, fmt.Sprintf("%v: %s starts though its end was taken note of", w.now, task))
 	}
