--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -63,6 +63,8 @@
 	Done []int `json:"done,omitempty"`
 	// Fails counts the failed runs of tasks.
 	Fails map[int]int `json:"fails,omitempty"`
+	// Saved is what tasks have saved of their work.
+	Saved map[int]string `json:"saved,omitempty"`
 	// Ended is when the job ended, on the store's clock.
 	Ended time.Duration `json:"ended,omitempty"`
 }
--- a/jobstore/keeper.go
+++ b/jobstore/keeper.go
@@ -243,7 +243,10 @@
 // TaskDone notes that a task is done; done is told when the store has it.
 func (k *Keeper) TaskDone(id string, task int, done func()) {
 	k.change(id, func(s *shard) {
-		s.note(id, func(p *Progress) { p.Done = append(p.Done, task) }, done)
+		s.note(id, func(p *Progress) {
+			p.Done = append(p.Done, task)
+			delete(p.Saved, task)
+		}, done)
 	})
 }
 
@@ -259,6 +262,18 @@
 	})
 }
 
+// TaskSaved notes what a task has saved of its work.
+func (k *Keeper) TaskSaved(id string, task int, saved string) {
+	k.change(id, func(s *shard) {
+		s.note(id, func(p *Progress) {
+			if p.Saved == nil {
+				p.Saved = map[int]string{}
+			}
+			p.Saved[task] = saved
+		}, nil)
+	})
+}
+
 // End notes the final state of a job; done is told when the store has it.
 func (k *Keeper) End(id string, state work.State, done func()) {
 	ended := k.options.Clock()
--- a/lab/replay/target.go
+++ b/lab/replay/target.go
@@ -144,9 +144,9 @@
 		t.polling = nil
 		held := work.Held{Clock: t.clock(), Ended: slices.Clone(t.ended)}
 		for run := range t.running {
-			held.Running = append(held.Running, run)
+			held.Running = append(held.Running, work.Running{Run: run})
 		}
-		slices.SortFunc(held.Running, func(a, b work.Run) int { return strings.Compare(a.Task, b.Task) })
+		slices.SortFunc(held.Running, func(a, b work.Running) int { return strings.Compare(a.Run.Task, b.Run.Task) })
 		t.reply(o, func(now time.Duration) { o.state.Looked(now, t.ID, held, work.VerdictDone) })
 	}
 	t.polling = answer
--- a/owner/kept.go
+++ b/owner/kept.go
@@ -97,9 +97,9 @@
 		o.lastRef++
 		o.state.Resume(now, scheduler.Submission{
 			Ref: o.lastRef, Job: job.Job, Queue: job.Queue, Age: max(clock-job.Arrived, 0),
-		}, job.Progress.Done, job.Progress.Fails)
+		}, scheduler.Progress{Done: job.Progress.Done, Fails: job.Progress.Fails, Saved: job.Progress.Saved})
 	}
-	o.state.Resumed()
+	o.state.Resumed(now)
 }
 
 // mayAccept answers a kept job that can't be stored or is known already; it reports
@@ -127,6 +127,8 @@
 		o.options.Jobs.TaskDone(e.Job, e.Task, func() { o.noted(ctx, e.End) })
 	case scheduler.TaskFailed:
 		o.options.Jobs.TaskFailed(e.Job, e.Task, func() { o.noted(ctx, e.End) })
+	case scheduler.TaskSaved:
+		o.options.Jobs.TaskSaved(e.Job, e.Task, e.Saved)
 	case scheduler.JobEnded:
 		o.kept.ending[e.Job] = true
 		o.options.Count("kept_jobs", e.State.String())
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -41,7 +41,7 @@
 
 // Targets sends orders to targets.
 type Targets interface {
-	Start(ctx context.Context, to work.Address, run work.Run, payload string, until, token int64) work.OrderAnswer
+	Start(ctx context.Context, to work.Address, order work.Order, token int64) work.OrderAnswer
 	Stop(ctx context.Context, to work.Address, run work.Run, token int64) work.OrderAnswer
 	Look(ctx context.Context, to work.Address, token, until, seen int64, wait time.Duration) (work.Held, work.Verdict)
 }
@@ -121,7 +121,7 @@
 	}
 	owner.token.Store(o.Token)
 	if o.Jobs == nil {
-		owner.state.Resumed()
+		owner.state.Resumed(bootclock.Now())
 	}
 	return owner
 }
@@ -177,7 +177,9 @@
 			o.end()
 			return
 		case <-ticker.C:
-			o.state.Tick(bootclock.Now())
+			now := bootclock.Now()
+			o.state.Wall(now, time.Duration(time.Now().UnixNano()))
+			o.state.Tick(now)
 			o.status()
 		case m := <-o.answers:
 			m(bootclock.Now())
@@ -263,7 +265,7 @@
 			o.withdraw(e)
 		case scheduler.Answer:
 			o.answer(e)
-		case scheduler.Keep, scheduler.TaskDone, scheduler.TaskFailed, scheduler.JobEnded:
+		case scheduler.Keep, scheduler.TaskDone, scheduler.TaskFailed, scheduler.TaskSaved, scheduler.JobEnded:
 			o.keep(ctx, e)
 		case scheduler.Note:
 			o.note(e)
@@ -277,7 +279,7 @@
 
 func (o *Owner) start(ctx context.Context, e scheduler.StartRun) {
 	token, began := o.token.Load(), bootclock.Now()
-	answer := o.targets.Start(ctx, e.To, e.Run, e.Payload, e.Until, token)
+	answer := o.targets.Start(ctx, e.To, e.Order, token)
 	answer.Verdict = scheduler.Settle(answer.Verdict, token, o.token.Load())
 	o.options.Count("starts", answer.Verdict.String())
 	o.options.Observe("start_answer", bootclock.Now()-began)
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -85,10 +85,13 @@
 	if len(j.pool.targets) == 0 {
 		return "no target of the service is known"
 	}
-	for _, st := range j.steps {
+	for _, st := range j.steps[:len(j.sub.Job.Steps)] {
 		if !j.pool.holds(st) {
 			return "no target can hold one of its tasks: ask for less"
 		}
+		if st.Gang && !j.pool.holdsGang(st) {
+			return "the targets can't hold all tasks of a gang at once: ask for less"
+		}
 	}
 	return ""
 }
@@ -169,7 +172,7 @@
 	}
 	p.usualCPU += usualWeight * (cpu - p.usualCPU)
 	p.decay(now)
-	for _, st := range j.steps {
+	for _, st := range j.steps[:len(j.sub.Job.Steps)] {
 		p.demand[priorityOf(j.sub.Queue)] += float64(st.Each.CPU) * float64(st.Tasks) * st.expected.Seconds()
 	}
 }
@@ -202,7 +205,7 @@
 
 func (j *job) firstNeed() need {
 	var n need
-	for _, st := range j.steps {
+	for _, st := range j.current() {
 		if j.ready(st) {
 			n.each = max(n.each, st.Each.CPU)
 			n.total += st.Each.CPU * int64(len(st.pending))
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -67,6 +67,9 @@
 	r.task.job.mark(now, "start unanswered", r.Task, t.ID, "")
 	s.emit(Note{What: "start unanswered", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered})
 	s.stop(now, r)
+	if r.task.step.Gang {
+		s.disband(now, r.task.step)
+	}
 }
 
 // notBegun takes back a run that the target certainly did not begin.
@@ -76,8 +79,8 @@
 	j.mark(now, "start refused", r.Task, t.ID, verdict.String())
 	j.begun--
 	s.release(r)
-	if !j.ended {
-		s.again(r)
+	if !j.ended && !r.task.complete {
+		s.again(now, r)
 	}
 	s.blame(now, t, verdict)
 }
@@ -159,6 +162,7 @@
 
 func (s *State) held(now time.Duration, t *target, held work.Held) {
 	t.failedLooks = 0
+	t.barred = true
 	t.told = t.asked
 	t.answered = t.lookAt
 	t.lease.read(held.Clock, now)
@@ -170,7 +174,7 @@
 	}
 	listed := make(map[work.Run]bool, len(held.Running))
 	for _, on := range held.Running {
-		listed[on] = true
+		listed[on.Run] = true
 		s.seenRunning(now, t, on)
 	}
 	s.missed(now, t, listed)
@@ -179,16 +183,29 @@
 			delete(t.strangers, stranger)
 		}
 	}
-	if t.state != usable && len(t.strangers) == 0 {
+	for run := range t.guests {
+		if !listed[run] {
+			delete(t.guests, run)
+		}
+	}
+	s.use(t)
+	s.touch(t)
+}
+
+// use takes a target into use once nothing runs there that isn't this owner's.
+func (s *State) use(t *target) {
+	if t.state != usable && t.barred && len(t.strangers) == 0 && len(t.guests) == 0 {
 		s.emit(Note{What: "target is usable", Target: t.ID})
 		t.state = usable
 	}
-	s.touch(t)
 }
 
 // seenRunning takes a run that the target lists.
-func (s *State) seenRunning(now time.Duration, t *target, on work.Run) {
-	if r := t.runs[on.Task]; r != nil && r.Run == on {
+func (s *State) seenRunning(now time.Duration, t *target, on work.Running) {
+	if r := t.runs[on.Run.Task]; r != nil && r.Run == on.Run {
+		if on.Saved != "" {
+			r.saved = on.Saved
+		}
 		if r.state != running && r.stop == nil {
 			s.began(r)
 		} else if r.state == doubtful {
@@ -197,6 +214,13 @@
 		}
 		return
 	}
+	if !s.goesOn(now, t, on) {
+		s.stopStranger(now, t, on.Run)
+	}
+}
+
+// stopStranger orders the end of a run that nobody here knows.
+func (s *State) stopStranger(now time.Duration, t *target, on work.Run) {
 	if t.strangers[on] == nil {
 		s.emit(Note{What: "stranger stopped", Task: on.Task, Target: t.ID})
 		t.strangers[on] = &orderTry{asked: now, sent: now}
@@ -231,11 +255,16 @@
 		s.orphaned(now, t, end)
 		return
 	}
-	switch end.Kind {
-	case work.EndDone:
+	if end.Saved != "" {
+		r.saved = end.Saved
+	}
+	switch {
+	case r.task.step.Lasting:
+		s.lost(now, r, "it ended: "+string(end.Kind))
+	case end.Kind == work.EndDone:
 		s.note(t, r, end.Number, false)
 		s.done(now, t, r)
-	case work.EndFailed:
+	case end.Kind == work.EndFailed:
 		s.note(t, r, end.Number, true)
 		s.failed(now, t, r)
 	default:
@@ -247,12 +276,11 @@
 	s.release(r)
 	s.praise(now, t, r)
 	j := r.task.job
-	if j.ended {
+	if j.ended || r.task.complete {
 		return
 	}
 	j.mark(now, "done", r.Task, t.ID, "")
-	r.task.step.open--
-	j.open--
+	j.complete(r.task)
 	switch {
 	case j.open == 0:
 		s.finish(now, j, work.Outcome{Result: work.Completed})
@@ -267,15 +295,16 @@
 	s.emit(Note{What: "run failed", Job: j.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered})
 	j.mark(now, "failed", r.Task, t.ID, "")
 	s.strikeFailed(now, t, j)
-	if j.ended {
+	if j.ended || r.task.complete {
 		return
 	}
+	s.keepSaved(r.task, r.Number, r.saved)
 	r.task.fails++
-	if r.task.fails >= j.sub.Queue.MaxAttempts {
+	if r.task.step.fails(r.task) >= j.sub.Queue.MaxAttempts {
 		s.finish(now, j, work.Outcome{Result: work.Failed, Reason: "a task failed as often as its queue allows"})
 		return
 	}
-	s.again(r)
+	s.again(now, r)
 }
 
 // pump sends a target the look that it needs, if any.
@@ -293,14 +322,16 @@
 	case t.state == adopting && !t.lease.known:
 	case len(t.strangers) > 0:
 		look.Wait = s.options.StopTime
+	case len(t.guests) > 0:
+		look.Wait = s.options.StopTime
+		s.prolong(now, t, &look)
 	case t.state == adopting:
 	case len(t.runs) > 0:
 		if t.failedLooks == 0 && !waits {
 			look.Wait = s.lookWait(now)
 		}
-		if t.prolongs(now) {
-			look.Until = t.lease.end(now, s.options.Lease)
-			t.lease.until = max(t.lease.until, look.Until)
+		if s.prolongs(now, t) {
+			s.prolong(now, t, &look)
 		}
 	case t.told < look.Seen:
 	default:
@@ -312,6 +343,12 @@
 	s.emit(look)
 }
 
+// prolong has a look prolong the lease of all that runs at its target.
+func (s *State) prolong(now time.Duration, t *target, look *Look) {
+	look.Until = t.lease.end(now, s.options.Lease)
+	t.lease.until = max(t.lease.until, look.Until)
+}
+
 // Figures of looks while answers get lost.
 const (
 	// disturbedTime is how long after a lost answer others are expected to be lost.
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -108,6 +108,10 @@
 // praise learns from a good end.
 func (s *State) praise(now time.Duration, t *target, r *run) {
 	h := &t.health
+	if r.adopted || r.task.step.Lasting {
+		// When it began isn't known, or it was no good end.
+		return
+	}
 	took := now - r.ordered
 	speed := float64(took) / float64(r.expected)
 	h.speed += speedWeight * (min(speed, maxSpeed) - h.speed)
@@ -150,7 +154,7 @@
 // judge looks at the runs of a target that should have ended.
 func (s *State) judge(now time.Duration, t *target) {
 	for _, r := range t.sortedRuns() {
-		if r.state != running || r.stop != nil || !r.overdue(now) {
+		if r.state != running || r.stop != nil || r.task.job.dropped || !r.overdue(now) {
 			continue
 		}
 		s.strike(now, t, r.task.job)
@@ -176,8 +180,9 @@
 	}
 }
 
+// overdue reports whether a run should have ended; one that lasts never should.
 func (r *run) overdue(now time.Duration) bool {
-	return now-r.ordered > time.Duration(overdueFactor*float64(r.expected))+overdueSlack
+	return !r.task.step.Lasting && now-r.ordered > time.Duration(overdueFactor*float64(r.expected))+overdueSlack
 }
 
 // hopelessFactor is beyond the longest run times, four times their mean, where
@@ -208,6 +213,9 @@
 // worthMoving reports whether a run on a suspected target would end earlier
 // elsewhere, while its job is of use.
 func (s *State) worthMoving(now time.Duration, t *target, r *run) bool {
+	if r.task.step.Lasting || r.task.step.Gang || r.task.job.dropped {
+		return false
+	}
 	elsewhere := now + s.options.StopTime + r.expected
 	if elsewhere > r.task.job.useful && !r.task.job.kept() || !s.roomElsewhere(t, r.task.step.Each) {
 		return false
--- a/scheduler/kept.go
+++ b/scheduler/kept.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/burdockward/burdockward/work"
@@ -32,6 +30,13 @@
 	End  EndRef
 }
 
+// TaskSaved is what a task has saved of its work, to be noted in the store.
+type TaskSaved struct {
+	Job   string
+	Task  int
+	Saved string
+}
+
 // JobEnded is to be noted in the store, and then told to EndNoted.
 type JobEnded struct {
 	Job   string
@@ -48,6 +53,7 @@
 func (Keep) effect()       {}
 func (TaskDone) effect()   {}
 func (TaskFailed) effect() {}
+func (TaskSaved) effect()  {}
 func (JobEnded) effect()   {}
 
 // kept reports whether the job is stored and runs whoever waits.
@@ -79,10 +85,11 @@
 	j.mark(now, "stored", "", "", outcome.Result.String()+" "+outcome.Reason)
 	s.answer(j.sub, outcome)
 	if !here || s.leaving {
-		s.drop(now, j)
+		s.drop(j)
 		return
 	}
 	j.stored = true
+	s.expectDue(j)
 	s.wait(j)
 }
 
@@ -94,136 +101,6 @@
 	}
 }
 
-// Resume takes a stored job over from a former owner, with the tasks that are done and
-// the failed runs of the others.
-func (s *State) Resume(now time.Duration, sub Submission, done []int, fails map[int]int) {
-	if s.byID[sub.Job.ID] != nil {
-		return
-	}
-	j := s.newJob(now, sub)
-	j.stored = true
-	j.mark(now, "resumed", "", "", "")
-	s.jobs[sub.Ref] = j
-	s.byID[sub.Job.ID] = j
-	for _, place := range done {
-		if place < len(j.tasks) {
-			j.skip(j.tasks[place])
-		}
-	}
-	for place, n := range fails {
-		if place < len(j.tasks) {
-			j.tasks[place].fails = n
-		}
-	}
-	for _, t := range j.tasks {
-		for _, o := range s.orphans[t.name] {
-			s.adopt(j, t, o)
-		}
-		delete(s.orphans, t.name)
-	}
-	// Anything of it may have run, so that it is never refused and goes first.
-	j.begun++
-	if !s.over(now, j) {
-		j.order()
-		s.wait(j)
-	}
-}
-
-// over ends a job whose tasks are all done, or one of which has failed too often.
-func (s *State) over(now time.Duration, j *job) bool {
-	for _, t := range j.tasks {
-		if t.fails >= j.sub.Queue.MaxAttempts {
-			s.finish(now, j, work.Outcome{Result: work.Failed, Reason: "a task had failed as often as its queue allows"})
-			return true
-		}
-	}
-	if j.open == 0 {
-		s.finish(now, j, work.Outcome{Result: work.Completed})
-		return true
-	}
-	return false
-}
-
-// orphan is the end of a run that a former owner ordered and did not note.
-type orphan struct {
-	end    EndRef
-	failed bool
-}
-
-// orphaned takes the end of a run that isn't known here. That of a kept job is kept from
-// being acknowledged until the job was taken over and the end is noted.
-func (s *State) orphaned(now time.Duration, t *target, end work.End) {
-	if !keptRun(end.Run) || end.Kind != work.EndDone && end.Kind != work.EndFailed {
-		return
-	}
-	o := orphan{end: EndRef{Target: t.ID, Number: end.Number}, failed: end.Kind == work.EndFailed}
-	if !s.resumed {
-		t.unnoted[end.Number] = true
-		s.orphans[end.Run.Task] = append(s.orphans[end.Run.Task], o)
-		return
-	}
-	id, _, _ := strings.Cut(end.Run.Task, ".")
-	j := s.byID[id]
-	if j == nil || !j.stored {
-		if s.leaving {
-			// The job may be another owner's by now.
-			t.unnoted[end.Number] = true
-		}
-		return
-	}
-	for _, task := range j.tasks {
-		if task.name == end.Run.Task && task.run == nil {
-			t.unnoted[end.Number] = true
-			s.adopt(j, task, o)
-			s.over(now, j)
-			return
-		}
-	}
-}
-
-// adopt takes the orphaned end of a task that isn't running.
-func (s *State) adopt(j *job, t *task, o orphan) {
-	place := slices.Index(j.tasks, t)
-	if !slices.Contains(t.step.pending, t) {
-		// It is done already.
-		s.unnoted++
-		s.Noted(o.end)
-		return
-	}
-	s.unnoted++
-	if o.failed {
-		t.fails++
-		s.emit(TaskFailed{Job: j.sub.Job.ID, Task: place, End: o.end})
-		return
-	}
-	j.skip(t)
-	s.emit(TaskDone{Job: j.sub.Job.ID, Task: place, End: o.end})
-}
-
-// Resumed says that all jobs of former owners were taken over: ends that belong to none
-// of them may be acknowledged.
-func (s *State) Resumed() {
-	s.resumed = true
-	for task, orphans := range s.orphans {
-		for _, o := range orphans {
-			s.unnoted++
-			s.Noted(o.end)
-		}
-		delete(s.orphans, task)
-	}
-}
-
-// skip takes a task that is done off those to be placed.
-func (j *job) skip(t *task) {
-	at := slices.Index(t.step.pending, t)
-	if at < 0 {
-		return
-	}
-	t.step.pending = slices.Delete(t.step.pending, at, at+1)
-	t.step.open--
-	j.open--
-}
-
 // CancelKept cancels a kept job for good and reports whether it was here to be
 // cancelled. Its end is told by a JobEnded.
 func (s *State) CancelKept(now time.Duration, id string) bool {
@@ -293,12 +170,11 @@
 		s.ending[j.sub.Job.ID] = append(held, end)
 		return
 	}
-	place := slices.Index(j.tasks, r.task)
 	if failed {
-		s.emit(TaskFailed{Job: j.sub.Job.ID, Task: place, End: end})
+		s.emit(TaskFailed{Job: j.sub.Job.ID, Task: r.task.place, End: end})
 		return
 	}
-	s.emit(TaskDone{Job: j.sub.Job.ID, Task: place, End: end})
+	s.emit(TaskDone{Job: j.sub.Job.ID, Task: r.task.place, End: end})
 }
 
 // ackable is the newest end that may be acknowledged together with all before it.
@@ -329,17 +205,18 @@
 }
 
 // drop forgets a job without an answer: it isn't stored, or another owner goes on with
-// it. What runs of it is stopped.
-func (s *State) drop(now time.Duration, j *job) {
+// it and with what runs of it.
+func (s *State) drop(j *job) {
 	j.ended, j.dropped = true, true
 	delete(s.jobs, j.sub.Ref)
 	delete(s.byID, j.sub.key())
-	s.stopRuns(now, j)
+	delete(s.repeated, j)
+	s.unreserveAll(j)
 }
 
 // handBack leaves a kept job to another owner.
-func (s *State) handBack(now time.Duration, j *job) {
+func (s *State) handBack(j *job) {
 	if j.stored {
-		s.drop(now, j)
+		s.drop(j)
 	}
 }
--- /dev/null
+++ b/scheduler/kinds_test.go
@@ -0,0 +1,377 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// stepsJob is a kept job of these steps.
+func (b *bench) stepsJob(id string, steps ...work.Step) Submission {
+	sub := b.keptJob(id, 1)
+	for i := range steps {
+		if steps[i].Each == (work.Resources{}) {
+			steps[i].Each = work.Resources{CPU: 1}
+		}
+		if steps[i].Estimate == 0 {
+			steps[i].Estimate = 100 * ms
+		}
+	}
+	sub.Job.Steps = steps
+	return sub
+}
+
+// store has a kept job accepted and stored, and returns what that leads to.
+func (b *bench) store(sub Submission) []Effect {
+	b.s.Submit(b.now, sub)
+	b.do()
+	b.s.Stored(b.now, sub.Job.ID, work.Outcome{Result: work.Accepted}, true)
+	return b.do()
+}
+
+// begun answers starts.
+func (b *bench) begun(starts []StartRun) {
+	for _, start := range starts {
+		b.s.Started(b.now, start.To.ID, start.Run, work.OrderAnswer{Verdict: work.VerdictDone, Clock: 5000})
+	}
+	b.do()
+}
+
+func gang(tasks int) work.Step { return work.Step{Tasks: tasks, Gang: true} }
+
+// A gang begins once there is room for all of it, under one number.
+func TestGangsBeginTogether(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.usable("a", 2)
+	b.target("b", 2)
+	b.do()
+	must.SliceEmpty(t, pickEffects[StartRun](b.store(b.stepsJob("j", gang(3)))))
+	b.look("b", work.Held{Clock: 5000})
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 3, starts)
+	for _, start := range starts {
+		must.Eq(t, starts[0].Run.Number, start.Run.Number)
+	}
+}
+
+// A gang that no number of targets can hold is refused at once.
+func TestGangsThatFitNowhereAreRefused(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 2)
+	b.s.Submit(b.now, b.stepsJob("j", gang(3)))
+	answers := pickEffects[Answer](b.do())
+	must.SliceLen(t, 1, answers)
+	must.Eq(t, work.Refused, answers[0].Outcome.Result)
+}
+
+// Where a member can't start, or ends badly, the others are stopped, and all begin anew
+// when the last of them is over.
+func TestGangsBeginAnewTogether(t *testing.T) {
+	for name, harm := range map[string]func(b *bench, start StartRun){
+		"refused": func(b *bench, start StartRun) {
+			b.s.Started(b.now, start.To.ID, start.Run, work.OrderAnswer{Verdict: work.VerdictRoom, Clock: 5000})
+		},
+		"unanswered": func(b *bench, start StartRun) {
+			b.s.Started(b.now, start.To.ID, start.Run, work.OrderAnswer{})
+		},
+		"failed": func(b *bench, start StartRun) {
+			b.look(start.To.ID, ended(1, start.Run, work.EndFailed))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{})
+			b.s.Resumed(b.now)
+			b.usable("a", 1)
+			b.usable("b", 1)
+			starts := pickEffects[StartRun](b.store(b.stepsJob("j", gang(2))))
+			must.SliceLen(t, 2, starts)
+			b.begun(starts[1:])
+			harm(b, starts[0])
+			effects := b.do()
+			must.SliceEmpty(t, pickEffects[StartRun](effects))
+			stops := pickEffects[StopRun](effects)
+			must.Eq(t, starts[1].Run, stops[len(stops)-1].Run)
+			if name == "unanswered" {
+				return
+			}
+			must.SliceEmpty(t, pickEffects[StartRun](b.pass(100*ms)))
+			b.look(starts[1].To.ID, work.Held{Clock: 5100, Ended: []work.End{{Number: 1, Run: starts[1].Run, Kind: work.EndStopped}}})
+			again := pickEffects[StartRun](append(b.do(), b.pass(100*ms)...))
+			must.SliceLen(t, 2, again)
+			must.Greater(t, starts[0].Run.Number, again[0].Run.Number)
+			must.Eq(t, again[0].Run.Number, again[1].Run.Number)
+		})
+	}
+}
+
+// One member that is done says that all are; the failed runs of a gang count together.
+func TestGangsEndTogether(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.usable("a", 1)
+	b.usable("b", 1)
+	starts := pickEffects[StartRun](b.store(b.stepsJob("j", gang(2))))
+	b.begun(starts)
+	b.look(starts[0].To.ID, ended(1, starts[0].Run, work.EndDone))
+	must.Eq(t, []JobEnded{{Job: "j", State: work.StateCompleted}}, pickEffects[JobEnded](b.do()))
+
+	b = newBench(t, Options{})
+	b.usable("a", 2)
+	b.s.Resume(b.now, b.stepsJob("j", gang(2)), Progress{Fails: map[int]int{0: 1, 1: maxFails - 1}})
+	must.Eq(t, []JobEnded{{Job: "j", State: work.StateFailed}}, pickEffects[JobEnded](b.do()))
+}
+
+// Small tasks don't keep a gang from its places for ever.
+func TestGangsGetTheirRoom(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.usable("a", 2)
+	var small []StartRun
+	b.submit("s0", 1, 1, "")
+	small = append(small, pickEffects[StartRun](b.do())...)
+	b.begun(small)
+	b.store(b.stepsJob("j", gang(2)))
+	for i := range 10 {
+		b.submit("s"+string(rune('1'+i)), 1, 1, "")
+		starts := pickEffects[StartRun](b.pass(40 * ms))
+		for _, start := range starts {
+			if start.Run.Task == "j.0.0.0" {
+				return
+			}
+		}
+		b.begun(starts)
+		small = append(small, starts...)
+		// The oldest small task ends.
+		b.look("a", work.Held{
+			Clock: 5000 + (b.now - 10*time.Second).Milliseconds(), Running: listing(runsOf(small[1:])...),
+			Ended: []work.End{{Number: int64(i + 1), Run: small[0].Run, Kind: work.EndDone}},
+		})
+		small = small[1:]
+		if len(small) == 0 {
+			small = append(small, pickEffects[StartRun](b.do())...)
+			if len(small) > 0 && small[0].Run.Task == "j.0.0.0" {
+				return
+			}
+		}
+	}
+	t.Fatal("the gang never began")
+}
+
+func runsOf(starts []StartRun) []work.Run {
+	var runs []work.Run
+	for _, start := range starts {
+		runs = append(runs, start.Run)
+	}
+	return runs
+}
+
+// A gang that wants one rack waits for it where one can hold it, and is spread where none
+// can.
+func TestGangsOnOneRack(t *testing.T) {
+	for name, test := range map[string]struct {
+		tasks int
+		racks []string
+	}{
+		"one can hold it": {2, []string{"r2", "r2"}},
+		"none can":        {3, []string{"r1", "r2", "r2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{})
+			b.s.Resumed(b.now)
+			racks := map[string]string{"a": "r1", "b": "r2", "c": "r2"}
+			for _, id := range []string{"a", "b", "c"} {
+				b.listed(work.Target{ID: id, Capacity: work.Resources{CPU: 1}, Labels: []string{"k", racks[id]}, Rack: racks[id]})
+				b.do()
+				b.look(id, work.Held{Clock: 5000})
+			}
+			step := gang(test.tasks)
+			step.OneRack = true
+			var used []string
+			for _, start := range pickEffects[StartRun](b.store(b.stepsJob("j", step))) {
+				used = append(used, racks[start.To.ID])
+			}
+			must.SliceContainsAll(t, test.racks, used)
+		})
+	}
+}
+
+// A task goes on from what its last run had saved, however that ended.
+func TestTasksGoOnFromWhatTheySaved(t *testing.T) {
+	for name, harm := range map[string]func(b *bench, run work.Run) []Effect{
+		"listed as it ended": func(b *bench, run work.Run) []Effect {
+			b.look("a", work.Held{Clock: 5100, Ended: []work.End{{Number: 1, Run: run, Kind: work.EndFailed, Saved: "c7"}}})
+			return b.do()
+		},
+		"listed before its target was lost": func(b *bench, run work.Run) []Effect {
+			b.look("a", work.Held{Clock: 5100, Running: []work.Running{{Run: run, Saved: "c7"}}})
+			b.do()
+			b.s.Looked(b.now, "a", work.Held{}, work.VerdictGone)
+			effects := b.do()
+			b.usable("b", 1)
+			return append(effects, b.do()...)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{})
+			run := runKept(b)
+			effects := append(harm(b, run), b.pass(100*ms)...)
+			must.Eq(t, []TaskSaved{{Job: "j", Task: 0, Saved: "c7"}}, pickEffects[TaskSaved](effects))
+			starts := pickEffects[StartRun](effects)
+			must.SliceLen(t, 1, starts)
+			must.Eq(t, "c7", starts[0].Saved)
+		})
+	}
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.s.Resume(b.now, b.keptJob("j", 1), Progress{Saved: map[int]string{0: "c9"}})
+	must.Eq(t, "c9", pickEffects[StartRun](b.do())[0].Saved)
+}
+
+// A lasting task is started again however it ends, sooner where it has lasted, and its
+// ends need no note.
+func TestLastingTasksStartAgain(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.usable("a", 1)
+	run := pickEffects[StartRun](b.store(b.stepsJob("j", work.Step{Tasks: 1, Lasting: true})))[0].Run
+	var pauses []time.Duration
+	for i, kind := range []work.EndKind{work.EndDone, work.EndFailed, work.EndFailed, work.EndFailed, work.EndFailed, "lapsed"} {
+		b.begun([]StartRun{{To: work.Address{ID: "a"}, Order: work.Order{Run: run}}})
+		b.look("a", work.Held{Clock: 5000 + (b.now - 10*time.Second).Milliseconds(), Ended: []work.End{{Number: int64(i + 1), Run: run, Kind: kind}}})
+		over := b.now
+		effects := b.do()
+		for len(pickEffects[StartRun](effects)) == 0 {
+			effects = append(effects, b.pass(20*ms)...)
+			b.look("a", work.Held{Clock: 5000 + (b.now - 10*time.Second).Milliseconds()})
+		}
+		must.SliceEmpty(t, pickEffects[JobEnded](effects))
+		must.SliceEmpty(t, pickEffects[TaskFailed](effects))
+		must.SliceEmpty(t, pickEffects[TaskDone](effects))
+		pauses = append(pauses, b.now-over)
+		run = pickEffects[StartRun](effects)[0].Run
+	}
+	for i := 1; i < len(pauses); i++ {
+		must.GreaterEq(t, pauses[i-1], pauses[i])
+	}
+	must.LessEq(t, longestHurry+40*ms, pauses[len(pauses)-1])
+	must.True(t, b.s.CancelKept(b.now, "j"))
+	must.SliceLen(t, 1, pickEffects[StopRun](b.do()))
+}
+
+// A lasting task is never taken for hung or slow, nor does its target count as one that
+// gives its room back.
+func TestLastingTasksAreLeftAlone(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.usable("a", 1)
+	start := pickEffects[StartRun](b.store(b.stepsJob("j", work.Step{Tasks: 1, Lasting: true})))
+	b.begun(start)
+	for range 100 {
+		b.look("a", work.Held{Clock: 5000 + (b.now - 10*time.Second).Milliseconds(), Running: listing(start[0].Run)})
+		must.SliceEmpty(t, pickEffects[StopRun](b.pass(200*ms)))
+	}
+	must.Eq(t, 0, b.s.Summary().Suspected)
+	must.Eq(t, 0.0, b.s.pools["s"].flow)
+}
+
+// Occurrences begin when they are due, and may overlap; the job is done with the last.
+func TestRepeatedJobs(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.usable("a", 4)
+	wall := 1000 * time.Hour
+	b.s.Wall(b.now, wall)
+	sub := b.stepsJob("j", work.Step{Tasks: 1}, work.Step{Tasks: 1, After: []int{0}})
+	sub.Job.Repeats = work.Repeats{Count: 2, First: wall + 300*ms, Interval: 200 * ms}
+	effects := append(b.store(sub), b.pass(280*ms)...)
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	first := pickEffects[StartRun](b.pass(40 * ms))
+	must.SliceLen(t, 1, first)
+	must.Eq(t, "j.0.0.0", first[0].Run.Task)
+	second := pickEffects[StartRun](b.pass(200 * ms))
+	must.SliceLen(t, 1, second)
+	must.Eq(t, "j.1.0.0", second[0].Run.Task)
+	b.begun(append(first, second...))
+	number := int64(0)
+	end := func(runs ...work.Run) []Effect {
+		held := work.Held{Clock: 5000 + (b.now - 10*time.Second).Milliseconds()}
+		for _, run := range runs {
+			number++
+			held.Ended = append(held.Ended, work.End{Number: number, Run: run, Kind: work.EndDone})
+		}
+		b.look("a", held)
+		return b.do()
+	}
+	rest := pickEffects[StartRun](end(first[0].Run, second[0].Run))
+	must.SliceLen(t, 2, rest)
+	must.Eq(t, "j.0.1.0", rest[0].Run.Task)
+	must.Eq(t, "j.1.1.0", rest[1].Run.Task)
+	b.begun(rest)
+	must.SliceLen(t, 1, pickEffects[JobEnded](end(runsOf(rest)...)))
+}
+
+// A successor goes on with what runs of the jobs that it takes over: it prolongs the
+// lease at once, starts nothing there before it has the jobs, and no task twice.
+func TestSuccessorsGoOnWithWhatRuns(t *testing.T) {
+	b := newBench(t, Options{})
+	b.target("a", 2)
+	b.do()
+	on := work.Run{Task: "j.0.0.0", Number: 31}
+	gone := work.Run{Task: "gone.0.0.0", Number: 33}
+	b.look("a", work.Held{Clock: 5000, Running: []work.Running{{Run: on, Saved: "c1"}, {Run: gone}}})
+	b.submit("loose", 1, 1, "")
+	effects := b.do()
+	must.True(t, b.s.Adopted())
+	must.SliceEmpty(t, pickEffects[StopRun](effects))
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	must.Positive(t, pickEffects[Look](effects)[0].Until)
+	b.s.Resume(b.now, b.keptJob("j", 1), Progress{})
+	b.s.Resumed(b.now)
+	effects = b.do()
+	must.Eq(t, []StopRun{{To: work.Address{ID: "a"}, Run: gone}}, pickEffects[StopRun](effects))
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	b.look("a", work.Held{Clock: 5050, Running: listing(on)})
+	effects = b.do()
+	starts := pickEffects[StartRun](effects)
+	must.SliceLen(t, 1, starts)
+	must.Eq(t, "loose.0.0.0", starts[0].Run.Task)
+	b.begun(starts)
+	b.look("a", ended(1, on, work.EndDone))
+	must.Eq(t, []JobEnded{{Job: "j", State: work.StateCompleted}}, pickEffects[JobEnded](b.do()))
+}
+
+// While the jobs can't be read their runs don't keep a target from other work for long.
+func TestGuestsHaveTheirTime(t *testing.T) {
+	b := newBench(t, Options{})
+	b.target("a", 2)
+	b.do()
+	on := work.Run{Task: "j.0.0.0", Number: 31}
+	var stops []StopRun
+	for begun := b.now; b.now-begun < guestPatience+200*ms && len(stops) == 0; {
+		b.look("a", work.Held{Clock: 5000 + (b.now - begun).Milliseconds(), Running: listing(on)})
+		stops = pickEffects[StopRun](b.pass(100 * ms))
+	}
+	must.SliceNotEmpty(t, stops)
+	must.Eq(t, on, stops[0].Run)
+	must.False(t, b.s.Adopted())
+}
+
+// A gang that a successor finds without one of its members begins anew.
+func TestBrokenGangsAreNotTakenOver(t *testing.T) {
+	b := newBench(t, Options{})
+	b.target("a", 2)
+	b.do()
+	on := work.Run{Task: "j.0.0.0", Number: 31}
+	b.look("a", work.Held{Clock: 5000, Running: listing(on)})
+	b.s.Resume(b.now, b.stepsJob("j", gang(2)), Progress{})
+	b.s.Resumed(b.now)
+	effects := b.do()
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	must.Eq(t, on, pickEffects[StopRun](effects)[0].Run)
+	b.look("a", work.Held{Clock: 5050, Ended: []work.End{{Number: 1, Run: on, Kind: work.EndStopped}}})
+	must.SliceLen(t, 2, pickEffects[StartRun](append(b.do(), b.pass(40*ms)...)))
+}
--- /dev/null
+++ b/scheduler/kinds_world_test.go
@@ -0,0 +1,233 @@
+package scheduler
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// wallBase is the time since 1970 at the world's time zero.
+const wallBase = 1000 * time.Hour
+
+// fakeGang is a gang of which some members run.
+type fakeGang struct {
+	members map[string]*gangMember
+	saved   string
+}
+
+type gangMember struct {
+	target *fakeTarget
+	run    *fakeRun
+}
+
+// drawJob draws a job of one of the kinds.
+func (w *world) drawJob(rt *rapid.T) work.Job {
+	step := work.Step{Tasks: rapid.IntRange(1, 4).Draw(rt, "tasks"), Each: work.Resources{CPU: 1}, Estimate: time.Duration(w.longest/2) * ms}
+	job := work.Job{Steps: []work.Step{step}}
+	kind := rapid.SampledFrom([]string{"plain", "plain", "steps", "gang", "gang", "lasting", "repeated"}).Draw(rt, "kind")
+	switch kind {
+	case "steps":
+		step.After = []int{0}
+		job.Steps = append(job.Steps, step)
+	case "gang":
+		job.Steps[0].Gang, job.Steps[0].Tasks = true, 2
+	case "lasting":
+		if w.lasting {
+			// More of them would leave no room for anything else.
+			break
+		}
+		w.lasting = true
+		job.Steps[0].Lasting, job.Steps[0].Tasks = true, 1
+	case "repeated":
+		step.After, step.Tasks = []int{0}, 1
+		job.Steps = append(job.Steps, step)
+		job.Repeats = work.Repeats{
+			Count: rapid.IntRange(1, 3).Draw(rt, "count"),
+			First: wallBase + w.now + time.Duration(rapid.IntRange(-200, 800).Draw(rt, "first"))*ms, Interval: time.Duration(rapid.IntRange(0, 600).Draw(rt, "interval")) * ms,
+		}
+	}
+	return job
+}
+
+// taskPlace is a task's place in its job.
+type taskPlace struct{ occurrence, step, index int }
+
+// find takes the name of a kept job's task apart; nil for any other task.
+func (w *world) find(task string) (*keptRecord, taskPlace) {
+	parts := strings.Split(task, ".")
+	r := w.kept.jobs[parts[0]]
+	if r == nil {
+		return nil, taskPlace{}
+	}
+	var p [3]int
+	for i := range p {
+		p[i], _ = strconv.Atoi(parts[i+1])
+	}
+	return r, taskPlace{p[0], p[1], p[2]}
+}
+
+func (w *world) isLasting(task string) bool {
+	r, p := w.find(task)
+	return r != nil && r.sub.Job.Steps[p.step].Lasting
+}
+
+// startsInOrder looks at a start of a stored job's task.
+func (w *world) startsInOrder(task string) {
+	r, p := w.find(task)
+	step := r.sub.Job.Steps[p.step]
+	broken := func(what string) {
+		w.violations = append(w.violations, fmt.Sprintf("%v: %s starts %s", w.now, task, what))
+	}
+	for _, before := range step.After {
+		for i := range r.sub.Job.Steps[before].Tasks {
+			if !w.done[fmt.Sprintf("%s.%d.%d.%d", r.sub.Job.ID, p.occurrence, before, i)] {
+				broken("before its step's turn")
+			}
+		}
+	}
+	if due := r.sub.Job.Repeats.Due(p.occurrence); due > w.now+wallBase {
+		broken("before it is due")
+	}
+	if !step.Lasting && w.failed[task] >= r.sub.Queue.MaxAttempts {
+		broken("though it has failed too often")
+	}
+}
+
+// savesAs is who may go on from what a task has saved.
+func (w *world) savesAs(task string) string {
+	if r, p := w.find(task); r != nil && r.sub.Job.Steps[p.step].Gang {
+		return task[:strings.LastIndex(task, ".")]
+	}
+	return task
+}
+
+// beginKept plays the work of gangs and of lasting tasks, and what tasks save; it reports
+// whether the run ends by itself in no other way.
+func (w *world) beginKept(t *fakeTarget, r *fakeRun, order work.Order) bool {
+	record, p := w.find(order.Run.Task)
+	if record == nil {
+		return false
+	}
+	as := w.savesAs(order.Run.Task)
+	if order.Saved != "" && !w.saved[as][order.Saved] {
+		w.violations = append(w.violations, fmt.Sprintf("%v: %s starts from %q, which it never saved", w.now, order.Run.Task, order.Saved))
+	}
+	r.saved = order.Saved
+	w.after(25*ms, func() {
+		if t.runs[order.Run.Task] != r || t.down {
+			return
+		}
+		r.saved = fmt.Sprintf("%s/%d", as, order.Run.Number)
+		if w.saved[as] == nil {
+			w.saved[as] = map[string]bool{}
+		}
+		w.saved[as][r.saved] = true
+	})
+	step := record.sub.Job.Steps[p.step]
+	switch {
+	case step.Gang:
+		w.joinGang(t, r, order, step)
+		return true
+	case step.Lasting:
+		w.after(time.Duration(100+w.random.IntN(8000))*ms, func() {
+			if !t.down {
+				t.end(order.Run.Task, r, work.EndFailed)
+			}
+		})
+		return true
+	}
+	return false
+}
+
+func gangKey(as string, run int64) string { return fmt.Sprintf("%s run %d", as, run) }
+
+// joinGang has a member of a gang wait for the others, and work with them.
+func (w *world) joinGang(t *fakeTarget, r *fakeRun, order work.Order, step work.Step) {
+	key := gangKey(w.savesAs(order.Run.Task), r.number)
+	g := w.gangs[key]
+	if g == nil {
+		g = &fakeGang{members: map[string]*gangMember{}, saved: order.Saved}
+		w.gangs[key] = g
+	}
+	if g.saved != order.Saved {
+		w.violations = append(w.violations, fmt.Sprintf("%v: %s begins from %q, others of its gang from %q", w.now, order.Run.Task, order.Saved, g.saved))
+	}
+	g.members[order.Run.Task] = &gangMember{target: t, run: r}
+	if len(g.members) < step.Tasks {
+		return
+	}
+	kind := work.EndDone
+	if w.random.Float64() < w.faults.failing {
+		kind = work.EndFailed
+	}
+	w.after(time.Duration(20+w.random.IntN(w.longest))*ms, func() {
+		if len(g.members) < step.Tasks || t.hung || t.down {
+			return
+		}
+		tasks := slices.Sorted(maps.Keys(g.members))
+		for i, task := range tasks {
+			if member := g.members[task]; kind == work.EndDone || i == 0 {
+				member.target.end(task, member.run, kind)
+			}
+		}
+	})
+}
+
+// endKept takes note of how a run ended.
+func (w *world) endKept(task string, r *fakeRun, kind work.EndKind) {
+	record, p := w.find(task)
+	if record == nil {
+		return
+	}
+	step := record.sub.Job.Steps[p.step]
+	as := w.savesAs(task)
+	if kind == work.EndDone {
+		w.done[task] = true
+		for i := 0; step.Gang && i < step.Tasks; i++ {
+			w.done[fmt.Sprintf("%s.%d", as, i)] = true
+		}
+	}
+	g := w.gangs[gangKey(as, r.number)]
+	if !step.Gang || g == nil || g.members[task] == nil {
+		return
+	}
+	delete(g.members, task)
+	if kind == work.EndDone {
+		return
+	}
+	for _, other := range slices.Sorted(maps.Keys(g.members)) {
+		if member := g.members[other]; member != nil {
+			member.target.end(other, member.run, "broken")
+		}
+	}
+}
+
+// runsWhole reports whether each task of a job that lasts runs, or has just ended.
+func (w *world) runsWhole(r *keptRecord) bool {
+	for i := range r.sub.Job.Steps[0].Tasks {
+		task := fmt.Sprintf("%s.0.0.%d", r.sub.Job.ID, i)
+		if w.running[task] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// runningKept lists the tasks of kept jobs that run.
+func (w *world) runningKept() []string {
+	var tasks []string
+	for task, n := range w.running {
+		if n > 0 && strings.HasPrefix(task, "kept") {
+			tasks = append(tasks, task)
+		}
+	}
+	slices.Sort(tasks)
+	return tasks
+}
--- a/scheduler/lend.go
+++ b/scheduler/lend.go
@@ -75,7 +75,7 @@
 // lendJob hands the tasks of a step that found no place here to others that have
 // room, or whose queue is shorter.
 func (s *State) lendJob(now time.Duration, j *job, st *step) {
-	if !j.lendable() || st.on != nil || s.leaving {
+	if !j.lendable() || st.on != nil || st.Gang || s.leaving {
 		return
 	}
 	priority := priorityOf(j.sub.Queue)
@@ -166,8 +166,9 @@
 }
 
 func (s *State) partDone(now time.Duration, p *lent) {
-	p.step.open -= len(p.tasks)
-	p.job.open -= len(p.tasks)
+	for _, t := range p.tasks {
+		p.job.complete(t)
+	}
 	switch {
 	case p.job.open == 0:
 		s.finish(now, p.job, work.Outcome{Result: work.Completed})
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -71,10 +71,14 @@
 	if s.settling[j.sub.Job.ID] > 0 || !s.vouched(now, j) {
 		return
 	}
-	for _, st := range j.steps {
+	for _, st := range j.current() {
 		if len(st.pending) == 0 || !j.ready(st) {
 			continue
 		}
+		if st.Gang {
+			s.placeGang(now, j, st, full)
+			continue
+		}
 		s.placeStep(now, j, st, full)
 		if len(st.pending) > 0 {
 			s.lendJob(now, j, st)
@@ -86,6 +90,9 @@
 func (s *State) placeStep(now time.Duration, j *job, st *step, full *misses) {
 	plain := st.Label == "" && st.on == nil
 	for len(st.pending) > 0 && !(plain && full.hopeless(j.pool, st.Each)) {
+		if st.Lasting && !st.bringRipe(now) {
+			return
+		}
 		t := s.pick(now, j, st, st.pending[0])
 		if t == nil {
 			if plain {
@@ -93,7 +100,7 @@
 			}
 			return
 		}
-		s.start(now, t, st.pending[0])
+		s.start(now, t, st.pending[0], s.nextRun(now, j.kept()))
 		st.pending = slices.Delete(st.pending, 0, 1)
 	}
 }
@@ -109,7 +116,7 @@
 	if st.on != nil && st.on[t.ID] >= st.Spread {
 		return false
 	}
-	if t.runs[tk.name] != nil || !t.prolongs(now) {
+	if t.runs[tk.name] != nil || t.reserved != nil && t.reserved != st || !s.prolongs(now, t) {
 		return false
 	}
 	if t.slow() && !t.health.suspected {
@@ -134,10 +141,10 @@
 }
 
 // start orders a run.
-func (s *State) start(now time.Duration, t *target, tk *task) {
+func (s *State) start(now time.Duration, t *target, tk *task, number int64) {
 	j := tk.job
 	r := &run{
-		Run:      work.Run{Task: tk.name, Number: s.nextRun(now, j.kept())},
+		Run:      work.Run{Task: tk.name, Number: number},
 		task:     tk,
 		target:   t,
 		ordered:  now,
@@ -148,16 +155,26 @@
 	if j.first == 0 {
 		j.first = now
 	}
-	tk.run = r
-	t.runs[tk.name] = r
-	t.free = t.free.Minus(tk.step.Each)
-	r.flow = float64(tk.step.Each.CPU) / r.lasts()
-	t.flow += r.flow
-	s.touch(t)
+	s.occupy(t, r)
 	t.lease.until = max(t.lease.until, r.until)
-	if tk.step.on != nil {
-		tk.step.on[t.ID]++
-	}
 	j.mark(now, "started", tk.name, t.ID, "")
-	s.emit(StartRun{To: t.address(), Run: r.Run, Payload: j.sub.Job.Payload, Until: r.until})
+	s.emit(StartRun{To: t.address(), Order: work.Order{
+		Run: r.Run, Payload: j.sub.Job.Payload, Saved: tk.savedState().value, Until: r.until,
+	}})
+}
+
+// occupy gives a run its place on a target.
+func (s *State) occupy(t *target, r *run) {
+	st := r.task.step
+	r.task.run = r
+	t.runs[r.Task] = r
+	t.free = t.free.Minus(st.Each)
+	if !st.Lasting {
+		r.flow = float64(st.Each.CPU) / r.lasts()
+	}
+	t.flow += r.flow
+	if st.on != nil {
+		st.on[t.ID]++
+	}
+	s.touch(t)
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -28,6 +28,9 @@
 	// seconds, as of demandAt.
 	demand   [Priorities]float64
 	demandAt time.Duration
+	// reserved is the gang that room is kept for since reservedAt; nil for none.
+	reserved   *step
+	reservedAt time.Duration
 }
 
 // Sizes of the file of open targets.
@@ -51,7 +54,9 @@
 }
 
 // open reports whether a target takes new tasks like any other.
-func (t *target) open() bool { return t.state == usable && !t.Draining && !t.health.suspected }
+func (t *target) open() bool {
+	return t.state == usable && !t.Draining && !t.health.suspected && t.reserved == nil
+}
 
 // touch files a target anew after a change, and has it looked at if it needs to.
 func (s *State) touch(t *target) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -11,7 +11,7 @@
 //   - The lease of a target, which covers everything that runs there, is prolonged
 //     only while the target answers and no stop there waits for its answer.
 //   - A target is used only after a look under the owner's fencing token has shown
-//     that nothing of a former owner runs there.
+//     that nothing of a former owner runs there but what this one goes on with.
 //   - A submission is refused only while none of its tasks was ever ordered.
 package scheduler
 
@@ -46,11 +46,8 @@
 
 // StartRun orders a run; its answer goes to Started.
 type StartRun struct {
-	To      work.Address
-	Run     work.Run
-	Payload string
-	// Until is the end of the lease on the target's clock, in milliseconds.
-	Until int64
+	To work.Address
+	work.Order
 }
 
 // StopRun orders the end of a run; its answer goes to Stopped.
@@ -185,9 +182,18 @@
 	// orphans are ends that a former owner did not note, by task, until resumed says that
 	// all jobs were taken over.
 	orphans map[string][]orphan
+	// left is what former owners' runs of kept jobs had saved, by task.
+	left    map[string]leftover
 	resumed bool
-	lastRun int64
-	effects []Effect
+	// dropped is when jobs were last left to another owner, prolonging says for how long
+	// their runs' leases are prolonged from then on.
+	dropped, prolonging time.Duration
+	// wall is the time since 1970 at time zero of the State's time.
+	wall time.Duration
+	// repeated holds the jobs with occurrences that aren't due yet.
+	repeated map[*job]bool
+	lastRun  int64
+	effects  []Effect
 }
 
 // New makes a State without targets.
@@ -205,6 +211,8 @@
 		parts:    map[Part]*lent{},
 		orphans:  map[string][]orphan{},
 		ending:   map[string][]EndRef{},
+		left:     map[string]leftover{},
+		repeated: map[*job]bool{},
 		lastRun:  o.RunClock * runsPerMilli,
 	}
 }
@@ -262,6 +270,7 @@
 		s.resume(now, now-s.ticked)
 	}
 	s.ticked = now
+	s.callDue(now)
 	for _, j := range s.sortedJobs() {
 		s.expire(now, j)
 	}
@@ -293,14 +302,16 @@
 	}
 }
 
-// Leave stops taking jobs, and hands back those of which nothing was started.
+// Leave stops taking jobs, and hands back those of which nothing was started. Kept jobs
+// are left to the successor, which goes on with what runs of them.
 func (s *State) Leave(now time.Duration) {
 	s.leaving = true
+	s.dropped, s.prolonging = now, leavingLease
 	for _, j := range s.sortedJobs() {
 		switch {
-		case j.started():
 		case j.kept():
-			s.handBack(now, j)
+			s.handBack(j)
+		case j.started():
 		default:
 			s.finish(now, j, work.Outcome{Result: work.Moved, Reason: "another VM takes over"})
 		}
@@ -310,9 +321,10 @@
 // Abandon ends all jobs, since another owner has taken the targets.
 func (s *State) Abandon(now time.Duration) {
 	s.leaving = true
+	s.dropped, s.prolonging = now, 0
 	for _, j := range s.sortedJobs() {
 		if j.stored {
-			s.drop(now, j)
+			s.drop(j)
 			continue
 		}
 		result := work.Unknown
@@ -329,21 +341,10 @@
 // Unnoted is how much has still to be noted in the store.
 func (s *State) Unnoted() int { return s.unnoted }
 
-// Adopted reports whether each target that is known has shown that nothing of a former
-// owner runs there.
-func (s *State) Adopted() bool {
-	for _, t := range s.targets {
-		if t.state == adopting {
-			return false
-		}
-	}
-	return true
-}
-
-// AtRest reports whether there is no job and no run left.
+// AtRest reports whether there is no job and no run left that is this owner's.
 func (s *State) AtRest() bool {
 	for _, t := range s.targets {
-		if len(t.runs) > 0 {
+		if !t.idle() {
 			return false
 		}
 	}
@@ -372,7 +373,7 @@
 	}
 	var idle []string
 	for _, t := range s.sortedTargets() {
-		if len(t.runs) == 0 && t.state != adopting {
+		if t.idle() && t.state != adopting {
 			idle = append(idle, t.ID)
 		}
 	}
@@ -392,7 +393,7 @@
 // Release forgets targets that another owner takes.
 func (s *State) Release(ids []string) {
 	for _, id := range ids {
-		if t := s.targets[id]; t != nil && len(t.runs) == 0 {
+		if t := s.targets[id]; t != nil && t.idle() {
 			s.forget(t)
 		}
 	}
--- /dev/null
+++ b/scheduler/takeover.go
@@ -0,0 +1,293 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// A successor goes on with what runs of kept jobs: their targets list it, and the store
+// has the jobs. Until the jobs are read such runs are guests, whose targets take nothing
+// new, since what a guest takes of its target's room isn't known. All other runs are
+// stopped.
+
+// Progress is how far a job has come under former owners.
+type Progress struct {
+	// Done lists the tasks that are done, by their place in the job.
+	Done []int
+	// Fails counts the failed runs of tasks.
+	Fails map[int]int
+	// Saved is what tasks have saved of their work.
+	Saved map[int]string
+}
+
+// guest is a run that waits for its job.
+type guest struct {
+	since time.Duration
+	saved string
+}
+
+// Times of taking over.
+const (
+	// guestPatience is how long a guest keeps its target from other work while its job
+	// can't be read: the store is away.
+	guestPatience = time.Second
+	// leavingLease is how long the runs of kept jobs are prolonged that are left to a
+	// successor. It takes them for over 2.5 s after it has begun, where a target that it
+	// can't reach has all the leases lapse.
+	leavingLease = time.Second
+)
+
+// Adopted reports whether former owners are barred from each target that is known, and
+// nothing of them runs there but guests.
+func (s *State) Adopted() bool {
+	for _, t := range s.targets {
+		if !t.barred || t.state == adopting && len(t.strangers) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// goesOn takes a run of a former owner that a target lists, and reports whether it may
+// go on.
+func (s *State) goesOn(now time.Duration, t *target, on work.Running) bool {
+	if !keptRun(on.Run) || t.strangers[on.Run] != nil || s.leaving {
+		return false
+	}
+	if s.resumed {
+		tk := s.pendingTask(on.Run.Task)
+		if tk == nil || tk.step.Gang {
+			return false
+		}
+		s.adoptRun(now, t, tk, on)
+		return true
+	}
+	g, known := t.guests[on.Run]
+	if !known {
+		g.since = now
+	}
+	if now-g.since > guestPatience {
+		delete(t.guests, on.Run)
+		return false
+	}
+	g.saved = on.Saved
+	t.guests[on.Run] = g
+	return true
+}
+
+// pendingTask is the task of a stored job that waits for a place; nil for any other.
+func (s *State) pendingTask(name string) *task {
+	id, _, _ := strings.Cut(name, ".")
+	j := s.byID[id]
+	if j == nil || !j.stored {
+		return nil
+	}
+	at := slices.IndexFunc(j.tasks, func(t *task) bool { return t.name == name })
+	if at < 0 || !slices.Contains(j.tasks[at].step.pending, j.tasks[at]) {
+		return nil
+	}
+	return j.tasks[at]
+}
+
+// adoptRun goes on with a run of a former owner.
+func (s *State) adoptRun(now time.Duration, t *target, tk *task, on work.Running) {
+	st := tk.step
+	st.pending = slices.DeleteFunc(st.pending, func(other *task) bool { return other == tk })
+	s.emit(Note{What: "run goes on", Job: tk.job.sub.Job.ID, Task: tk.name, Target: t.ID})
+	tk.job.mark(now, "goes on", tk.name, t.ID, "")
+	s.occupy(t, &run{
+		Run: on.Run, task: tk, target: t, state: running, ordered: now, until: t.lease.until,
+		expected: st.expected, saved: on.Saved, adopted: true,
+	})
+}
+
+// Resume takes a stored job over from a former owner.
+func (s *State) Resume(now time.Duration, sub Submission, progress Progress) {
+	if s.byID[sub.Job.ID] != nil {
+		return
+	}
+	j := s.newJob(now, sub)
+	j.stored = true
+	j.mark(now, "resumed", "", "", "")
+	s.jobs[sub.Ref] = j
+	s.byID[sub.Job.ID] = j
+	s.recall(j, progress)
+	for _, t := range j.tasks {
+		for _, o := range s.orphans[t.name] {
+			s.adopt(t, o)
+		}
+		delete(s.orphans, t.name)
+		if left, ok := s.left[t.name]; ok {
+			s.keepSaved(t, left.number, left.saved)
+			delete(s.left, t.name)
+		}
+	}
+	// Anything of it may have run, so that it is never refused and goes first.
+	j.begun++
+	if !s.over(now, j) {
+		j.order()
+		s.expectDue(j)
+		s.wait(j)
+	}
+}
+
+// recall sets what is known of a job's tasks.
+func (s *State) recall(j *job, progress Progress) {
+	known := func(place int) bool { return place >= 0 && place < len(j.tasks) }
+	for _, place := range progress.Done {
+		if known(place) {
+			j.complete(j.tasks[place])
+		}
+	}
+	for place, n := range progress.Fails {
+		if known(place) {
+			j.tasks[place].fails = n
+		}
+	}
+	for place, saved := range progress.Saved {
+		if known(place) {
+			*j.tasks[place].savedState() = savedState{value: saved}
+		}
+	}
+}
+
+// over ends a job whose tasks are all done, or one of which has failed too often.
+func (s *State) over(now time.Duration, j *job) bool {
+	for _, t := range j.tasks {
+		if t.step.fails(t) >= j.sub.Queue.MaxAttempts {
+			s.finish(now, j, work.Outcome{Result: work.Failed, Reason: "a task had failed as often as its queue allows"})
+			return true
+		}
+	}
+	if j.open == 0 {
+		s.finish(now, j, work.Outcome{Result: work.Completed})
+		return true
+	}
+	return false
+}
+
+// orphan is the end of a run that a former owner ordered and did not note.
+type orphan struct {
+	end    EndRef
+	failed bool
+}
+
+// leftover is what a run of a former owner had saved.
+type leftover struct {
+	number int64
+	saved  string
+}
+
+// orphaned takes the end of a run that isn't known here. That of a kept job is kept from
+// being acknowledged until the job was taken over and the end is noted.
+func (s *State) orphaned(now time.Duration, t *target, end work.End) {
+	if !keptRun(end.Run) {
+		return
+	}
+	s.inherit(end)
+	if end.Kind != work.EndDone && end.Kind != work.EndFailed {
+		return
+	}
+	o := orphan{end: EndRef{Target: t.ID, Number: end.Number}, failed: end.Kind == work.EndFailed}
+	if !s.resumed {
+		t.unnoted[end.Number] = true
+		s.orphans[end.Run.Task] = append(s.orphans[end.Run.Task], o)
+		return
+	}
+	id, _, _ := strings.Cut(end.Run.Task, ".")
+	j := s.byID[id]
+	if j == nil || !j.stored {
+		if s.leaving {
+			// The job may be another owner's by now.
+			t.unnoted[end.Number] = true
+		}
+		return
+	}
+	for _, task := range j.tasks {
+		if task.name == end.Run.Task && task.run == nil {
+			t.unnoted[end.Number] = true
+			s.adopt(task, o)
+			s.over(now, j)
+			return
+		}
+	}
+}
+
+// inherit takes what a former owner's run has saved.
+func (s *State) inherit(end work.End) {
+	switch left := s.left[end.Run.Task]; {
+	case end.Saved == "" || end.Run.Number < left.number:
+	case s.resumed:
+		if tk := s.pendingTask(end.Run.Task); tk != nil {
+			s.keepSaved(tk, end.Run.Number, end.Saved)
+		}
+	default:
+		s.left[end.Run.Task] = leftover{number: end.Run.Number, saved: end.Saved}
+	}
+}
+
+// adopt takes the orphaned end of a task that isn't running.
+func (s *State) adopt(t *task, o orphan) {
+	s.unnoted++
+	switch {
+	case t.complete || t.step.Lasting:
+		s.Noted(o.end)
+	case o.failed:
+		t.fails++
+		s.emit(TaskFailed{Job: t.job.sub.Job.ID, Task: t.place, End: o.end})
+	default:
+		t.job.complete(t)
+		s.emit(TaskDone{Job: t.job.sub.Job.ID, Task: t.place, End: o.end})
+	}
+}
+
+// Resumed says that all jobs of former owners were taken over: ends that belong to none
+// of them may be acknowledged, and their runs that go on are this owner's or stopped.
+func (s *State) Resumed(now time.Duration) {
+	s.resumed = true
+	for task, orphans := range s.orphans {
+		for _, o := range orphans {
+			s.unnoted++
+			s.Noted(o.end)
+		}
+		delete(s.orphans, task)
+	}
+	clear(s.left)
+	for _, t := range s.sortedTargets() {
+		s.seat(now, t)
+	}
+	for _, j := range s.sortedJobs() {
+		for _, st := range j.current() {
+			if st.Gang && len(st.pending) > 0 {
+				s.disband(now, st)
+			}
+		}
+	}
+}
+
+// seat finds the jobs of a target's guests.
+func (s *State) seat(now time.Duration, t *target) {
+	for _, on := range t.sortedGuests() {
+		saved := t.guests[on].saved
+		delete(t.guests, on)
+		if tk := s.pendingTask(on.Task); tk != nil && t.runs[on.Task] == nil {
+			s.adoptRun(now, t, tk, work.Running{Run: on, Saved: saved})
+		} else {
+			s.stopStranger(now, t, on)
+		}
+	}
+	s.use(t)
+	s.touch(t)
+}
+
+func (t *target) sortedGuests() []work.Run {
+	runs := make([]work.Run, 0, len(t.guests))
+	for on := range t.guests {
+		runs = append(runs, on)
+	}
+	slices.SortFunc(runs, func(a, b work.Run) int { return strings.Compare(a.Task, b.Task) })
+	return runs
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -45,7 +45,13 @@
 	dirty bool
 	// strangers are runs of nobody known here, to be stopped.
 	strangers map[work.Run]*orderTry
-	lease     lease
+	// guests are runs of kept jobs that a former owner ordered and that wait for their
+	// jobs, barred says that the target obeys this owner.
+	guests map[work.Run]guest
+	barred bool
+	// reserved is the gang that the target's room is kept for; nil for none.
+	reserved *step
+	lease    lease
 	// seen is the newest end taken note of, told the newest that the target knows
 	// to be taken note of.
 	seen, told int64
@@ -95,6 +101,11 @@
 	until int64
 	// expected is the run time expected of a target of usual speed.
 	expected time.Duration
+	// saved is what the task is known to have saved of its work.
+	saved string
+	// adopted runs were begun under a former owner, some time before they were ordered
+	// as this one sees it.
+	adopted bool
 	// flow is the processor that it gives back each millisecond.
 	flow float64
 	// stop is set once the end of the run was ordered.
@@ -163,6 +174,7 @@
 			runs:      map[string]*run{},
 			strangers: map[work.Run]*orderTry{},
 			unnoted:   map[int64]bool{},
+			guests:    map[work.Run]guest{},
 			health:    newHealth(),
 		}
 		s.targets[entry.ID] = t
@@ -209,15 +221,17 @@
 	s.forget(t)
 }
 
-// lost ends a run that certainly goes on no more and whose work is gone.
+// lost ends a run that certainly goes on no more and whose work is gone, but for what it
+// had saved.
 func (s *State) lost(now time.Duration, r *run, why string) {
 	s.release(r)
-	if r.task.job.ended {
+	if r.task.job.ended || r.task.complete {
 		return
 	}
+	s.keepSaved(r.task, r.Number, r.saved)
 	r.task.job.mark(now, "lost", r.Task, r.target.ID, why)
 	s.emit(Note{What: "run lost", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: r.target.ID, Detail: why, Age: now - r.ordered})
-	s.again(r)
+	s.again(now, r)
 }
 
 // release takes a run that is over off its target.
@@ -244,9 +258,16 @@
 }
 
 // again puts the task of a run that is over back among those to be placed.
-func (s *State) again(r *run) {
+func (s *State) again(now time.Duration, r *run) {
+	st := r.task.step
 	r.task.avoid = r.target.ID
-	r.task.step.pending = append(r.task.step.pending, r.task)
+	st.pending = append(st.pending, r.task)
+	switch {
+	case st.Gang:
+		s.disband(now, st)
+	case st.Lasting:
+		r.task.pace(now, r)
+	}
 	s.wait(r.task.job)
 }
 
@@ -274,18 +295,28 @@
 func (o *orderTry) overdue(now time.Duration) bool { return o.acked == 0 && now-o.asked > stopPatience }
 
 // prolongs reports whether the target's lease may be prolonged.
-func (t *target) prolongs(now time.Duration) bool {
+func (s *State) prolongs(now time.Duration, t *target) bool {
 	if t.state != usable || t.failedLooks > 0 {
 		return false
 	}
 	for _, r := range t.runs {
-		if r.stop != nil && r.stop.overdue(now) {
+		if r.stop != nil && r.stop.overdue(now) || r.task.job.dropped && now-s.dropped > s.prolonging {
 			return false
 		}
 	}
 	return len(t.strangers) == 0
 }
 
+// idle reports whether nothing runs on the target that this owner has still to see end.
+func (t *target) idle() bool {
+	for _, r := range t.runs {
+		if !r.task.job.dropped {
+			return false
+		}
+	}
+	return true
+}
+
 // tickTarget repeats stops, ends runs that are over by time alone and drops
 // targets that are gone.
 func (s *State) tickTarget(now time.Duration, t *target) {
--- a/work/orders.go
+++ b/work/orders.go
@@ -50,6 +50,18 @@
 	Number int64
 }
 
+// Order has a target start a run.
+type Order struct {
+	Run Run
+	// Payload is the job's.
+	Payload string
+	// Saved is what an earlier run of the task saved of its work; empty where there is
+	// none.
+	Saved string
+	// Until is the end of the lease on the target's clock, in milliseconds.
+	Until int64
+}
+
 // OrderAnswer is the answer to an order.
 type OrderAnswer struct {
 	Verdict Verdict
@@ -72,11 +84,20 @@
 	Number int64
 	Run    Run
 	Kind   EndKind
+	// Saved is what the task has saved of its work; empty where there is nothing.
+	Saved string
+}
+
+// Running is a run that a target lists.
+type Running struct {
+	Run Run
+	// Saved is what the task has saved of its work so far; empty where there is nothing.
+	Saved string
 }
 
 // Held is what a target tells of itself.
 type Held struct {
 	Clock   int64
-	Running []Run
+	Running []Running
 	Ended   []End
 }
--- a/work/work.go
+++ b/work/work.go
@@ -46,6 +46,13 @@
 	Rack string
 	// Spread bounds the step's tasks on one target; 0 means no bound.
 	Spread int
+	// Gang tasks work only together: all of them run, or none does.
+	Gang bool
+	// OneRack gangs take much longer on more than one rack.
+	OneRack bool
+	// Lasting tasks run until their job is cancelled, and are started again however they
+	// end.
+	Lasting bool
 }
 
 // Job is what a caller hands in.
@@ -56,13 +63,34 @@
 	Payload string
 	// Steps has at least one step.
 	Steps []Step
+	// Repeats has the steps run at set times; the zero value runs them once, at once.
+	Repeats Repeats
 	// Kept jobs are stored before they are accepted, and are done whatever fails;
 	// their callers ask for their state later. All others are answered when they
 	// have ended.
 	Kept bool
 }
 
-// Tasks is the number of tasks of all steps.
+// Repeats is when the steps of a job run. Occurrences may overlap.
+type Repeats struct {
+	// Count is the number of occurrences; 0 is one that is due at once.
+	Count int
+	// First is when the first one is due, since 1970, Interval the time to the next.
+	First, Interval time.Duration
+}
+
+// Due is when an occurrence is due, counted from 0, since 1970; 0 means at once.
+func (r Repeats) Due(occurrence int) time.Duration {
+	if r.Count == 0 {
+		return 0
+	}
+	return r.First + time.Duration(occurrence)*r.Interval
+}
+
+// Occurrences is how often the steps of the job run.
+func (j Job) Occurrences() int { return max(j.Repeats.Count, 1) }
+
+// Tasks is the number of tasks of all steps of one occurrence.
 func (j Job) Tasks() int {
 	tasks := 0
 	for _, step := range j.Steps {
@@ -101,6 +129,8 @@
 	Allowance time.Duration
 	// Timeout bounds the time of a request; 0 means no bound.
 	Timeout time.Duration
+	// Advised queues run on targets only that a service of the platform's names.
+	Advised bool
 }
 
 // Objective is the time within which a job of the queue should be answered.
@@ -118,6 +148,8 @@
 	Capacity      Resources
 	// Labels are the target's kind and its rack.
 	Labels []string
+	// Rack is the label of the target's rack.
+	Rack string
 	// Draining targets take no new tasks.
 	Draining bool
 }
