Play each kind of kept job on the stand-in; carry them whole between VMs

Cause: the stand-in's targets knew plain tasks alone. Ruled out: members that were started at different times (one number each start); targets without room (the same gang was moved from target to target as hung). Change: the messages have the fields, and a test fills each field of jobs, targets and queues and compares what arrives (it fails without them). The stand-in plays gangs, saved work, lasting and repeated jobs, judges early starts and foreign checkpoints, and asks for each ended job once more at the end.

--- a/lab/prepared/deployment.go
+++ b/lab/prepared/deployment.go
@@ -57,7 +57,9 @@
 	VMs      []*VM
 	servers  []*http.Server
 	version  int64
-	stopped  chan struct{}
+	// lasting counts the jobs that were drawn to last.
+	lasting atomic.Int64
+	stopped chan struct{}
 }
 
 // VM is an entry VM with its process.
--- a/lab/prepared/e2e/kept_test.go
+++ b/lab/prepared/e2e/kept_test.go
@@ -23,9 +23,10 @@
 	stop()
 	result := <-tally
 	t.Log(result)
-	must.SliceEmpty(t, result.Wrong)
+	must.SliceEmpty(t, result.Wrong, must.Sprint(result.Wrong))
 	must.SliceEmpty(t, d.Recorder.Doubled())
 	must.SliceEmpty(t, d.Recorder.Repeated())
+	must.SliceEmpty(t, d.Recorder.Wrong(), must.Sprint(d.Recorder.Wrong()))
 	must.Positive(t, result.Completed)
 	return result
 }
@@ -88,6 +89,34 @@
 	})
 }
 
+// A VM that has never reached the store is given the group by word and ends jobs as soon
+// as the store is back: its successor still knows of them.
+func TestKeptJobsOfAnOwnerByWord(t *testing.T) {
+	d := start(t, 1, 3)
+	underKept(t, d, func() {
+		let(time.Second)
+		owner := d.Owner(0)
+		fresh := d.VMs[0]
+		if fresh == owner {
+			fresh = d.VMs[1]
+		}
+		fresh.Kill()
+		d.Store.Away("", true)
+		must.NoError(t, fresh.Start())
+		let(500 * time.Millisecond)
+		owner.Signal(syscall.SIGTERM)
+		let(550 * time.Millisecond)
+		owner.Kill()
+		let(500 * time.Millisecond)
+		d.Store.Away("", false)
+		let(time.Second)
+		must.NoError(t, owner.Start())
+		must.Eq(t, fresh.Name, d.Owner(0).Name)
+		fresh.Kill()
+		let(2 * time.Second)
+	})
+}
+
 func TestKeptJobsWhileAnswersOfTheStoreAreLost(t *testing.T) {
 	d := start(t, 1, 2)
 	underKept(t, d, func() {
--- a/lab/prepared/kept.go
+++ b/lab/prepared/kept.go
@@ -80,7 +80,11 @@
 func (d *Deployment) keep(ctx context.Context, client *http.Client, tally *KeptTally) {
 	id := fmt.Sprintf("%s%015x", keptDigit, rand.Uint64()>>4)
 	domain := domainName(rand.IntN(d.options.Domains))
-	body := jobBody(false, 300, 3)
+	job, p := d.keptJob()
+	body, err := json.Marshal(job)
+	if err != nil {
+		panic("a stand-in's job: " + err.Error())
+	}
 	for send := range maxSends {
 		if send > 0 {
 			time.Sleep(resendAfter)
@@ -88,7 +92,11 @@
 		switch status, _ := post(client, d.pick(domain), id, body); status {
 		case http.StatusOK:
 			tally.add(func() { tally.Accepted++ })
-			d.follow(ctx, client, tally, id, domain, rand.IntN(10) == 0)
+			if p.lasting {
+				d.last(ctx, client, tally, id, domain)
+			} else {
+				d.follow(ctx, client, tally, id, domain, rand.IntN(10) == 0)
+			}
 			return
 		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 			tally.add(func() { tally.Refused++ })
@@ -107,6 +115,26 @@
 // settlePause is after which a refused job that was going to run has begun.
 const settlePause = 2 * time.Second
 
+// last lets a job run till the load ends, when it must still run, or do so again soon; then
+// it is cancelled.
+func (d *Deployment) last(ctx context.Context, client *http.Client, tally *KeptTally, id, domain string) {
+	<-ctx.Done()
+	task := id + ".0.0.0"
+	deadline := time.Now().Add(settleTime)
+	for !d.Recorder.Running(task) {
+		if time.Now().After(deadline) {
+			tally.wrong(id, "lasts and does not run")
+			break
+		}
+		time.Sleep(askPause)
+	}
+	d.follow(ctx, client, tally, id, domain, true)
+	time.Sleep(askPause)
+	if d.Recorder.Running(task) {
+		tally.wrong(id, "runs on after it was cancelled")
+	}
+}
+
 // follow asks for an accepted job's state until it has ended.
 func (d *Deployment) follow(ctx context.Context, client *http.Client, tally *KeptTally, id, domain string, cancel bool) {
 	deadline := time.Time{}
@@ -131,21 +159,42 @@
 			return
 		case state == "completed":
 			tally.add(func() { tally.Completed++ })
+			d.remembered(ctx, client, tally, id, domain, state)
 			return
 		case state == "failed":
 			tally.add(func() { tally.Failed++ })
+			d.remembered(ctx, client, tally, id, domain, state)
 			return
 		case state == "cancelled":
 			tally.add(func() { tally.Cancelled++ })
 			if !cancel {
 				tally.wrong(id, "was cancelled by nobody")
 			}
+			d.remembered(ctx, client, tally, id, domain, state)
 			return
 		}
 		time.Sleep(askPause)
 	}
 }
 
+// remembered asks for the state of an ended job once more when the load has ended.
+func (d *Deployment) remembered(ctx context.Context, client *http.Client, tally *KeptTally, id, domain, state string) {
+	<-ctx.Done()
+	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(askPause) {
+		switch status, now := d.ask(client, http.MethodGet, domain, id); {
+		case status == http.StatusGone:
+			tally.wrong(id, "was "+state+" and is forgotten")
+			return
+		case status == http.StatusOK && now != state:
+			tally.wrong(id, "was "+state+" and is "+now)
+			return
+		case status == http.StatusOK:
+			return
+		}
+	}
+	tally.wrong(id, "was "+state+" and nobody tells")
+}
+
 // ask asks a VM of a domain about a job.
 func (d *Deployment) ask(client *http.Client, method, domain, id string) (status int, state string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
--- a/lab/prepared/soak.go
+++ b/lab/prepared/soak.go
@@ -235,6 +235,8 @@
 		return fmt.Errorf("tasks ran twice at one time: %v", doubled)
 	case len(tally.Untrue) > 0:
 		return fmt.Errorf("jobs were refused though they had begun: %v", tally.Untrue)
+	case len(d.Recorder.Wrong()) > 0:
+		return fmt.Errorf("starts went wrong: %v", d.Recorder.Wrong())
 	case len(kept.Wrong) > 0:
 		return fmt.Errorf("kept jobs went wrong: %v", kept.Wrong)
 	case len(ofKept(repeated)) > 0:
--- a/lab/prepared/store.go
+++ b/lab/prepared/store.go
@@ -35,6 +35,10 @@
 	lost int
 }
 
+// clockBase is what the store's clock stood at when it began: far from any clock that a
+// VM has of its own.
+const clockBase = 100_000 * time.Hour
+
 // NewStore makes an empty store.
 func NewStore() *Store {
 	return &Store{rows: map[string]wire.Row{}, changed: make(chan struct{}), began: time.Now(), away: map[string]bool{}}
@@ -156,7 +160,7 @@
 
 func (s *Store) page(w http.ResponseWriter, status int, rows []wire.Row, truncated bool) {
 	s.mu.Lock()
-	body := wire.Rows{Rows: rows, Truncated: truncated, Version: s.version, NowMS: time.Since(s.began).Milliseconds()}
+	body := wire.Rows{Rows: rows, Truncated: truncated, Version: s.version, NowMS: (clockBase + time.Since(s.began)).Milliseconds()}
 	s.mu.Unlock()
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
--- a/lab/prepared/target.go
+++ b/lab/prepared/target.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -17,8 +16,7 @@
 // leaseMax is the longest lease that a target grants.
 const leaseMax = time.Second
 
-// Target is a stand-in of a target. The payload of its tasks is their run time in
-// milliseconds.
+// Target is a stand-in of a target. The payload of its tasks is their plan.
 type Target struct {
 	ID       string
 	capacity int64
@@ -74,6 +72,7 @@
 	run  int64
 	cpu  int64
 	stop *time.Timer
+	*worker
 }
 
 // NewTarget makes a target with an amount of processor, in thousandths of a core,
@@ -104,8 +103,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.silent = true
-	for task := range t.running {
+	for task, r := range t.running {
 		t.recorder.ended(task)
+		t.apart(task, r)
 	}
 	t.running = map[string]*running{}
 }
@@ -228,19 +228,94 @@
 }
 
 func (t *Target) begin(in wire.Start) {
-	ms, _ := strconv.Atoi(in.Spec)
-	r := &running{run: in.Run, cpu: taskCPU}
+	w, own := newWorker(planOf(in.Spec), in.Task, in.Checkpoint)
+	r := &running{run: in.Run, cpu: taskCPU, worker: w}
 	t.running[in.Task] = r
 	t.free -= taskCPU
 	t.recorder.began(in.Task)
-	r.stop = time.AfterFunc(time.Duration(ms)*time.Millisecond, func() {
+	if !own {
+		t.recorder.wrong(in.Task + " was told to go on from " + in.Checkpoint)
+	}
+	if early := w.dueAt(in.Task) - time.Duration(time.Now().UnixNano()); early > 0 {
+		t.recorder.wrong(fmt.Sprintf("%s began %v before it was due", in.Task, early))
+	}
+	t.goOn(in.Task, r)
+	t.watch(in.Task, r)
+}
+
+// goOn has a run do its work, or wait for its gang.
+func (t *Target) goOn(task string, r *running) {
+	switch {
+	case r.lasting:
+		t.after(task, r, lastingLife/2+time.Duration(rand.Int64N(int64(lastingLife/2))), func() { t.end(task, r, "failed") })
+	case r.gang > 0:
+		key := gangKey(r.key, r.run)
+		if !t.recorder.gangs.join(key, task, t, r.gang) {
+			t.after(task, r, gangWait, func() {
+				if t.recorder.gangs.size(key) < r.gang {
+					t.end(task, r, "alone")
+				}
+			})
+			return
+		}
+		t.work(task, r)
+	default:
+		t.work(task, r)
+	}
+}
+
+// work does a part of a run's work, saves where it does, and ends it when all is done. A
+// gang's last member to come works for all.
+func (t *Target) work(task string, r *running) {
+	part := r.length - r.done
+	if r.saves {
+		part = min(part, saveInterval)
+	}
+	t.after(task, r, max(part, 0), func() {
+		if r.done+part >= r.length {
+			t.end(task, r, "done")
+			return
+		}
+		r.save(r.done + part)
+		t.work(task, r)
+	})
+}
+
+// after does something to a run that still goes on by then, unless the target is hung.
+func (t *Target) after(task string, r *running, pause time.Duration, do func()) {
+	r.stop = time.AfterFunc(pause, func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		if !t.hung {
-			t.end(in.Task, r, "done")
+		if !t.hung && t.running[task] == r {
+			do()
 		}
 	})
-	t.watch(in.Task, r)
+}
+
+// apart ends the other members of a gang, as done if the work is.
+func (t *Target) apart(task string, r *running, how ...string) {
+	if r.gang == 0 {
+		return
+	}
+	for other, at := range t.recorder.gangs.leave(gangKey(r.key, r.run), task) {
+		// The others' targets may be at work for this one at the same moment.
+		go at.follow(other, r, len(how) > 0 && how[0] == "done")
+	}
+}
+
+// follow ends a member as another one of its gang has ended.
+func (t *Target) follow(task string, other *running, done bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.running[task]
+	if r == nil || r.run != other.run {
+		return
+	}
+	how := "broken"
+	if done {
+		how = "done"
+	}
+	t.end(task, r, how)
 }
 
 // watch ends a run whose lease has lapsed.
@@ -268,8 +343,9 @@
 	t.free += r.cpu
 	t.highest[task] = max(t.highest[task], r.run)
 	t.number++
-	t.ended = append(t.ended, wire.End{Number: t.number, Task: task, Run: r.run, How: how})
+	t.ended = append(t.ended, wire.End{Number: t.number, Task: task, Run: r.run, How: how, Saved: r.saved})
 	t.recorder.ended(task)
+	t.apart(task, r, how)
 	t.endedAt[t.number] = time.Now()
 	close(t.changed)
 	t.changed = make(chan struct{})
@@ -317,7 +393,7 @@
 	}
 	out := wire.Held{ClockMS: t.clock(), Running: []wire.RunningTask{}, Ended: slices.Clone(t.ended)}
 	for task, r := range t.running {
-		out.Running = append(out.Running, wire.RunningTask{Task: task, Run: r.run})
+		out.Running = append(out.Running, wire.RunningTask{Task: task, Run: r.run, Saved: r.saved})
 	}
 	return held{Held: out}, ""
 }
@@ -350,11 +426,38 @@
 	repeated []string
 	// startedAt is when each task was last started.
 	startedAt map[string]time.Time
+	// wrongs are other things that must not be.
+	wrongs []string
+	gangs  gangs
 }
 
 // NewRecorder makes an empty recorder.
 func NewRecorder() *Recorder {
-	return &Recorder{running: map[string]int{}, starts: map[string]int{}, done: map[string]bool{}, startedAt: map[string]time.Time{}}
+	return &Recorder{
+		running: map[string]int{}, starts: map[string]int{}, done: map[string]bool{}, startedAt: map[string]time.Time{},
+		gangs: gangs{members: map[string]map[string]*Target{}},
+	}
+}
+
+func (r *Recorder) wrong(what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.wrongs = append(r.wrongs, what)
+}
+
+// Wrong lists starts that were ordered too early, or to go on from what another task
+// saved.
+func (r *Recorder) Wrong() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.wrongs)
+}
+
+// Running reports whether a task runs.
+func (r *Recorder) Running(task string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running[task] > 0
 }
 
 func (r *Recorder) began(task string) {
--- a/link/convert.go
+++ b/link/convert.go
@@ -13,7 +13,10 @@
 func duration(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 
 func jobToWire(job work.Job) *linkpb.Job {
-	wire := &linkpb.Job{Id: job.ID, Payload: job.Payload, Kept: job.Kept}
+	wire := &linkpb.Job{
+		Id: job.ID, Payload: job.Payload, Kept: job.Kept,
+		Repeats: int32(job.Repeats.Count), FirstUs: micros(job.Repeats.First), IntervalUs: micros(job.Repeats.Interval),
+	}
 	for _, step := range job.Steps {
 		wire.Steps = append(wire.Steps, stepToWire(step))
 	}
@@ -31,14 +34,14 @@
 func targetToWire(t work.Target) *linkpb.Target {
 	return &linkpb.Target{
 		Id: t.ID, Service: t.Service, Address: t.Address, FailureDomain: t.FailureDomain,
-		Capacity: resourcesToWire(t.Capacity), Labels: t.Labels, Draining: t.Draining,
+		Capacity: resourcesToWire(t.Capacity), Labels: t.Labels, Rack: t.Rack, Draining: t.Draining,
 	}
 }
 
 func targetFromWire(wire *linkpb.Target) work.Target {
 	return work.Target{
 		ID: wire.GetId(), Service: wire.GetService(), Address: wire.GetAddress(), FailureDomain: wire.GetFailureDomain(),
-		Capacity: resourcesFromWire(wire.GetCapacity()), Labels: wire.GetLabels(), Draining: wire.GetDraining(),
+		Capacity: resourcesFromWire(wire.GetCapacity()), Labels: wire.GetLabels(), Rack: wire.GetRack(), Draining: wire.GetDraining(),
 	}
 }
 
@@ -50,6 +53,9 @@
 		Label:      step.Label,
 		Rack:       step.Rack,
 		Spread:     int32(step.Spread),
+		Gang:       step.Gang,
+		OneRack:    step.OneRack,
+		Lasting:    step.Lasting,
 	}
 	for _, before := range step.After {
 		wire.After = append(wire.After, int32(before))
@@ -59,6 +65,9 @@
 
 func jobFromWire(wire *linkpb.Job) work.Job {
 	job := work.Job{ID: wire.GetId(), Payload: wire.GetPayload(), Kept: wire.GetKept()}
+	job.Repeats = work.Repeats{
+		Count: int(wire.GetRepeats()), First: duration(wire.GetFirstUs()), Interval: duration(wire.GetIntervalUs()),
+	}
 	for _, step := range wire.GetSteps() {
 		job.Steps = append(job.Steps, stepFromWire(step))
 	}
@@ -73,6 +82,9 @@
 		Label:    wire.GetLabel(),
 		Rack:     wire.GetRack(),
 		Spread:   int(wire.GetSpread()),
+		Gang:     wire.GetGang(),
+		OneRack:  wire.GetOneRack(),
+		Lasting:  wire.GetLasting(),
 	}
 	for _, before := range wire.GetAfter() {
 		step.After = append(step.After, int(before))
--- /dev/null
+++ b/link/convert_test.go
@@ -0,0 +1,62 @@
+package link
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// fill sets each field of a struct, so that what a conversion leaves out shows.
+func fill(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i))
+		}
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
+		fill(v.Index(0))
+	case reflect.String:
+		v.SetString("x")
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Float64:
+		v.SetFloat(1.5)
+	case reflect.Int, reflect.Int64:
+		v.SetInt(int64(3 * time.Millisecond))
+		if v.Type() != reflect.TypeFor[time.Duration]() {
+			v.SetInt(3)
+		}
+	default:
+		panic("no value for a " + v.Kind().String())
+	}
+}
+
+// filled is a value with each field set.
+func filled[T any]() T {
+	var value T
+	fill(reflect.ValueOf(&value).Elem())
+	return value
+}
+
+// Nothing that decides how a job runs is lost on its way to an owner.
+func TestJobsArriveWhole(t *testing.T) {
+	job := filled[work.Job]()
+	must.Eq(t, job, jobFromWire(jobToWire(job)))
+}
+
+func TestTargetsArriveWhole(t *testing.T) {
+	target := filled[work.Target]()
+	must.Eq(t, target, targetFromWire(targetToWire(target)))
+}
+
+// Queues with advice are refused before they come here.
+func TestQueuesArriveWhole(t *testing.T) {
+	queue := filled[work.Queue]()
+	queue.Advised = false
+	must.Eq(t, queue, queueFromWire(queueToWire(queue)))
+}
