Take the store's clock from each of its answers, and from other VMs

A VM that starts while the store is away and is given its group by word knows no clock of the store. When the store is back it opens the jobs as soon as the registry is read, up to 0.2 s before claims or the configuration tell the clock, and the jobs that end in between are noted as ended at a time of its own machine: its successor takes them for long ended and forgets them. Its runs were numbered by that clock for its whole life. Change: each answer of the store tells its clock before the caller has the answer, so that who has read the jobs knows it; a VM that has no word of the store takes that of other VMs; numbers of runs follow the clock once it is known. The mirrors don't carry it any more.

--- a/link/link.go
+++ b/link/link.go
@@ -35,6 +35,8 @@
 	// Configuration is as it lies in the store; empty before the first.
 	Configuration []byte
 	Claims        []ownership.Held
+	// StoreClock is the store's clock; 0 while the VM doesn't know it.
+	StoreClock time.Duration
 }
 
 // Handler serves the calls of other VMs.
@@ -93,7 +95,7 @@
 // Tables implements linkpb.Fleet.
 func (s server) Tables(context.Context, *linkpb.TablesRequest) (*linkpb.TablesReply, error) {
 	tables := s.handler.Tables()
-	reply := &linkpb.TablesReply{Configuration: tables.Configuration}
+	reply := &linkpb.TablesReply{Configuration: tables.Configuration, StoreClockUs: micros(tables.StoreClock)}
 	for _, held := range tables.Claims {
 		reply.Owners = append(reply.Owners, held.Wire())
 	}
@@ -208,7 +210,7 @@
 	if err != nil {
 		return Tables{}, err
 	}
-	tables := Tables{Configuration: reply.GetConfiguration()}
+	tables := Tables{Configuration: reply.GetConfiguration(), StoreClock: duration(reply.GetStoreClockUs())}
 	for _, owned := range reply.GetOwners() {
 		tables.Claims = append(tables.Claims, ownership.FromWire(owned))
 	}
--- a/node/calls.go
+++ b/node/calls.go
@@ -87,6 +87,9 @@
 
 func (p peerCalls) Tables() link.Tables {
 	tables := link.Tables{Claims: p.node.keeper.Claims()}
+	if clock, known := p.node.clock.told(); known {
+		tables.StoreClock = clock
+	}
 	if held := p.node.config.held.Load(); held != nil {
 		tables.Configuration = held.raw
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -15,7 +15,6 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/burdockward/burdockward/bootclock"
 	"github.com/burdockward/burdockward/entry"
 	"github.com/burdockward/burdockward/heartbeat"
 	"github.com/burdockward/burdockward/jobstore"
@@ -66,10 +65,9 @@
 	requests atomic.Int64
 	// asking is set while an owner is suspected to have ended.
 	asking atomic.Bool
-	// storeClock is the store's clock at boot time zero, in milliseconds.
-	storeClock atomic.Int64
-	ctx        context.Context
-	duties     *errgroup.Group
+	clock  storeClock
+	ctx    context.Context
+	duties *errgroup.Group
 
 	// settings are the newest that were read; only followSettings uses them.
 	settings platform.Settings
@@ -107,18 +105,18 @@
 			Control: s.Control, Heartbeat: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
 		},
 		group:   s.FailureDomain,
-		store:   platform.NewStore(s.Store, o.storeCall),
 		targets: platform.NewTargets(),
 		calls:   link.NewClient(),
 		config:  configuration{log: o.Log},
 	}
+	n.store = platform.NewStore(s.Store, platform.StoreEvents{Called: o.storeCall, Clock: n.clock.read})
 	beats, err := heartbeat.New(n.self, n)
 	if err != nil {
 		return nil, err
 	}
 	n.beats = beats
 	n.keeper = ownership.New(ownership.Options{
-		Self: n.self, Group: n.group, Patience: ownership.PatienceOf(s.VM, s.CPUShare), Log: o.Log, Changed: n.claimed, Clock: n.readClock,
+		Self: n.self, Group: n.group, Patience: ownership.PatienceOf(s.VM, s.CPUShare), Log: o.Log, Changed: n.claimed,
 		Heard: n.ages.heard(&n.ages.claims), Count: o.Count,
 	}, n.store, beats)
 	n.entry = entry.New(entry.Options{
@@ -176,20 +174,9 @@
 }
 
 func (n *Node) tookConfiguration(update mirror.Update) {
-	n.readClock(update.Clock)
 	n.config.take(update)
 }
 
-// readClock takes a reading of the store's clock, which numbers runs.
-func (n *Node) readClock(clock time.Duration) {
-	n.storeClock.Store((clock - bootclock.Now()).Milliseconds())
-}
-
-// storeNow is the store's clock.
-func (n *Node) storeNow() time.Duration {
-	return bootclock.Now() + time.Duration(n.storeClock.Load())*time.Millisecond
-}
-
 // claimed is told of all claims after a change.
 func (n *Node) claimed(claims []ownership.Held) {
 	owners := make([]heartbeat.Owner, 0, len(claims))
@@ -241,12 +228,11 @@
 		Group: held.Group, FailureDomain: n.self.FailureDomain, Token: held.Version,
 		Schedule: scheduler.Options{
 			StopTime: n.options.Settings.StopTime,
-			RunClock: n.storeClock.Load(),
 		},
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, Heard: n.ages.heard(&n.ages.registry),
-		Lend: n.lend, Hungry: n.beats.Hurry, StoreClock: n.storeNow,
+		Lend: n.lend, Hungry: n.beats.Hurry, StoreClock: n.clock.told,
 		Jobs: jobstore.New(jobstore.Options{
-			Group: held.Group, Life: n.self.Life, Retention: n.options.Settings.JobRetention, Log: n.log, Clock: n.storeNow,
+			Group: held.Group, Life: n.self.Life, Retention: n.options.Settings.JobRetention, Log: n.log, Clock: n.clock.now,
 		}, n.store),
 	}
 	if former := held.Claim.GetFormer(); former != nil {
--- a/node/peers.go
+++ b/node/peers.go
@@ -34,6 +34,7 @@
 		n.log.Warn("peer not asked", "address", address, "error", err)
 		return
 	}
+	n.clock.offer(tables.StoreClock)
 	if len(tables.Configuration) > 0 {
 		n.config.offer(tables.Configuration, address)
 	}
--- a/owner/kept.go
+++ b/owner/kept.go
@@ -92,7 +92,7 @@
 func (o *Owner) resume(now time.Duration, kept []jobstore.Kept) {
 	o.kept.open = true
 	o.options.Log.Info("kept jobs taken over", "group", o.options.Group, "jobs", len(kept))
-	clock := o.options.StoreClock()
+	clock, _ := o.options.StoreClock()
 	for _, job := range kept {
 		o.lastRef++
 		o.state.Resume(now, scheduler.Submission{
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -68,8 +68,8 @@
 	Jobs *jobstore.Keeper
 	// Heard is told when the store has answered about the registry; it may be nil.
 	Heard func(now time.Duration)
-	// StoreClock is the store's clock.
-	StoreClock func() time.Duration
+	// StoreClock is the store's clock, if it is known.
+	StoreClock func() (clock time.Duration, known bool)
 	// Hungry says that tasks wait for a place, so that the room of other owners
 	// matters; it must not block.
 	Hungry func()
@@ -135,6 +135,7 @@
 
 // Run orders targets until the context ends.
 func (o *Owner) Run(ctx context.Context) error {
+	o.readClocks(bootclock.Now())
 	o.options.Log.Info("owning targets", "group", o.options.Group, "token", o.options.Token)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
@@ -178,7 +179,7 @@
 			return
 		case <-ticker.C:
 			now := bootclock.Now()
-			o.state.Wall(now, time.Duration(time.Now().UnixNano()))
+			o.readClocks(now)
 			o.state.Tick(now)
 			o.status()
 		case m := <-o.answers:
@@ -192,6 +193,14 @@
 	}
 }
 
+// readClocks tells the decisions the time of day and the store's clock.
+func (o *Owner) readClocks(now time.Duration) {
+	o.state.Wall(now, time.Duration(time.Now().UnixNano()))
+	if clock, known := o.options.StoreClock(); known {
+		o.state.RunClock(now, clock)
+	}
+}
+
 // drain takes what waits already, so that one round of placing serves it all.
 func (o *Owner) drain() {
 	for range batch {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -138,6 +138,7 @@
 	o := New(Options{
 		Group: "domain", FailureDomain: "domain", Token: 5, Log: slog.New(slog.DiscardHandler),
 		Count: func(string, string) {}, Observe: func(string, time.Duration) {}, Gauge: func(string, float64) {}, Hungry: func() {},
+		StoreClock: func() (time.Duration, bool) { return 0, false },
 	}, target, oneTarget{})
 	ctx, end := context.WithCancel(t.Context())
 	done := make(chan error, 1)
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -53,8 +53,6 @@
 	Log      *slog.Logger
 	// Changed is told of all claims after each change; it must not block.
 	Changed func([]Held)
-	// Clock is told the store's clock with each news; it must not block.
-	Clock func(clock time.Duration)
 	// Heard is told when the store has answered; it must not block, and may be nil.
 	Heard func(now time.Duration)
 	// Count counts the changes of owners; it must not block.
@@ -156,7 +154,6 @@
 }
 
 func (k *Keeper) take(update mirror.Update) {
-	k.options.Clock(update.Clock)
 	k.mu.Lock()
 	k.read = true
 	for _, row := range update.Rows.Rows {
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -110,7 +110,7 @@
 func newKeeper(store Store, changed func([]Held)) *Keeper {
 	return New(Options{
 		Self: heartbeat.Self{VM: "v", Life: 1, FailureDomain: "g"}, Group: "g",
-		Log: slog.New(slog.DiscardHandler), Changed: changed, Clock: func(time.Duration) {}, Count: func(string, string) {},
+		Log: slog.New(slog.DiscardHandler), Changed: changed, Count: func(string, string) {},
 	}, store, fakeViews{})
 }
 
@@ -198,7 +198,7 @@
 	store.fail = nil
 	next := New(Options{
 		Self: heartbeat.Self{VM: "w", Life: 2, FailureDomain: "g"}, Group: "g",
-		Log: slog.New(slog.DiscardHandler), Changed: func([]Held) {}, Clock: func(time.Duration) {}, Count: func(string, string) {},
+		Log: slog.New(slog.DiscardHandler), Changed: func([]Held) {}, Count: func(string, string) {},
 	}, store, fakeViews{})
 	next.readNothing()
 	next.Merge([]Held{passer.held})
--- a/scheduler/guards_test.go
+++ b/scheduler/guards_test.go
@@ -281,14 +281,15 @@
 // Runs are numbered higher than those of the same task under a former owner, whose
 // machine may have been booted earlier.
 func TestRunsAreNumberedByTheSharedClock(t *testing.T) {
-	number := func(clock int64, now time.Duration) int64 {
-		b := newBench(t, Options{RunClock: clock})
+	number := func(clock, now time.Duration) int64 {
+		b := newBench(t, Options{})
 		b.now = now
+		b.s.RunClock(now, now+clock)
 		b.usable("a", 4)
 		b.submit("j", 1, 1, "")
 		return pickEffects[StartRun](b.do())[0].Run.Number
 	}
-	must.Greater(t, number(5000, 10*time.Second), number(-3000, 20*time.Second))
+	must.Greater(t, number(5*time.Second, 10*time.Second), number(-3*time.Second, 20*time.Second))
 }
 
 func TestRefusedOnlyWhereNothingBegan(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -110,9 +110,6 @@
 	StopTime time.Duration
 	// Pause is the gap between two ticks that shows that this process stood still.
 	Pause time.Duration
-	// RunClock is a clock in milliseconds that all owners share, at time zero of
-	// the State's time; later runs of a task get higher numbers by it.
-	RunClock int64
 }
 
 // Defaults of Options.
@@ -193,6 +190,10 @@
 	// repeated holds the jobs with occurrences that aren't due yet.
 	repeated map[*job]bool
 	lastRun  int64
+	// runClock is the shared clock at time zero of the State's time, clocked is set once
+	// it was told.
+	runClock time.Duration
+	clocked  bool
 	effects  []Effect
 }
 
@@ -213,10 +214,18 @@
 		ending:   map[string][]EndRef{},
 		left:     map[string]leftover{},
 		repeated: map[*job]bool{},
-		lastRun:  o.RunClock * runsPerMilli,
 	}
 }
 
+// RunClock tells a clock that all owners share: later runs of a task get higher numbers
+// by it. Until it is told the State's own time does.
+func (s *State) RunClock(now, clock time.Duration) {
+	if !s.clocked {
+		s.clocked, s.runClock = true, clock-now
+	}
+	s.runClock = max(s.runClock, clock-now)
+}
+
 // runsPerMilli keeps the numbers of runs rising with RunClock at more starts than
 // one VM can order.
 const runsPerMilli = 32
@@ -225,7 +234,7 @@
 // owner, since a job comes again a second or more later. The numbers of kept jobs are
 // odd, so that a successor knows which ends it has to take note of.
 func (s *State) nextRun(now time.Duration, kept bool) int64 {
-	s.lastRun = max(s.lastRun+2, (s.options.RunClock+now.Milliseconds())*runsPerMilli) &^ 1
+	s.lastRun = max(s.lastRun+2, (s.runClock+now).Milliseconds()*runsPerMilli) &^ 1
 	if kept {
 		return s.lastRun + 1
 	}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -207,7 +207,7 @@
 func (w *world) takeOver() *fakeOwner {
 	w.token++
 	o := &fakeOwner{
-		state: New(Options{RunClock: 0}), token: w.token, refs: map[Ref]*caller{},
+		state: New(Options{}), token: w.token, refs: map[Ref]*caller{},
 		name: fmt.Sprintf("o%d", w.token), lent: map[Part]*lentPart{},
 	}
 	for _, id := range w.targetIDs() {
