Compare the decisions with simple policies on the replayed load

Cause: nothing showed what the decisions earn against FIFO, uniform random and least outstanding, nor by kind of request and failure domain. Change: lab/replay plays the three as policies over the same simulated targets and callers; the report counts by kind and failure domain; bin/lab replay prints a burst beside hung targets for all of them and the ideal.

--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -14,6 +14,7 @@
 	"github.com/burdockward/burdockward/lab/experiment"
 	"github.com/burdockward/burdockward/lab/orders"
 	"github.com/burdockward/burdockward/lab/prepared"
+	"github.com/burdockward/burdockward/lab/replay"
 	"github.com/burdockward/burdockward/lab/slopes"
 	"github.com/burdockward/burdockward/lab/standin/platform"
 	"github.com/burdockward/burdockward/lab/standin/target"
@@ -43,6 +44,7 @@
 			prepared.Command(),
 			prepared.SoakCommand(),
 			experiment.LoadCommand(),
+			replay.Command(),
 		},
 	}
 }
--- /dev/null
+++ b/lab/replay/command.go
@@ -0,0 +1,91 @@
+package replay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Times of the days that the command plays.
+const (
+	burstFrom, burstTo = 8 * time.Second, 14 * time.Second
+	hungFrom, hungTo   = 6 * time.Second, 16 * time.Second
+)
+
+// Command plays a burst beside hung targets by all policies and by the ideal.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "replay",
+		Usage: "replay a site's load in simulated time and compare the decisions with simple policies and with the ideal",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "site", Usage: "kasa or thapa", Value: "kasa"},
+			&cli.FloatFlag{Name: "burst", Usage: "what the load is times for 6 of 30 s", Value: 1.5},
+			&cli.FloatFlag{Name: "hung", Usage: "the share of targets that hang for 10 of 30 s", Value: 0.1},
+			&cli.Uint64Flag{Name: "seed", Usage: "draws the callers and the targets"},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			site, err := siteOf(cmd.String("site"))
+			if err != nil {
+				return err
+			}
+			site.Bursts = []Burst{{From: burstFrom, To: burstTo, Times: cmd.Float("burst")}}
+			site.Faults = []Fault{{From: hungFrom, To: hungTo, Share: cmd.Float("hung"), Hang: true}}
+			return compare(os.Stdout, site, cmd.Uint64("seed"))
+		},
+	}
+}
+
+func siteOf(name string) (Site, error) {
+	for _, site := range []Site{Kasa(), Thapa()} {
+		if site.Name == name {
+			return site, nil
+		}
+	}
+	return Site{}, fmt.Errorf("no site %q: name kasa or thapa", name)
+}
+
+// compare plays a day by each policy and writes a row for all, for each kind of request
+// and for each failure domain.
+func compare(to io.Writer, site Site, seed uint64) error {
+	out := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "policy\tof\tworth\ton time\tlate\trefused\tfailed")
+	for _, p := range []struct {
+		name    string
+		options Options
+	}{
+		{"ideal", Options{OneOwner: true, Clairvoyant: true}},
+		{"burdockward", Options{}},
+		{string(FIFO), Options{Policy: FIFO}},
+		{string(LeastOutstanding), Options{Policy: LeastOutstanding}},
+		{string(Random), Options{Policy: Random}},
+	} {
+		p.options.Site, p.options.Seed = site, seed
+		r := Play(p.options)
+		row := func(of string, worth float64, c Counts) {
+			fmt.Fprintf(out, "%s\t%s\t%.3f\t%s\n", p.name, of, worth, strings.Join(c.shares(), "\t"))
+		}
+		row("all", r.Worth, r.Counts)
+		for i, kind := range site.Kinds {
+			row(kind.Name, r.Kinds[i], r.ByKind[i])
+		}
+		for i, c := range r.ByDomain {
+			row(fmt.Sprintf("domain %d", i), r.Domains[i], c)
+		}
+	}
+	return out.Flush()
+}
+
+// shares are the counts as shares of the jobs.
+func (c Counts) shares() []string {
+	var shares []string
+	for _, n := range []int{c.OnTime, c.Late, c.Refused, c.Failed} {
+		shares = append(shares, fmt.Sprintf("%.3f", float64(n)/float64(max(c.Jobs, 1))))
+	}
+	return shares
+}
--- a/lab/replay/replay_test.go
+++ b/lab/replay/replay_test.go
@@ -95,3 +95,19 @@
 		}
 	}
 }
+
+// Beside hung and slow targets, at the brink and in a flood, the decisions earn more than
+// each of the simple policies.
+func TestSimplePoliciesEarnLess(t *testing.T) {
+	for _, site := range sites {
+		for name, day := range map[string]func(Site) Site{"faulty": faulty, "crowded": crowded, "flooded": flooded} {
+			t.Run(site.Name+" "+name, func(t *testing.T) {
+				real := play(t, Options{Site: day(site)})
+				for _, policy := range []Policy{FIFO, Random, LeastOutstanding} {
+					t.Log(policy)
+					must.Greater(t, play(t, Options{Site: day(site), Policy: policy}).Worth+0.05, real.Worth)
+				}
+			})
+		}
+	}
+}
--- a/lab/replay/target.go
+++ b/lab/replay/target.go
@@ -45,6 +45,7 @@
 	}
 	t.free = t.Capacity
 	w.targets[t.ID] = t
+	w.targetOrder = append(w.targetOrder, t.ID)
 	o := w.owners[domain%len(w.owners)]
 	o.state.TargetSeen(0, t.Target)
 	for i := range w.options.Site.Faults {
@@ -115,6 +116,10 @@
 	if kind != work.EndDone {
 		t.world.wasted += spent
 	}
+	if t.world.baseline != nil {
+		t.world.order(func() { t.world.baseline.ended(run) })
+		return
+	}
 	t.number++
 	t.ended = append(t.ended, work.End{Number: t.number, Run: run, Kind: kind})
 	if t.polling != nil {
--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -20,15 +20,23 @@
 	Alone bool
 	// Clairvoyant lets the scheduler know run times, and takes all latency away.
 	Clairvoyant bool
+	// Policy places tasks in place of the owners' decisions.
+	Policy Policy
 }
 
+// Counts are numbers of jobs. Failed ones had no answer of use; those that are still open
+// when the day ends are in none but Jobs.
+type Counts struct{ Jobs, OnTime, Late, Refused, Failed int }
+
 // Report is how a day went.
 type Report struct {
-	Jobs, OnTime, Late, Refused, Failed int
+	Counts
 	// Worth is what was earned of what could have been.
 	Worth float64
-	// Kinds is the worth by kind of request.
-	Kinds []float64
+	// Kinds is the worth by kind of request, Domains by the callers' failure domain.
+	Kinds, Domains []float64
+	// ByKind and ByDomain are the counts of each.
+	ByKind, ByDomain []Counts
 	// LateRefusals is the share of the worth refused later than a quarter of the
 	// objective.
 	LateRefusals float64
@@ -80,17 +88,23 @@
 	random  *rand.Rand
 	owners  []*ownerSim
 	targets map[string]*targetSim
-	jobs    map[string]*arrival
-	report  Report
-	owed    float64
-	earned  float64
-	late    float64
-	kindOwe []float64
-	kindGot []float64
-	used    time.Duration
-	wasted  time.Duration
+	// targetOrder are their IDs in the order in which they were added.
+	targetOrder []string
+	baseline    *baseline
+	jobs        map[string]*arrival
+	report      Report
+	owed        float64
+	earned      float64
+	late        float64
+	kinds       []share
+	domains     []share
+	used        time.Duration
+	wasted      time.Duration
 }
 
+// share is the worth that was owed and earned.
+type share struct{ owed, got float64 }
+
 // ownerSim is an owner with its callers.
 type ownerSim struct {
 	state   *scheduler.State
@@ -120,8 +134,10 @@
 	w := &world{
 		options: o, random: rand.New(rand.NewPCG(o.Seed, 2)),
 		targets: map[string]*targetSim{}, jobs: map[string]*arrival{},
-		kindOwe: make([]float64, len(o.Site.Kinds)), kindGot: make([]float64, len(o.Site.Kinds)),
+		kinds: make([]share, len(o.Site.Kinds)), domains: make([]share, o.Site.Domains),
 	}
+	w.report.ByKind = make([]Counts, len(o.Site.Kinds))
+	w.report.ByDomain = make([]Counts, o.Site.Domains)
 	w.build()
 	arrivals := o.Site.arrivals(o.Seed)
 	for i := range arrivals {
@@ -162,6 +178,10 @@
 			w.addTarget(domain, i)
 		}
 	}
+	if w.options.Policy != Owners {
+		w.baseline = newBaseline(w)
+		return
+	}
 	for _, o := range w.owners {
 		w.tick(o)
 		w.beat(o)
@@ -189,9 +209,14 @@
 		}
 		a.job.Steps[0].Estimate = longest
 	}
-	w.report.Jobs++
+	w.count(a, func(c *Counts) { c.Jobs++ })
 	w.owed += a.worth
-	w.kindOwe[a.kind] += a.worth
+	w.kinds[a.kind].owed += a.worth
+	w.domains[a.domain].owed += a.worth
+	if w.baseline != nil {
+		w.order(func() { w.baseline.arrive(a) })
+		return
+	}
 	w.submit(a, map[int]bool{})
 }
 
@@ -298,15 +323,22 @@
 	case work.Completed:
 		w.completed(a, took)
 	case work.Refused:
-		w.report.Refused++
+		w.count(a, func(c *Counts) { c.Refused++ })
 		if took > promptTime {
 			w.late += a.worth
 		}
 	default:
-		w.report.Failed++
+		w.count(a, func(c *Counts) { c.Failed++ })
 	}
 }
 
+// count counts a job among all, its kind's and its failure domain's.
+func (w *world) count(a *arrival, one func(*Counts)) {
+	one(&w.report.Counts)
+	one(&w.report.ByKind[a.kind])
+	one(&w.report.ByDomain[a.domain])
+}
+
 // lateWorth is the share of the worth of a late answer.
 const lateWorth = 0.2
 
@@ -314,22 +346,26 @@
 	got := 0.0
 	switch {
 	case took <= a.objective:
-		w.report.OnTime++
+		w.count(a, func(c *Counts) { c.OnTime++ })
 		got = a.worth
 	case took <= 3*a.objective:
-		w.report.Late++
+		w.count(a, func(c *Counts) { c.Late++ })
 		got = lateWorth * a.worth
 	default:
-		w.report.Failed++
+		w.count(a, func(c *Counts) { c.Failed++ })
 	}
 	w.earned += got
-	w.kindGot[a.kind] += got
+	w.kinds[a.kind].got += got
+	w.domains[a.domain].got += got
 }
 
 func (w *world) sum() Report {
 	w.report.Worth = w.earned / w.owed
-	for i := range w.kindOwe {
-		w.report.Kinds = append(w.report.Kinds, w.kindGot[i]/w.kindOwe[i])
+	for _, s := range w.kinds {
+		w.report.Kinds = append(w.report.Kinds, s.got/s.owed)
+	}
+	for _, s := range w.domains {
+		w.report.Domains = append(w.report.Domains, s.got/s.owed)
 	}
 	w.report.LateRefusals = w.late / w.owed
 	if w.used > 0 {
