--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -186,21 +187,21 @@
 
 // write loses the datagram where it can't be sent: the next one follows soon.
 func (s *Service) write(address string, message proto.Message) {
-	to, err := net.ResolveUDPAddr("udp4", address)
+	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return
 	}
 	s.writeTo(to, message)
 }
 
-func (s *Service) writeTo(to *net.UDPAddr, message proto.Message) {
+func (s *Service) writeTo(to netip.AddrPort, message proto.Message) {
 	kind := kindPing
 	if _, ok := message.(*linkpb.Pong); ok {
 		kind = kindPong
 	}
 	data, err := proto.MarshalOptions{}.MarshalAppend([]byte{kind}, message)
 	if err == nil {
-		_, _ = s.conn.WriteToUDP(data, to)
+		_, _ = s.conn.WriteToUDPAddrPort(data, to)
 	}
 }
 
@@ -213,7 +214,7 @@
 func (s *Service) receive(ctx context.Context) error {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, from, err := s.conn.ReadFromUDP(buffer)
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -224,7 +225,7 @@
 	}
 }
 
-func (s *Service) take(kind byte, body []byte, from *net.UDPAddr) {
+func (s *Service) take(kind byte, body []byte, from netip.AddrPort) {
 	switch kind {
 	case kindPing:
 		var ping linkpb.Ping
@@ -255,7 +256,7 @@
 	}
 }
 
-func (s *Service) pinged(ping *linkpb.Ping, from *net.UDPAddr) {
+func (s *Service) pinged(ping *linkpb.Ping, from netip.AddrPort) {
 	now := bootclock.Now()
 	s.mu.Lock()
 	gap := s.book.pinged(now, ping)
--- a/node/node.go
+++ b/node/node.go
@@ -28,9 +28,10 @@
 	"github.com/burdockward/burdockward/work"
 )
 
-// configurationWait bounds how long a dead connection to the store goes unnoticed,
-// well below the bound in which a configuration has to be in force.
-const configurationWait = 1200 * time.Millisecond
+// configurationWait bounds how long a dead connection to the store goes unnoticed. Within
+// the bound of 2 s in which a configuration has to be in force other VMs tell of it, as
+// soon as their next heartbeat says that they have a newer one.
+const configurationWait = 3 * time.Second
 
 // Options of a Node.
 type Options struct {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -30,13 +30,13 @@
 	answersRoom = 4096
 	// batch bounds the messages between two rounds of placing.
 	batch = 64
-	// tick is the pace of what time alone decides.
-	tick = 20 * time.Millisecond
+	// tickInterval is the pace of what time alone decides.
+	tickInterval = 20 * time.Millisecond
 	// registryWait bounds how long a dead connection to the store goes unnoticed,
 	// below the bound on draining targets.
 	registryWait = 1200 * time.Millisecond
 	// registryPace gathers the heartbeats of targets into a few reads a second.
-	registryPace = 150 * time.Millisecond
+	registryPace = 500 * time.Millisecond
 )
 
 // Targets sends orders to targets.
@@ -82,6 +82,7 @@
 	store   mirror.Source
 
 	submissions *ring.Ring[message]
+	vouches     vouches
 	answers     chan message
 	state       *scheduler.State
 	waiting     map[scheduler.Ref]chan work.Outcome
@@ -170,29 +171,34 @@
 }
 
 func (o *Owner) loop(ctx context.Context) {
-	ticker := time.NewTicker(tick)
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		var m message
 		select {
 		case <-ctx.Done():
 			o.end()
 			return
 		case <-ticker.C:
-			now := bootclock.Now()
-			o.readClocks(now)
-			o.state.Tick(now)
-			o.status()
-		case m := <-o.answers:
-			m(bootclock.Now())
-		case m := <-o.submissions.Items():
-			m(bootclock.Now())
+			m = o.tick
+		case m = <-o.answers:
+		case m = <-o.submissions.Items():
 		}
+		o.vouches.pass(bootclock.Now(), o.state)
+		m(bootclock.Now())
 		o.drain()
 		o.carryOut(ctx, o.state.Effects(bootclock.Now()))
 		o.publish()
 	}
 }
 
+// tick does what time alone decides.
+func (o *Owner) tick(now time.Duration) {
+	o.readClocks(now)
+	o.state.Tick(now)
+	o.status()
+}
+
 // readClocks tells the decisions the time of day and the store's clock.
 func (o *Owner) readClocks(now time.Duration) {
 	o.state.Wall(now, time.Duration(time.Now().UnixNano()))
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -95,17 +95,6 @@
 	}
 }
 
-// Vouched says that an entry VM stands for its callers until a time, but for the
-// jobs it has given up. It is dropped when the owner is busy: the next one follows.
-func (o *Owner) Vouched(entry string, until time.Duration, givenUp []string) {
-	o.submissions.Offer(func(now time.Duration) {
-		o.state.EntrySeen(entry, until)
-		for _, job := range givenUp {
-			o.state.GiveUp(now, entry, job)
-		}
-	})
-}
-
 // Leave stops taking jobs and hands back those of which nothing was started.
 func (o *Owner) Leave(ctx context.Context) {
 	o.post(ctx, o.state.Leave)
--- /dev/null
+++ b/owner/vouches_test.go
@@ -0,0 +1,46 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/scheduler"
+	"github.com/burdockward/burdockward/work"
+)
+
+// What an entry VM has said is known before a job of it is looked at, and each word is
+// passed on once.
+func TestVouchesArePassedOn(t *testing.T) {
+	o := &Owner{state: scheduler.New(scheduler.Options{})}
+	o.state.Listed()
+	o.state.TargetSeen(0, work.Target{ID: "a", Service: "s", Capacity: work.Resources{CPU: 4}})
+	o.state.Effects(0)
+	o.state.Looked(0, "a", work.Held{Clock: 5000}, work.VerdictDone)
+	o.Vouched("e", time.Second, nil)
+	o.Vouched("e", 500*time.Millisecond, nil)
+	o.Vouched("e", time.Second, []string{"j"})
+	submit := func(id string) {
+		o.state.Submit(0, scheduler.Submission{
+			Ref: scheduler.Ref(len(id)), Entry: "e", Queue: work.Queue{Service: "s", Stretch: 2, Allowance: time.Second, MaxAttempts: 1},
+			Job: work.Job{ID: id, Steps: []work.Step{{Tasks: 1, Each: work.Resources{CPU: 1}, Estimate: time.Millisecond}}},
+		})
+	}
+	submit("j")
+	submit("kk")
+	o.vouches.pass(0, o.state)
+	starts := 0
+	for _, effect := range o.state.Effects(900 * time.Millisecond) {
+		switch e := effect.(type) {
+		case scheduler.StartRun:
+			starts++
+			must.Eq(t, "kk.0.0.0", e.Run.Task)
+		case scheduler.Answer:
+			must.Eq(t, 1, e.Ref)
+		}
+	}
+	must.Eq(t, 1, starts)
+	o.vouches.pass(0, o.state)
+	must.MapEmpty(t, o.vouches.until)
+}
