Ask for advice; put useless kept jobs behind

Cause: queues with advice were refused. Ruled out: advice before a job is stored (a refusal would waste the question); asking about all targets at once (the answer takes longer with each of them). Change: the adviser is asked about the 30 freest targets that could hold a task of a step, and about more while tasks wait, eight questions of an owner at a time; starts carry the ticket, and one that a target doesn't take is asked for again. A kept job whose end is of no use goes ten seconds behind.

--- a/lab/prepared/callers.go
+++ b/lab/prepared/callers.go
@@ -74,7 +74,7 @@
 			tally.add(func() { tally.Resent++ })
 		}
 		vm := d.pick(domain)
-		status, state := post(client, vm, id, body)
+		status, state := post(client, vm, Path+id, body)
 		if d.judge(tally, id, status, state, send) {
 			if took := time.Since(began); send == 0 {
 				tally.add(func() { tally.Slowest = max(tally.Slowest, took) })
@@ -145,10 +145,10 @@
 	return all[rand.IntN(len(all))]
 }
 
-func post(client *http.Client, vm *VM, id string, body []byte) (status int, state string) {
+func post(client *http.Client, vm *VM, path string, body []byte) (status int, state string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+vm.Frontend()+Path+id, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+vm.Frontend()+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
@@ -176,5 +176,5 @@
 	}
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
-	post(client, d.VMs[0], fmt.Sprintf("%016x", rand.Uint64()), body)
+	post(client, d.VMs[0], Path+fmt.Sprintf("%016x", rand.Uint64()), body)
 }
--- a/lab/prepared/deployment.go
+++ b/lab/prepared/deployment.go
@@ -42,10 +42,11 @@
 // targetCPU lets a target run three tasks at a time.
 const targetCPU = 3*taskCPU + taskCPU/2
 
-// Host and Path reach the stand-in's one queue.
+// Host and Path reach the stand-in's usual queue, AdvisedPath the one with advice.
 const (
-	Host = "queue.example"
-	Path = "/jobs/"
+	Host        = "queue.example"
+	Path        = "/jobs/"
+	AdvisedPath = "/advised/"
 )
 
 // Deployment is a whole deployment on this machine.
@@ -53,10 +54,13 @@
 	options  Options
 	Store    *Store
 	Recorder *Recorder
-	Targets  []*Target
-	VMs      []*VM
-	servers  []*http.Server
-	version  int64
+	Adviser  *Adviser
+	// adviser is where it listens.
+	adviser string
+	Targets []*Target
+	VMs     []*VM
+	servers []*http.Server
+	version int64
 	// lasting counts the jobs that were drawn to last.
 	lasting atomic.Int64
 	stopped chan struct{}
@@ -69,6 +73,7 @@
 	StoreIP     string
 	dir, binary string
 	store       string
+	adviser     string
 	seeds       string
 	inRotation  atomic.Bool
 
@@ -82,7 +87,12 @@
 
 // Start begins a deployment with all its processes.
 func Start(o Options) (*Deployment, error) {
-	d := &Deployment{options: o, Store: NewStore(), Recorder: NewRecorder(), stopped: make(chan struct{})}
+	d := &Deployment{options: o, Store: NewStore(), Recorder: NewRecorder(), Adviser: NewAdviser(), stopped: make(chan struct{})}
+	adviser, err := d.listen("127.0.7.1:0", d.Adviser)
+	if err != nil {
+		return nil, err
+	}
+	d.adviser = adviser
 	for domain := range o.Domains {
 		for i := range o.Targets {
 			if err := d.addTarget(domain, i); err != nil {
@@ -97,7 +107,7 @@
 			}
 			d.VMs = append(d.VMs, &VM{
 				Name: fmt.Sprintf("vm-%d-%d", domain, i), Domain: domainName(domain),
-				IP: fmt.Sprintf("127.0.%d.%d", 10+domain, 1+i), dir: o.Dir, binary: o.Binary, store: store, StoreIP: storeIP,
+				IP: fmt.Sprintf("127.0.%d.%d", 10+domain, 1+i), dir: o.Dir, binary: o.Binary, store: store, StoreIP: storeIP, adviser: d.adviser,
 			})
 		}
 	}
@@ -172,6 +182,9 @@
 		Version: d.version,
 		Routes: []wire.Route{{
 			Name: "queue", Host: Host, PathPrefix: Path, Service: "service", Attempts: 3, Stretch: 3, TargetLatencyMS: 500,
+		}, {
+			Name: "advised", Host: Host, PathPrefix: AdvisedPath, Service: "service", Attempts: 3, Stretch: 3, TargetLatencyMS: 500,
+			Advice: &wire.AdvicePolicy{DecideMS: float64(adviceTime.Milliseconds()), EachMS: 0.5, ValidMS: float64(ticketTime.Milliseconds())},
 		}},
 	})
 	return d.version
@@ -189,7 +202,7 @@
 }
 
 func (d *Deployment) addTarget(domain, index int) error {
-	t := NewTarget(fmt.Sprintf("i-%d-%d", domain, index), targetCPU, d.Recorder)
+	t := NewTarget(fmt.Sprintf("i-%d-%d", domain, index), targetCPU, d.Recorder, d.Adviser)
 	address, err := d.listen("127.0.8.1:0", t)
 	if err != nil {
 		return err
@@ -248,7 +261,7 @@
 		fmt.Sprintf("listen.ready=%s:%d", v.IP, readyPort),
 		fmt.Sprintf("listen.control_plane=%s:%d", v.IP, controlPort),
 		fmt.Sprintf("port_range=%d,%d", firstPort, lastPort),
-		"seeds=" + v.seeds, "platform.address=" + v.store,
+		"seeds=" + v.seeds, "platform.address=" + v.store, "advice=" + v.adviser,
 		"limits.cpu_share=0.4", "limits.memory_mb=284", "bounds.grace_s=6", "unknown.key=ignored",
 	}
 	return strings.Join(lines, "\n") + "\n"
--- a/lab/prepared/kept.go
+++ b/lab/prepared/kept.go
@@ -89,7 +89,7 @@
 		if send > 0 {
 			time.Sleep(resendAfter)
 		}
-		switch status, _ := post(client, d.pick(domain), id, body); status {
+		switch status, _ := post(client, d.pick(domain), p.path()+id, body); status {
 		case http.StatusOK:
 			tally.add(func() { tally.Accepted++ })
 			if p.lasting {
--- a/lab/prepared/kinds.go
+++ b/lab/prepared/kinds.go
@@ -19,6 +19,8 @@
 	gang int
 	// lasting tasks end by themselves only now and then, badly.
 	lasting bool
+	// advised tasks start with a ticket of the adviser alone.
+	advised bool
 	// saves has the task save its work as it goes.
 	saves bool
 	// due is when the first occurrence is due, every the time to the next.
@@ -37,6 +39,9 @@
 	if p.saves {
 		words = append(words, "saves")
 	}
+	if p.advised {
+		words = append(words, "advised")
+	}
 	if p.due > 0 {
 		words = append(words, "due", strconv.FormatInt(p.due.Milliseconds(), 10), "every", strconv.FormatInt(p.every.Milliseconds(), 10))
 	}
@@ -62,6 +67,8 @@
 			p.lasting = true
 		case "saves":
 			p.saves = true
+		case "advised":
+			p.advised = true
 		case "due":
 			p.due = time.Duration(number(i+1)) * time.Millisecond
 		case "every":
@@ -178,10 +185,19 @@
 		p.lasting = true
 		job.Steps[0].Count, job.Steps[0].LongRunning = 1, true
 	}
+	p.advised = !p.lasting && rand.IntN(4) == 0
 	job.Spec = p.payload()
 	return job, p
 }
 
+// path is where a job of a plan is handed in.
+func (p plan) path() string {
+	if p.advised {
+		return AdvisedPath
+	}
+	return Path
+}
+
 // mostLasting leaves room for other work.
 const mostLasting = 2
 
--- a/lab/prepared/target.go
+++ b/lab/prepared/target.go
@@ -21,6 +21,7 @@
 	ID       string
 	capacity int64
 	recorder *Recorder
+	adviser  *Adviser
 
 	mu      sync.Mutex
 	free    int64
@@ -77,9 +78,9 @@
 
 // NewTarget makes a target with an amount of processor, in thousandths of a core,
 // that each task takes taskCPU of.
-func NewTarget(id string, capacity int64, recorder *Recorder) *Target {
+func NewTarget(id string, capacity int64, recorder *Recorder, adviser *Adviser) *Target {
 	return &Target{
-		ID: id, capacity: capacity, free: capacity, recorder: recorder,
+		ID: id, capacity: capacity, free: capacity, recorder: recorder, adviser: adviser,
 		highest: map[string]int64{}, running: map[string]*running{}, endedAt: map[int64]time.Time{}, changed: make(chan struct{}), began: time.Now(),
 	}
 }
@@ -219,6 +220,8 @@
 		return t.answer(wire.ReasonLate)
 	case in.Run <= t.highest[in.Task]:
 		return t.answer(wire.ReasonOld)
+	case planOf(in.Spec).advised && !t.adviser.admits(in.Ticket, in.Task, t.ID):
+		return t.answer(wire.ReasonTicket)
 	case t.free < taskCPU || r != nil:
 		return t.answer(wire.ReasonRoom)
 	}
--- a/link/convert.go
+++ b/link/convert.go
@@ -101,6 +101,7 @@
 		Stretch:     q.Stretch,
 		AllowanceUs: micros(q.Allowance),
 		TimeoutUs:   micros(q.Timeout),
+		Advised:     q.Advised,
 	}
 }
 
@@ -113,6 +114,7 @@
 		Stretch:     wire.GetStretch(),
 		Allowance:   duration(wire.GetAllowanceUs()),
 		Timeout:     duration(wire.GetTimeoutUs()),
+		Advised:     wire.GetAdvised(),
 	}
 }
 
--- a/link/convert_test.go
+++ b/link/convert_test.go
@@ -54,9 +54,7 @@
 	must.Eq(t, target, targetFromWire(targetToWire(target)))
 }
 
-// Queues with advice are refused before they come here.
 func TestQueuesArriveWhole(t *testing.T) {
 	queue := filled[work.Queue]()
-	queue.Advised = false
 	must.Eq(t, queue, queueFromWire(queueToWire(queue)))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,7 @@
 	group    string
 	store    *platform.Store
 	targets  *platform.Targets
+	adviser  *platform.Advisor
 	calls    *link.Client
 	beats    *heartbeat.Service
 	keeper   *ownership.Keeper
@@ -111,6 +112,9 @@
 		config:  configuration{log: o.Log},
 	}
 	n.store = platform.NewStore(s.Store, platform.StoreEvents{Called: o.storeCall, Clock: n.clock.read})
+	if s.Advisor != "" {
+		n.adviser = platform.NewAdvisor(s.Advisor)
+	}
 	beats, err := heartbeat.New(n.self, n)
 	if err != nil {
 		return nil, err
@@ -236,6 +240,12 @@
 			Group: held.Group, Life: n.self.Life, Retention: n.options.Settings.JobRetention, Log: n.log, Clock: n.clock.now,
 		}, n.store),
 	}
+	if n.adviser != nil {
+		options.Advise = func(ctx context.Context, step string, targets []string) (map[string]string, time.Duration, error) {
+			tickets, err := n.adviser.Advise(ctx, step, targets)
+			return tickets.ByTarget, tickets.Valid, err
+		}
+	}
 	if former := held.Claim.GetFormer(); former != nil {
 		options.Former = func(ctx context.Context) (owner.Released, error) {
 			return n.calls.Release(ctx, former.GetControl(), held.Group, held.Version)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/errs/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockward/burdockward/bootclock"
@@ -70,6 +71,8 @@
 	Heard func(now time.Duration)
 	// StoreClock is the store's clock, if it is known.
 	StoreClock func() (clock time.Duration, known bool)
+	// Advise asks the adviser which targets may run a step; nil where there is none.
+	Advise func(ctx context.Context, step string, targets []string) (tickets map[string]string, valid time.Duration, err error)
 	// Hungry says that tasks wait for a place, so that the room of other owners
 	// matters; it must not block.
 	Hungry func()
@@ -274,6 +277,8 @@
 			go o.stop(ctx, e)
 		case scheduler.Look:
 			go o.look(ctx, e)
+		case scheduler.Ask:
+			go o.advise(ctx, e)
 		case scheduler.Lend:
 			o.lend(ctx, e)
 		case scheduler.Withdraw:
@@ -317,6 +322,28 @@
 	o.post(ctx, func(now time.Duration) { o.state.Looked(now, e.To.ID, held, verdict) })
 }
 
+// advise asks the adviser.
+func (o *Owner) advise(ctx context.Context, e scheduler.Ask) {
+	var tickets map[string]string
+	var valid time.Duration
+	err := error(errNoAdviser)
+	began := bootclock.Now()
+	if o.options.Advise != nil {
+		tickets, valid, err = o.options.Advise(ctx, e.Step, e.Targets)
+	}
+	result := "ok"
+	if err != nil {
+		result = "failed"
+		o.options.Log.Warn("adviser not asked", "step", e.Step, "targets", len(e.Targets), "error", err)
+	}
+	o.options.Count("advice", result)
+	o.options.Observe("advice", bootclock.Now()-began)
+	o.post(ctx, func(now time.Duration) { o.state.Advised(now, e, tickets, valid, err == nil) })
+}
+
+// errNoAdviser says that the settings name no adviser.
+var errNoAdviser = errs.Tag("no adviser").Errorf("the settings name no adviser: give its address as advice")
+
 // fenced gives up all jobs once: another owner orders the targets now.
 func (o *Owner) fenced(e scheduler.Deposed) {
 	if o.deposed {
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -78,6 +78,9 @@
 	s.emit(Note{What: "start refused", Job: j.sub.Job.ID, Task: r.Task, Target: t.ID, Detail: verdict.String(), Age: now - r.ordered})
 	j.mark(now, "start refused", r.Task, t.ID, verdict.String())
 	j.begun--
+	if verdict == work.VerdictTicket {
+		r.task.step.unticketed(t.ID)
+	}
 	s.release(r)
 	if !j.ended && !r.task.complete {
 		s.again(now, r)
@@ -95,7 +98,7 @@
 	case work.VerdictUnhealthy, work.VerdictInvalid:
 		t.health.suspend(now)
 		s.touch(t)
-	case work.VerdictOvertaken:
+	case work.VerdictOvertaken, work.VerdictTicket:
 	default:
 		t.blocked = now + roomPause
 	}
--- a/scheduler/fake_target_test.go
+++ b/scheduler/fake_target_test.go
@@ -37,6 +37,10 @@
 	if e.Run.Number <= t.highest[e.Run.Task] {
 		return t.refuse(work.VerdictOld)
 	}
+	if !t.world.admits(t, e.Order) {
+		t.world.unticketed++
+		return t.refuse(work.VerdictTicket)
+	}
 	if t.free < 1 || t.runs[e.Run.Task] != nil {
 		return t.refuse(work.VerdictRoom)
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -24,9 +24,11 @@
 	// 0 before.
 	submitted, first time.Duration
 	// key is the place in the order of waiting jobs.
-	key   time.Duration
-	late  bool
-	ended bool
+	key  time.Duration
+	late bool
+	// useless kept jobs are done all the same.
+	useless bool
+	ended   bool
 	// stored kept jobs lie in the store; cancelled ones are over for good, dropped ones
 	// are left to another owner.
 	stored, cancelled, dropped bool
@@ -64,6 +66,9 @@
 	saved savedState
 	// tried is since when a gang waits for its places; 0 before the first try.
 	tried time.Duration
+	// name is the step's at the adviser, advice what that has said; nil without one.
+	name   string
+	advice *advice
 }
 
 // task is one task of a job. At most one run of it may be going on.
@@ -172,8 +177,12 @@
 	if declared.Spread > 0 {
 		st.on = map[string]int{}
 	}
+	st.name = fmt.Sprintf("%s.%d.%d", j.sub.Job.ID, occurrence, index)
+	if j.sub.Queue.Advised {
+		st.advice = newAdvice()
+	}
 	for i := range declared.Tasks {
-		name := fmt.Sprintf("%s.%d.%d.%d", j.sub.Job.ID, occurrence, index, i)
+		name := fmt.Sprintf("%s.%d", st.name, i)
 		if j.sub.Part != nil {
 			name = j.sub.Part[i]
 		}
@@ -188,9 +197,12 @@
 // order sets the key.
 func (j *job) order() {
 	j.key = j.latest + time.Duration(j.sub.Queue.Priority)*priorityStep
-	if j.started() {
+	switch {
+	case j.useless:
+		j.key += lateBand
+	case j.started():
 		j.key -= startedBonus
-	} else if j.late {
+	case j.late:
 		j.key += lateBand
 	}
 }
@@ -337,14 +349,21 @@
 	}
 }
 
-// delay puts a job behind others once it can't be in time.
+// delay puts a job behind others once it can't be in time, and a kept one once its end is
+// of no use any more, also where it has begun: after a takeover a backlog of those would
+// keep all new work from being in time.
 func (s *State) delay(now time.Duration, j *job) {
-	if j.started() || j.late || !j.queued || now <= j.latest {
-		return
+	switch {
+	case !j.queued:
+	case j.kept() && !j.useless && now > j.useful:
+		j.useless = true
+		j.mark(now, "useless", "", "", "its end comes too late; goes behind work that can be in time")
+		s.reorder(j)
+	case !j.started() && !j.late && now > j.latest:
+		j.late = true
+		j.mark(now, "late", "", "", "no place in time; goes behind work that can be in time")
+		s.reorder(j)
 	}
-	j.late = true
-	j.mark(now, "late", "", "", "no place in time; goes behind work that can be in time")
-	s.reorder(j)
 }
 
 // chain is the expected run time of the job.
--- a/scheduler/kept_test.go
+++ b/scheduler/kept_test.go
@@ -288,6 +288,28 @@
 	must.Eq(t, 0, pickEffects[Look](effects)[0].Until)
 }
 
+// A job that was taken over and whose end is of no use any more goes behind one that can
+// be in time, and is done all the same.
+func TestUselessBacklogGoesBehind(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.listed(work.Target{ID: "x", Capacity: work.Resources{CPU: 1}, Draining: true})
+	old := b.keptJob("old", 1)
+	old.Age = 8 * time.Second
+	b.s.Resume(b.now, old, Progress{})
+	b.s.Submit(b.now, b.keptJob("new", 1))
+	b.do()
+	b.s.Stored(b.now, "new", work.Outcome{Result: work.Accepted}, true)
+	b.pass(40 * ms)
+	b.usable("a", 1)
+	first := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 1, first)
+	must.Eq(t, "new.0.0.0", first[0].Run.Task)
+	b.begun(first)
+	b.look("a", ended(1, first[0].Run, work.EndDone))
+	must.Eq(t, "old.0.0.0", pickEffects[StartRun](b.do())[0].Run.Task)
+}
+
 // Whoever waits, and however late it is, a kept job is done.
 func TestKeptJobsAreNeverGivenUp(t *testing.T) {
 	b := newBench(t, Options{})
--- a/scheduler/kept_world_test.go
+++ b/scheduler/kept_world_test.go
@@ -92,6 +92,8 @@
 		w.note(o, func() { w.kept.jobs[e.Job].done[e.Task] = true }, func() { o.state.Noted(e.End) })
 	case TaskFailed:
 		w.note(o, func() { w.kept.jobs[e.Job].fails[e.Task]++ }, func() { o.state.Noted(e.End) })
+	case Ask:
+		w.advise(o, e)
 	case TaskSaved:
 		w.note(o, func() { w.kept.jobs[e.Job].saved[e.Task] = e.Saved }, func() {})
 	case JobEnded:
@@ -106,7 +108,7 @@
 }
 
 // handIn has a caller hand in a job that is to be kept.
-func (w *world) handIn(job work.Job) {
+func (w *world) handIn(job work.Job, advised bool) {
 	o := w.owner()
 	if o.dead || o.frozen || o.cut || !o.accepting {
 		return
@@ -115,7 +117,7 @@
 	job.ID, job.Kept = fmt.Sprintf("kept%d", w.refs), true
 	o.state.Submit(w.now, Submission{
 		Ref: w.refs, Job: job,
-		Queue: work.Queue{Name: "k", Service: "s", MaxAttempts: 3, Stretch: 10, Allowance: 500 * ms},
+		Queue: work.Queue{Name: "k", Service: "s", MaxAttempts: 3, Stretch: 10, Allowance: 500 * ms, Advised: advised},
 	})
 	w.carryOut(o)
 }
@@ -223,7 +225,7 @@
 func strikeKept(rt *rapid.T, w *world) {
 	switch rapid.SampledFrom([]string{"kept", "kept", "kept", "kept", "cancel", "store", "leave", "other"}).Draw(rt, "action") {
 	case "kept":
-		w.handIn(w.drawJob(rt))
+		w.handIn(w.drawJob(rt), rapid.IntRange(0, 3).Draw(rt, "advised") == 0)
 	case "cancel":
 		w.cancelKept()
 	case "store":
--- a/scheduler/kinds_test.go
+++ b/scheduler/kinds_test.go
@@ -375,3 +375,68 @@
 	b.look("a", work.Held{Clock: 5050, Ended: []work.End{{Number: 1, Run: on, Kind: work.EndStopped}}})
 	must.SliceLen(t, 2, pickEffects[StartRun](append(b.do(), b.pass(40*ms)...)))
 }
+
+// A step of a queue with advice starts on targets alone that the adviser names, with the
+// ticket for each, while that is valid; more targets are asked about where those are full.
+func TestAdvisedStepsStartWithTickets(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	for _, id := range []string{"a", "b", "c"} {
+		b.usable(id, 1)
+	}
+	sub := b.stepsJob("j", work.Step{Tasks: 3})
+	sub.Queue.Advised = true
+	effects := b.store(sub)
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	asks := pickEffects[Ask](effects)
+	must.Eq(t, []Ask{{Step: "j.0.0", Targets: []string{"a", "b", "c"}}}, asks)
+	b.s.Advised(b.now, asks[0], map[string]string{"a": "ta", "b": "tb"}, time.Second, true)
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 2, starts)
+	tickets := map[string]string{}
+	for _, start := range starts {
+		tickets[start.To.ID] = start.Ticket
+	}
+	must.Eq(t, map[string]string{"a": "ta", "b": "tb"}, tickets)
+	b.begun(starts)
+	// All of them are full, another one comes.
+	b.usable("d", 1)
+	asks = pickEffects[Ask](b.pass(askPause + 20*ms))
+	must.Eq(t, []Ask{{Step: "j.0.0", Targets: []string{"d"}}}, asks)
+	b.s.Advised(b.now, asks[0], map[string]string{"d": "td"}, ticketMargin, true)
+	must.SliceEmpty(t, pickEffects[StartRun](b.do()))
+}
+
+// A ticket that a target doesn't take is asked for again; without an answer the adviser is
+// left alone for a while.
+func TestTicketsAreAskedForAgain(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.usable("a", 1)
+	sub := b.stepsJob("j", work.Step{Tasks: 1})
+	sub.Queue.Advised = true
+	ask := pickEffects[Ask](b.store(sub))[0]
+	b.s.Advised(b.now, ask, nil, 0, false)
+	must.SliceEmpty(t, pickEffects[Ask](b.pass(askPause-40*ms)))
+	must.SliceLen(t, 1, pickEffects[Ask](b.pass(80*ms)))
+	b.s.Advised(b.now, ask, map[string]string{"a": "t1"}, time.Second, true)
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, work.OrderAnswer{Verdict: work.VerdictTicket, Clock: 5000})
+	must.SliceLen(t, 1, pickEffects[Ask](b.do()))
+}
+
+// The adviser takes a bounded number of questions at a time.
+func TestQuestionsAreBounded(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.usable("a", 1)
+	var asks []Ask
+	for i := range 2 * maxAsking {
+		sub := b.stepsJob("j"+string(rune('a'+i)), work.Step{Tasks: 1})
+		sub.Queue.Advised = true
+		asks = append(asks, pickEffects[Ask](b.store(sub))...)
+	}
+	must.SliceLen(t, maxAsking, asks)
+	b.s.Advised(b.now, asks[0], nil, 0, true)
+	must.SliceLen(t, 1, pickEffects[Ask](b.do()))
+}
--- a/scheduler/kinds_world_test.go
+++ b/scheduler/kinds_world_test.go
@@ -231,3 +231,43 @@
 	slices.Sort(tasks)
 	return tasks
 }
+
+// ticketTime is how long the adviser's tickets are valid.
+const ticketTime = 400 * ms
+
+// advise plays the adviser, whose answer is lost as often as a target's.
+func (w *world) advise(o *fakeOwner, e Ask) {
+	w.after(time.Duration(1+w.random.IntN(80))*ms, func() {
+		tickets := map[string]string{}
+		first := true
+		for _, id := range w.targetIDs() {
+			if w.targets[id].down {
+				continue
+			}
+			if slices.Contains(e.Targets, id) && (first || (len(e.Step)+len(id)+int(id[len(id)-1]))%3 > 0) {
+				tickets[id] = w.ticket(e.Step, id)
+			}
+			first = false
+		}
+		lost := w.random.Float64() < w.faults.lostAnswers
+		w.after(ms, func() { w.hear(o, func() { o.state.Advised(w.now, e, tickets, ticketTime, !lost) }) })
+	})
+}
+
+// ticket makes a ticket and remembers until when it is valid.
+func (w *world) ticket(step, target string) string {
+	ticket := fmt.Sprintf("%s on %s at %v", step, target, w.now)
+	w.tickets[ticket] = w.now + ticketTime
+	return ticket
+}
+
+// admits reports whether a target takes a start, which needs a ticket where the job's
+// queue has advice.
+func (w *world) admits(t *fakeTarget, order work.Order) bool {
+	r, _ := w.find(order.Run.Task)
+	if r == nil || !r.sub.Queue.Advised {
+		return true
+	}
+	step := order.Run.Task[:strings.LastIndex(order.Run.Task, ".")]
+	return strings.HasPrefix(order.Ticket, step+" on "+t.id+" at ") && w.now <= w.tickets[order.Ticket]
+}
--- a/scheduler/lend.go
+++ b/scheduler/lend.go
@@ -69,8 +69,8 @@
 func (s *State) Hungry() bool { return slices.ContainsFunc(s.waiting, (*job).lendable) }
 
 // lendable reports whether other owners may run tasks of a job. What they would have
-// to note of a kept job only its home may write.
-func (j *job) lendable() bool { return j.sub.Part == nil && !j.kept() }
+// to note of a kept job only its home may write; the adviser's word is this owner's.
+func (j *job) lendable() bool { return j.sub.Part == nil && !j.kept() && !j.sub.Queue.Advised }
 
 // lendJob hands the tasks of a step that found no place here to others that have
 // room, or whose queue is shorter.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -77,10 +77,11 @@
 		}
 		if st.Gang {
 			s.placeGang(now, j, st, full)
-			continue
+		} else {
+			s.placeStep(now, j, st, full)
 		}
-		s.placeStep(now, j, st, full)
 		if len(st.pending) > 0 {
+			s.seek(now, j, st)
 			s.lendJob(now, j, st)
 		}
 	}
@@ -88,7 +89,7 @@
 
 // placeStep starts tasks of a step until one finds no place.
 func (s *State) placeStep(now time.Duration, j *job, st *step, full *misses) {
-	plain := st.Label == "" && st.on == nil
+	plain := st.Label == "" && st.on == nil && st.advice == nil
 	for len(st.pending) > 0 && !(plain && full.hopeless(j.pool, st.Each)) {
 		if st.Lasting && !st.bringRipe(now) {
 			return
@@ -110,7 +111,7 @@
 	if t.state != usable || t.Draining || now < t.blocked || !st.Each.Fits(t.free) {
 		return false
 	}
-	if st.Label != "" && !slices.Contains(t.Labels, st.Label) {
+	if st.Label != "" && !slices.Contains(t.Labels, st.Label) || !st.advice.allows(now, t.ID) {
 		return false
 	}
 	if st.on != nil && st.on[t.ID] >= st.Spread {
@@ -159,7 +160,7 @@
 	t.lease.until = max(t.lease.until, r.until)
 	j.mark(now, "started", tk.name, t.ID, "")
 	s.emit(StartRun{To: t.address(), Order: work.Order{
-		Run: r.Run, Payload: j.sub.Job.Payload, Saved: tk.savedState().value, Until: r.until,
+		Run: r.Run, Payload: j.sub.Job.Payload, Saved: tk.savedState().value, Ticket: tk.step.advice.value(t.ID), Until: r.until,
 	}})
 }
 
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -158,7 +158,7 @@
 // holds reports whether any target is large enough for a step.
 func (p *pool) holds(st *step) bool {
 	return slices.ContainsFunc(p.targets, func(t *target) bool {
-		return st.Each.Fits(t.Capacity) && (st.Label == "" || slices.Contains(t.Labels, st.Label))
+		return st.fitsOn(t)
 	})
 }
 
--- a/scheduler/repeat.go
+++ b/scheduler/repeat.go
@@ -45,7 +45,7 @@
 // begin counts the job's times from now on.
 func (j *job) begin(now time.Duration) {
 	objective, chain := j.objective-j.arrived, j.chain()
-	j.arrived, j.late = now, false
+	j.arrived, j.late, j.useless = now, false, false
 	j.objective = now + objective
 	j.latest = j.objective - chain
 	j.useful = now + usefulFactor*objective
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -187,6 +187,9 @@
 	dropped, prolonging time.Duration
 	// wall is the time since 1970 at time zero of the State's time.
 	wall time.Duration
+	// asked holds the steps that the adviser is asked about, asking counts them.
+	asked  map[string]*step
+	asking int
 	// repeated holds the jobs with occurrences that aren't due yet.
 	repeated map[*job]bool
 	lastRun  int64
@@ -214,6 +217,7 @@
 		ending:   map[string][]EndRef{},
 		left:     map[string]leftover{},
 		repeated: map[*job]bool{},
+		asked:    map[string]*step{},
 	}
 }
 
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -49,6 +49,10 @@
 	done  map[string]bool
 	saved map[string]map[string]bool
 	gangs map[string]*fakeGang
+	// tickets are until when each one is valid, unticketed counts starts refused for want
+	// of one.
+	tickets    map[string]time.Duration
+	unticketed int
 	// lasting is set once a job that lasts was handed in.
 	lasting bool
 }
@@ -157,7 +161,7 @@
 		now: time.Second, random: rand.New(rand.NewPCG(seed, 7)), targets: map[string]*fakeTarget{},
 		callers: map[string]*caller{}, running: map[string]int{}, started: map[string]bool{}, faults: faults, longest: 100,
 		kept: keptStore{jobs: map[string]*keptRecord{}}, acknowledged: map[string]bool{}, startedAt: map[string]time.Duration{},
-		failed: map[string]int{}, done: map[string]bool{}, saved: map[string]map[string]bool{}, gangs: map[string]*fakeGang{},
+		failed: map[string]int{}, done: map[string]bool{}, saved: map[string]map[string]bool{}, gangs: map[string]*fakeGang{}, tickets: map[string]time.Duration{},
 	}
 	for range targets {
 		w.addTarget()
--- a/work/orders.go
+++ b/work/orders.go
@@ -28,12 +28,15 @@
 	// VerdictOvertaken says that the target did nothing, since it has seen a newer
 	// token of the same owner: the order can be given again.
 	VerdictOvertaken
+	// VerdictTicket says that the adviser's ticket doesn't hold there.
+	VerdictTicket
 )
 
 var verdictNames = map[Verdict]string{
 	VerdictUnknown: "unknown", VerdictDone: "done", VerdictUnsent: "unsent", VerdictFenced: "fenced",
 	VerdictOld: "old", VerdictLate: "late", VerdictRoom: "room", VerdictGone: "gone",
 	VerdictUnhealthy: "unhealthy", VerdictInvalid: "invalid", VerdictOvertaken: "overtaken",
+	VerdictTicket: "ticket",
 }
 
 // String names the verdict in logs and metrics.
@@ -58,6 +61,8 @@
 	// Saved is what an earlier run of the task saved of its work; empty where there is
 	// none.
 	Saved string
+	// Ticket is the adviser's for this target; empty where the queue has no advice.
+	Ticket string
 	// Until is the end of the lease on the target's clock, in milliseconds.
 	Until int64
 }
--- a/work/work.go
+++ b/work/work.go
@@ -129,7 +129,7 @@
 	Allowance time.Duration
 	// Timeout bounds the time of a request; 0 means no bound.
 	Timeout time.Duration
-	// Advised queues run on targets only that a service of the platform's names.
+	// Advised queues run on targets only that the adviser names.
 	Advised bool
 }
 
