Number the fuzz's ends of gangs apart

Cause: a history of the fuzz started a task that had failed as often as allowed. The test's target numbered the ends of two members of a gang alike, and the owner passed over the second one. Ruled out, by the trace of that history: failed runs that weren't noted (the owner never heard of them). Change: an end is listed before its gang is told.

--- a/scheduler/fake_target_test.go
+++ b/scheduler/fake_target_test.go
@@ -79,8 +79,8 @@
 	t.highest[task] = max(t.highest[task], r.number)
 	t.number++
 	t.endedAt[t.number] = t.world.now
-	t.world.endKept(task, r, kind)
 	t.ended = append(t.ended, work.End{Number: t.number, Run: work.Run{Task: task, Number: r.number}, Kind: kind, Saved: r.saved})
+	t.world.endKept(task, r, kind)
 	if t.poll != nil {
 		t.poll()
 	}
--- a/scheduler/kept_world_test.go
+++ b/scheduler/kept_world_test.go
@@ -188,15 +188,15 @@
 		w.faults = worldFaults{}
 		w.takeOver()
 		w.settleKept()
-		must.SliceEmpty(rt, w.violations)
-		must.SliceEmpty(rt, w.unended())
+		must.SliceEmpty(rt, w.violations, must.Sprint(w.violations))
+		must.SliceEmpty(rt, w.unended(), must.Sprint(w.unended()))
 		for range w.kept.jobs {
 			w.cancelKept()
 			w.run(2 * noteDelay * ms)
 		}
 		w.run(time.Second)
-		must.SliceEmpty(rt, w.runningKept())
-		must.SliceEmpty(rt, w.violations)
+		must.SliceEmpty(rt, w.runningKept(), must.Sprint(w.runningKept()))
+		must.SliceEmpty(rt, w.violations, must.Sprint(w.violations))
 	})
 }
 
