Count a failed run once through a takeover; run steps that fill

A failed run that the former owner had noted in the store, and whose acknowledgement hadn't reached the target, was listed to the successor, which counted it again beside the note. Steps that fill were refused. Change: the note of a failed run has its number, and the end of that run is acknowledged and not counted. Tasks that fill take no processor from their target's room, go where most is free, and are kept off targets of tasks that serve; where such a task finds no other place they are stopped on one target, which is kept for it.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -61,8 +61,9 @@
 	State work.State `json:"state"`
 	// Done lists the tasks that are done, by their place in the job.
 	Done []int `json:"done,omitempty"`
-	// Fails counts the failed runs of tasks.
-	Fails map[int]int `json:"fails,omitempty"`
+	// Fails counts the failed runs of tasks, LastFailed is the number of the last one.
+	Fails      map[int]int   `json:"fails,omitempty"`
+	LastFailed map[int]int64 `json:"last_failed,omitempty"`
 	// Saved is what tasks have saved of their work.
 	Saved map[int]string `json:"saved,omitempty"`
 	// Ended is when the job ended, on the store's clock.
--- a/jobstore/keeper.go
+++ b/jobstore/keeper.go
@@ -251,13 +251,14 @@
 }
 
 // TaskFailed notes a failed run of a task; done is told when the store has it.
-func (k *Keeper) TaskFailed(id string, task int, done func()) {
+func (k *Keeper) TaskFailed(id string, task int, run int64, done func()) {
 	k.change(id, func(s *shard) {
 		s.note(id, func(p *Progress) {
 			if p.Fails == nil {
-				p.Fails = map[int]int{}
+				p.Fails, p.LastFailed = map[int]int{}, map[int]int64{}
 			}
 			p.Fails[task]++
+			p.LastFailed[task] = run
 		}, done)
 	})
 }
--- a/jobstore/keeper_test.go
+++ b/jobstore/keeper_test.go
@@ -58,7 +58,7 @@
 	k := running(t, store, "a", 1, 1)
 	must.Eq(t, Stored, accept(k, testJob))
 	note(func(done func()) { k.TaskDone(testJob, 1, done) })
-	note(func(done func()) { k.TaskFailed(testJob, 0, done) })
+	note(func(done func()) { k.TaskFailed(testJob, 0, 7, done) })
 	_, kept := open(t, store, "a", 2, 2)
 	must.SliceLen(t, 1, kept)
 	must.Eq(t, testJob, kept[0].Job.ID)
@@ -66,6 +66,7 @@
 	must.Eq(t, time.Hour-time.Second, kept[0].Arrived)
 	must.Eq(t, []int{1}, kept[0].Progress.Done)
 	must.Eq(t, map[int]int{0: 1}, kept[0].Progress.Fails)
+	must.Eq(t, map[int]int64{0: 7}, kept[0].Progress.LastFailed)
 	_, kept = open(t, store, "b", 3, 3)
 	must.SliceEmpty(t, kept)
 }
--- a/lab/prepared/kinds.go
+++ b/lab/prepared/kinds.go
@@ -21,6 +21,8 @@
 	lasting bool
 	// advised tasks start with a ticket of the adviser alone.
 	advised bool
+	// fills tasks take no room of their target, and may not run beside those that serve.
+	fills, serves bool
 	// saves has the task save its work as it goes.
 	saves bool
 	// due is when the first occurrence is due, every the time to the next.
@@ -42,6 +44,12 @@
 	if p.advised {
 		words = append(words, "advised")
 	}
+	if p.fills {
+		words = append(words, "fills")
+	}
+	if p.serves {
+		words = append(words, "serves")
+	}
 	if p.due > 0 {
 		words = append(words, "due", strconv.FormatInt(p.due.Milliseconds(), 10), "every", strconv.FormatInt(p.every.Milliseconds(), 10))
 	}
@@ -69,6 +77,10 @@
 			p.saves = true
 		case "advised":
 			p.advised = true
+		case "fills":
+			p.fills = true
+		case "serves":
+			p.serves = true
 		case "due":
 			p.due = time.Duration(number(i+1)) * time.Millisecond
 		case "every":
@@ -169,7 +181,7 @@
 	p := plan{length: time.Duration(20+rand.IntN(300)) * time.Millisecond}
 	step := wire.Step{Count: 1 + rand.IntN(3), CPU: taskCPU, MemoryMB: 64, EstimateMS: float64(p.length.Milliseconds())}
 	job := wire.Job{Steps: []wire.Step{step}}
-	switch kind := rand.IntN(10); {
+	switch kind := rand.IntN(12); {
 	case kind < 2:
 		p.gang, p.saves = 2, true
 		job.Steps[0].Count, job.Steps[0].Gang = p.gang, true
@@ -182,8 +194,11 @@
 		p.length, p.saves = p.length+time.Second, true
 		job.Steps[0].Count, job.Steps[0].EstimateMS = 1, float64(p.length.Milliseconds())
 	case kind == 5 && d.mayLast():
-		p.lasting = true
-		job.Steps[0].Count, job.Steps[0].LongRunning = 1, true
+		p.lasting, p.serves = true, true
+		job.Steps[0].Count, job.Steps[0].LongRunning, job.Steps[0].TargetMS = 1, true, servingTarget
+	case kind == 6:
+		p.fills = true
+		job.Steps[0].Fills = true
 	}
 	p.advised = !p.lasting && rand.IntN(4) == 0
 	job.Spec = p.payload()
@@ -198,6 +213,9 @@
 	return Path
 }
 
+// servingTarget is below what the tail of serving tasks has to stay, in milliseconds.
+const servingTarget = 50
+
 // mostLasting leaves room for other work.
 const mostLasting = 2
 
--- a/lab/prepared/target.go
+++ b/lab/prepared/target.go
@@ -222,7 +222,7 @@
 		return t.answer(wire.ReasonOld)
 	case planOf(in.Spec).advised && !t.adviser.admits(in.Ticket, in.Task, t.ID):
 		return t.answer(wire.ReasonTicket)
-	case t.free < taskCPU || r != nil:
+	case r != nil || t.free < takes(planOf(in.Spec)):
 		return t.answer(wire.ReasonRoom)
 	}
 	t.prolong(in.UntilMS)
@@ -232,9 +232,14 @@
 
 func (t *Target) begin(in wire.Start) {
 	w, own := newWorker(planOf(in.Spec), in.Task, in.Checkpoint)
-	r := &running{run: in.Run, cpu: taskCPU, worker: w}
+	r := &running{run: in.Run, cpu: takes(w.plan), worker: w}
 	t.running[in.Task] = r
-	t.free -= taskCPU
+	t.free -= r.cpu
+	for task, other := range t.running {
+		if other.fills && r.serves || other.serves && r.fills {
+			t.recorder.wrong(in.Task + " was started beside " + task + ", which disturbs it or is disturbed")
+		}
+	}
 	t.recorder.began(in.Task)
 	if !own {
 		t.recorder.wrong(in.Task + " was told to go on from " + in.Checkpoint)
@@ -321,6 +326,14 @@
 	t.end(task, r, how)
 }
 
+// takes is the processor that a task takes of its target's.
+func takes(p plan) int64 {
+	if p.fills {
+		return 0
+	}
+	return taskCPU
+}
+
 // watch ends a run whose lease has lapsed.
 func (t *Target) watch(task string, r *running) {
 	time.AfterFunc(time.Duration(t.until-t.clock()+1)*time.Millisecond, func() {
--- a/link/convert.go
+++ b/link/convert.go
@@ -56,6 +56,8 @@
 		Gang:       step.Gang,
 		OneRack:    step.OneRack,
 		Lasting:    step.Lasting,
+		Fills:      step.Fills,
+		Serves:     step.Serves,
 	}
 	for _, before := range step.After {
 		wire.After = append(wire.After, int32(before))
@@ -85,6 +87,8 @@
 		Gang:     wire.GetGang(),
 		OneRack:  wire.GetOneRack(),
 		Lasting:  wire.GetLasting(),
+		Fills:    wire.GetFills(),
+		Serves:   wire.GetServes(),
 	}
 	for _, before := range wire.GetAfter() {
 		step.After = append(step.After, int(before))
--- a/owner/kept.go
+++ b/owner/kept.go
@@ -97,7 +97,9 @@
 		o.lastRef++
 		o.state.Resume(now, scheduler.Submission{
 			Ref: o.lastRef, Job: job.Job, Queue: job.Queue, Age: max(clock-job.Arrived, 0),
-		}, scheduler.Progress{Done: job.Progress.Done, Fails: job.Progress.Fails, Saved: job.Progress.Saved})
+		}, scheduler.Progress{
+			Done: job.Progress.Done, Fails: job.Progress.Fails, LastFailed: job.Progress.LastFailed, Saved: job.Progress.Saved,
+		})
 	}
 	o.state.Resumed(now)
 }
@@ -126,7 +128,7 @@
 	case scheduler.TaskDone:
 		o.options.Jobs.TaskDone(e.Job, e.Task, func() { o.noted(ctx, e.End) })
 	case scheduler.TaskFailed:
-		o.options.Jobs.TaskFailed(e.Job, e.Task, func() { o.noted(ctx, e.End) })
+		o.options.Jobs.TaskFailed(e.Job, e.Task, e.Run, func() { o.noted(ctx, e.End) })
 	case scheduler.TaskSaved:
 		o.options.Jobs.TaskSaved(e.Job, e.Task, e.Saved)
 	case scheduler.JobEnded:
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -166,6 +166,9 @@
 
 // met learns from a job that was taken.
 func (p *pool) met(now time.Duration, j *job) {
+	if j.steps[0].Fills {
+		return
+	}
 	cpu := float64(max(j.steps[0].Each.CPU, 1))
 	if p.usualCPU == 0 {
 		p.usualCPU = cpu
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -113,7 +113,7 @@
 
 // fitsOn reports whether a target that nothing runs on could hold a task of the step.
 func (st *step) fitsOn(t *target) bool {
-	return st.Each.Fits(t.Capacity) && (st.Label == "" || slices.Contains(t.Labels, st.Label))
+	return st.Each.Fits(t.Capacity) && st.filling <= t.Capacity.CPU && (st.Label == "" || slices.Contains(t.Labels, st.Label))
 }
 
 // Advised takes the adviser's word on the targets that an Ask named. Without an answer
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -303,6 +303,7 @@
 	}
 	s.keepSaved(r.task, r.Number, r.saved)
 	r.task.fails++
+	r.task.lastFailed = r.Number
 	if r.task.step.fails(r.task) >= j.sub.Queue.MaxAttempts {
 		s.finish(now, j, work.Outcome{Result: work.Failed, Reason: "a task failed as often as its queue allows"})
 		return
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -245,6 +245,9 @@
 	if st := j.pool.reserved; st != nil && st.job == j {
 		s.unreserve(j.pool, st)
 	}
+	for _, st := range j.current() {
+		s.letGo(st)
+	}
 }
 
 // disband stops what still runs of a gang that one member is missing from.
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -108,8 +108,8 @@
 // praise learns from a good end.
 func (s *State) praise(now time.Duration, t *target, r *run) {
 	h := &t.health
-	if r.adopted || r.task.step.Lasting {
-		// When it began isn't known, or it was no good end.
+	if st := r.task.step; r.adopted || st.Lasting || st.Fills {
+		// When it began isn't known, it was no good end, or others had the processor.
 		return
 	}
 	took := now - r.ordered
@@ -180,9 +180,10 @@
 	}
 }
 
-// overdue reports whether a run should have ended; one that lasts never should.
+// overdue reports whether a run should have ended; one that lasts never should, and one
+// that fills has no time of its own.
 func (r *run) overdue(now time.Duration) bool {
-	return !r.task.step.Lasting && now-r.ordered > time.Duration(overdueFactor*float64(r.expected))+overdueSlack
+	return !r.task.step.Lasting && !r.task.step.Fills && now-r.ordered > time.Duration(overdueFactor*float64(r.expected))+overdueSlack
 }
 
 // hopelessFactor is beyond the longest run times, four times their mean, where
@@ -213,7 +214,7 @@
 // worthMoving reports whether a run on a suspected target would end earlier
 // elsewhere, while its job is of use.
 func (s *State) worthMoving(now time.Duration, t *target, r *run) bool {
-	if r.task.step.Lasting || r.task.step.Gang || r.task.job.dropped {
+	if r.task.step.Lasting || r.task.step.Gang || r.task.step.Fills || r.task.job.dropped {
 		return false
 	}
 	elsewhere := now + s.options.StopTime + r.expected
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -69,6 +69,11 @@
 	// name is the step's at the adviser, advice what that has said; nil without one.
 	name   string
 	advice *advice
+	// filling is what a task that fills wants of its target's processor, in thousandths
+	// of a core; held is the target that room is made on for a serving one, since cleared.
+	filling int64
+	held    *target
+	cleared time.Duration
 }
 
 // task is one task of a job. At most one run of it may be going on.
@@ -80,6 +85,8 @@
 	place int
 	run   *run
 	fails int
+	// lastFailed is the number of the last failed run.
+	lastFailed int64
 	// complete is set once its work is done.
 	complete bool
 	// saved is what it has saved of its work.
@@ -177,6 +184,7 @@
 	if declared.Spread > 0 {
 		st.on = map[string]int{}
 	}
+	st.share()
 	st.name = fmt.Sprintf("%s.%d.%d", j.sub.Job.ID, occurrence, index)
 	if j.sub.Queue.Advised {
 		st.advice = newAdvice()
--- a/scheduler/kept.go
+++ b/scheduler/kept.go
@@ -27,7 +27,9 @@
 type TaskFailed struct {
 	Job  string
 	Task int
-	End  EndRef
+	// Run is its number: a successor that finds both the note and the end counts it once.
+	Run int64
+	End EndRef
 }
 
 // TaskSaved is what a task has saved of its work, to be noted in the store.
@@ -171,7 +173,7 @@
 		return
 	}
 	if failed {
-		s.emit(TaskFailed{Job: j.sub.Job.ID, Task: r.task.place, End: end})
+		s.emit(TaskFailed{Job: j.sub.Job.ID, Task: r.task.place, Run: r.Number, End: end})
 		return
 	}
 	s.emit(TaskDone{Job: j.sub.Job.ID, Task: r.task.place, End: end})
--- a/scheduler/kept_test.go
+++ b/scheduler/kept_test.go
@@ -249,6 +249,28 @@
 	must.Eq(t, 3, seen(b.pass(100*ms)))
 }
 
+// A failed run that a former owner had noted, and not acknowledged, is counted once.
+func TestFailedRunsAreCountedOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		noted int64
+		ended bool
+	}{"it is the noted one": {31, false}, "it is another one": {29, true}} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{})
+			b.target("a", 4)
+			b.do()
+			b.look("a", ended(1, work.Run{Task: "j.0.0.0", Number: 31}, work.EndFailed))
+			b.s.Resume(b.now, b.keptJob("j", 1), Progress{Fails: map[int]int{0: 1}, LastFailed: map[int]int64{0: test.noted}})
+			b.s.Resumed(b.now)
+			effects := b.do()
+			must.Eq(t, test.ended, len(pickEffects[JobEnded](effects)) == 1)
+			must.Eq(t, test.ended, len(pickEffects[TaskFailed](effects)) == 1)
+			must.Eq(t, !test.ended, len(pickEffects[StartRun](effects)) == 1)
+			must.SliceEmpty(t, b.s.orphans["j.0.0.0"])
+		})
+	}
+}
+
 // An owner that leaves hands all kept jobs back. What runs of them goes on for the
 // successor: it isn't stopped, its end isn't acknowledged, and its lease is prolonged for
 // no longer than the successor waits for a target that it can't reach.
--- a/scheduler/kept_world_test.go
+++ b/scheduler/kept_world_test.go
@@ -30,7 +30,9 @@
 	done  map[int]bool
 	fails map[int]int
 	saved map[int]string
-	state work.State
+	// lastFailed is the number of each task's last failed run.
+	lastFailed map[int]int64
+	state      work.State
 	// asked is set once a caller has cancelled the job.
 	asked bool
 }
@@ -71,7 +73,7 @@
 		w.refs++
 		sub := r.sub
 		sub.Ref = w.refs
-		o.state.Resume(w.now, sub, Progress{Done: slices.Sorted(maps.Keys(r.done)), Fails: maps.Clone(r.fails), Saved: maps.Clone(r.saved)})
+		o.state.Resume(w.now, sub, Progress{Done: slices.Sorted(maps.Keys(r.done)), Fails: maps.Clone(r.fails), LastFailed: maps.Clone(r.lastFailed), Saved: maps.Clone(r.saved)})
 	}
 	o.state.Resumed(w.now)
 	o.accepting = true
@@ -85,13 +87,16 @@
 		id := e.Submission.Job.ID
 		w.note(o, func() {
 			if w.kept.jobs[id] == nil {
-				w.kept.jobs[id] = &keptRecord{sub: e.Submission, done: map[int]bool{}, fails: map[int]int{}, saved: map[int]string{}, state: work.StateQueued}
+				w.kept.jobs[id] = &keptRecord{sub: e.Submission, done: map[int]bool{}, fails: map[int]int{}, saved: map[int]string{}, lastFailed: map[int]int64{}, state: work.StateQueued}
 			}
 		}, func() { o.state.Stored(w.now, id, work.Outcome{Result: work.Accepted}, true) })
 	case TaskDone:
 		w.note(o, func() { w.kept.jobs[e.Job].done[e.Task] = true }, func() { o.state.Noted(e.End) })
 	case TaskFailed:
-		w.note(o, func() { w.kept.jobs[e.Job].fails[e.Task]++ }, func() { o.state.Noted(e.End) })
+		w.note(o, func() {
+			w.kept.jobs[e.Job].fails[e.Task]++
+			w.kept.jobs[e.Job].lastFailed[e.Task] = e.Run
+		}, func() { o.state.Noted(e.End) })
 	case Ask:
 		w.advise(o, e)
 	case TaskSaved:
@@ -102,6 +107,9 @@
 			if e.State == work.StateCancelled && !r.asked {
 				w.violations = append(w.violations, e.Job+" was cancelled by nobody")
 			}
+			if e.State == work.StateFailed && !w.hasFailed(r) {
+				w.violations = append(w.violations, e.Job+" is said to have failed, and no task has so often")
+			}
 			r.state = e.State
 		}, func() { o.state.EndNoted(e.Job) })
 	}
@@ -172,7 +180,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		share := func(name string) float64 { return float64(rapid.IntRange(0, 6).Draw(rt, name)) / 100 }
 		w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
-			lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: share("failing"),
+			lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: 4 * share("failing"),
 		})
 		w.longest = rapid.SampledFrom([]int{100, 800}).Draw(rt, "longest")
 		w.takeOver()
--- a/scheduler/kinds_test.go
+++ b/scheduler/kinds_test.go
@@ -440,3 +440,40 @@
 	b.s.Advised(b.now, asks[0], nil, 0, true)
 	must.SliceLen(t, 1, pickEffects[Ask](b.do()))
 }
+
+// Tasks that fill take no room from others, spread to where most is free, and don't run
+// beside tasks that serve, for which they make room.
+func TestFillingTasks(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.usable("a", 4000)
+	b.usable("b", 2000)
+	fill := pickEffects[StartRun](b.store(b.stepsJob("f", work.Step{Tasks: 3, Fills: true, Each: work.Resources{CPU: 2000}})))
+	must.SliceLen(t, 3, fill)
+	must.Eq(t, "a", fill[0].To.ID)
+	must.Eq(t, "a", fill[1].To.ID)
+	must.Eq(t, "b", fill[2].To.ID)
+	b.begun(fill)
+	plain := pickEffects[StartRun](b.store(b.stepsJob("p", work.Step{Tasks: 1, Each: work.Resources{CPU: 2000}})))
+	must.SliceLen(t, 1, plain)
+	must.Eq(t, "b", plain[0].To.ID)
+	b.begun(plain)
+	effects := b.store(b.stepsJob("s", work.Step{Tasks: 1, Serves: true, Each: work.Resources{CPU: 4000}}))
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	must.SliceLen(t, 2, pickEffects[StopRun](effects))
+	b.look("a", work.Held{Clock: 5000, Ended: []work.End{
+		{Number: 1, Run: fill[0].Run, Kind: work.EndStopped}, {Number: 2, Run: fill[1].Run, Kind: work.EndStopped},
+	}})
+	serving := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 1, serving)
+	must.Eq(t, "s.0.0.0", serving[0].Run.Task)
+	b.begun(serving)
+	must.SliceEmpty(t, pickEffects[StartRun](b.pass(100*ms)))
+	// However long they take, they are not taken for hung.
+	for range 20 {
+		b.look("b", work.Held{Clock: 5000 + (b.now - 10*time.Second).Milliseconds(), Running: listing(fill[2].Run, plain[0].Run)})
+		for _, stop := range pickEffects[StopRun](b.pass(500 * ms)) {
+			must.NotEq(t, fill[2].Run, stop.Run)
+		}
+	}
+}
--- a/scheduler/kinds_world_test.go
+++ b/scheduler/kinds_world_test.go
@@ -188,6 +188,12 @@
 	}
 	step := record.sub.Job.Steps[p.step]
 	as := w.savesAs(task)
+	if kind == work.EndFailed {
+		w.failedEnds[task]++
+		if step.Gang {
+			w.failedEnds[as]++
+		}
+	}
 	if kind == work.EndDone {
 		w.done[task] = true
 		for i := 0; step.Gang && i < step.Tasks; i++ {
@@ -271,3 +277,13 @@
 	step := order.Run.Task[:strings.LastIndex(order.Run.Task, ".")]
 	return strings.HasPrefix(order.Ticket, step+" on "+t.id+" at ") && w.now <= w.tickets[order.Ticket]
 }
+
+// hasFailed reports whether a task of a job, or a gang, has failed as often as allowed.
+func (w *world) hasFailed(r *keptRecord) bool {
+	for name, fails := range w.failedEnds {
+		if fails >= r.sub.Queue.MaxAttempts && strings.HasPrefix(name, r.sub.Job.ID+".") {
+			return true
+		}
+	}
+	return false
+}
--- a/scheduler/lend.go
+++ b/scheduler/lend.go
@@ -75,7 +75,7 @@
 // lendJob hands the tasks of a step that found no place here to others that have
 // room, or whose queue is shorter.
 func (s *State) lendJob(now time.Duration, j *job, st *step) {
-	if !j.lendable() || st.on != nil || st.Gang || s.leaving {
+	if !j.lendable() || st.on != nil || st.Gang || st.Fills || st.Serves || s.leaving {
 		return
 	}
 	priority := priorityOf(j.sub.Queue)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -89,7 +89,7 @@
 
 // placeStep starts tasks of a step until one finds no place.
 func (s *State) placeStep(now time.Duration, j *job, st *step, full *misses) {
-	plain := st.Label == "" && st.on == nil && st.advice == nil
+	plain := st.Label == "" && st.on == nil && st.advice == nil && !st.Fills && !st.Serves
 	for len(st.pending) > 0 && !(plain && full.hopeless(j.pool, st.Each)) {
 		if st.Lasting && !st.bringRipe(now) {
 			return
@@ -99,9 +99,13 @@
 			if plain {
 				full.add(j.pool, st.Each)
 			}
+			if st.Serves {
+				s.clear(now, j, st)
+			}
 			return
 		}
 		s.start(now, t, st.pending[0], s.nextRun(now, j.kept()))
+		s.letGo(st)
 		st.pending = slices.Delete(st.pending, 0, 1)
 	}
 }
@@ -117,7 +121,7 @@
 	if st.on != nil && st.on[t.ID] >= st.Spread {
 		return false
 	}
-	if t.runs[tk.name] != nil || t.reserved != nil && t.reserved != st || !s.prolongs(now, t) {
+	if !st.sharesWith(t) || t.runs[tk.name] != nil || t.reserved != nil && t.reserved != st || !s.prolongs(now, t) {
 		return false
 	}
 	if t.slow() && !t.health.suspected {
@@ -174,6 +178,7 @@
 		r.flow = float64(st.Each.CPU) / r.lasts()
 	}
 	t.flow += r.flow
+	t.sharing(st, 1)
 	if st.on != nil {
 		st.on[t.ID]++
 	}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -132,6 +132,12 @@
 // room elsewhere; targets that suit it less by other things only where no other has
 // room.
 func (s *State) pick(now time.Duration, j *job, st *step, tk *task) *target {
+	if st.Fills {
+		return s.pickFill(now, j, st, tk)
+	}
+	if st.held != nil && s.may(now, st.held, j, st, tk) {
+		return st.held
+	}
 	p := j.pool
 	var best *target
 	for bucket := bucketOf(st.Each.CPU); bucket < bucketCount; bucket++ {
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -17,8 +17,9 @@
 type Progress struct {
 	// Done lists the tasks that are done, by their place in the job.
 	Done []int
-	// Fails counts the failed runs of tasks.
-	Fails map[int]int
+	// Fails counts the failed runs of tasks, LastFailed is the number of the last one.
+	Fails      map[int]int
+	LastFailed map[int]int64
 	// Saved is what tasks have saved of their work.
 	Saved map[int]string
 }
@@ -145,6 +146,7 @@
 	for place, n := range progress.Fails {
 		if known(place) {
 			j.tasks[place].fails = n
+			j.tasks[place].lastFailed = progress.LastFailed[place]
 		}
 	}
 	for place, saved := range progress.Saved {
@@ -172,6 +174,7 @@
 // orphan is the end of a run that a former owner ordered and did not note.
 type orphan struct {
 	end    EndRef
+	run    int64
 	failed bool
 }
 
@@ -191,7 +194,7 @@
 	if end.Kind != work.EndDone && end.Kind != work.EndFailed {
 		return
 	}
-	o := orphan{end: EndRef{Target: t.ID, Number: end.Number}, failed: end.Kind == work.EndFailed}
+	o := orphan{end: EndRef{Target: t.ID, Number: end.Number}, run: end.Run.Number, failed: end.Kind == work.EndFailed}
 	if !s.resumed {
 		t.unnoted[end.Number] = true
 		s.orphans[end.Run.Task] = append(s.orphans[end.Run.Task], o)
@@ -233,11 +236,12 @@
 func (s *State) adopt(t *task, o orphan) {
 	s.unnoted++
 	switch {
-	case t.complete || t.step.Lasting:
+	case t.complete || t.step.Lasting || o.failed && o.run <= t.lastFailed:
 		s.Noted(o.end)
 	case o.failed:
 		t.fails++
-		s.emit(TaskFailed{Job: t.job.sub.Job.ID, Task: t.place, End: o.end})
+		t.lastFailed = o.run
+		s.emit(TaskFailed{Job: t.job.sub.Job.ID, Task: t.place, Run: o.run, End: o.end})
 	default:
 		t.job.complete(t)
 		s.emit(TaskDone{Job: t.job.sub.Job.ID, Task: t.place, End: o.end})
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -49,6 +49,10 @@
 	// jobs, barred says that the target obeys this owner.
 	guests map[work.Run]guest
 	barred bool
+	// serving and fillers count runs of steps that serve and that fill, filled is what the
+	// latter want of the processor.
+	serving, fillers int
+	filled           int64
 	// reserved is the gang that the target's room is kept for; nil for none.
 	reserved *step
 	lease    lease
@@ -240,6 +244,7 @@
 	delete(t.runs, r.Task)
 	t.free = t.free.Plus(r.task.step.Each)
 	t.flow -= r.flow
+	t.sharing(r.task.step, -1)
 	s.touch(t)
 	r.task.run = nil
 	if r.task.step.on != nil {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -44,6 +44,8 @@
 	startedAt map[string]time.Duration
 	// failed counts the failed ends that were acknowledged, by task.
 	failed map[string]int
+	// failedEnds counts all failed ends, by task and by gang.
+	failedEnds map[string]int
 	// done holds the tasks of kept jobs that have ended as done, saved what tasks and
 	// gangs have ever saved, gangs those of which a member runs.
 	done  map[string]bool
@@ -161,7 +163,7 @@
 		now: time.Second, random: rand.New(rand.NewPCG(seed, 7)), targets: map[string]*fakeTarget{},
 		callers: map[string]*caller{}, running: map[string]int{}, started: map[string]bool{}, faults: faults, longest: 100,
 		kept: keptStore{jobs: map[string]*keptRecord{}}, acknowledged: map[string]bool{}, startedAt: map[string]time.Duration{},
-		failed: map[string]int{}, done: map[string]bool{}, saved: map[string]map[string]bool{}, gangs: map[string]*fakeGang{}, tickets: map[string]time.Duration{},
+		failed: map[string]int{}, failedEnds: map[string]int{}, done: map[string]bool{}, saved: map[string]map[string]bool{}, gangs: map[string]*fakeGang{}, tickets: map[string]time.Duration{},
 	}
 	for range targets {
 		w.addTarget()
--- a/work/work.go
+++ b/work/work.go
@@ -50,6 +50,11 @@
 	Gang bool
 	// OneRack gangs take much longer on more than one rack.
 	OneRack bool
+	// Fills says that the processor isn't counted against a target's capacity: the tasks
+	// have what others leave unused.
+	Fills bool
+	// Serves says that the tasks have users of their own, whom tasks that fill disturb.
+	Serves bool
 	// Lasting tasks run until their job is cancelled, and are started again however they
 	// end.
 	Lasting bool
