Let a few writes of kept jobs follow each other at once

Ruled out: notes that wait for the job's end (their targets list the ends again at once and can't be waited on meanwhile, which costs more looks and sees the next ends later). Change: each part has a budget of 40 writes a second with a burst of five instead of a pause after each write (x/time/rate). A test under a fake clock holds the burst and the pace.

--- a/jobstore/keeper.go
+++ b/jobstore/keeper.go
@@ -10,6 +10,7 @@
 
 	"github.com/zeebo/errs/v2"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/burdockward/burdockward/bootclock"
 	"github.com/burdockward/burdockward/platform"
@@ -29,8 +30,11 @@
 
 // Times of a Keeper.
 const (
-	// pace is the least time between two writes to a part; see Parts.
+	// pace is the time between two writes to a part under load; see Parts.
 	pace = 25 * time.Millisecond
+	// burst is how many writes to a part may follow each other at once before: a job's
+	// acceptance, the ends of its tasks and its own end.
+	burst = 5
 	// writeTimeout is beyond an answer slowed sixty times; what is taken for lost too
 	// early is found to be done by the next write.
 	writeTimeout = 400 * time.Millisecond
@@ -321,30 +325,43 @@
 // write carries out the batches of a part.
 func (k *Keeper) write(ctx context.Context, part int) {
 	away := false
+	limit := rate.NewLimiter(rate.Every(pace), burst)
 	for ctx.Err() == nil {
-		s, changes := k.batch(part)
-		if changes == nil {
+		if !k.due(part) {
 			select {
 			case <-ctx.Done():
 			case <-k.wake[part]:
 			}
 			continue
 		}
-		began := bootclock.Now()
+		if limit.Wait(ctx) != nil {
+			return
+		}
+		// What came while waiting goes into the same write.
+		s, changes := k.batch(part)
+		if changes == nil {
+			// The part was opened anew meanwhile.
+			continue
+		}
 		written, err := k.writeOnce(ctx, partName(part), changes)
 		k.settle(s, written, err)
-		pause := pace - (bootclock.Now() - began)
-		if err != nil {
-			pause = retryPause
-		}
 		if (err != nil) != away {
 			away = err != nil
 			k.options.Log.Warn("store of jobs", "part", partName(part), "away", away, "changes", len(changes), "error", err)
 		}
-		sleep(ctx, pause)
+		if err != nil {
+			sleep(ctx, retryPause)
+		}
 	}
 }
 
+// due reports whether a part has something to be written. Only this part's writer takes it.
+func (k *Keeper) due(part int) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.shards[part].due()
+}
+
 func (k *Keeper) writeOnce(ctx context.Context, part string, changes []platform.Change) (platform.Written, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
--- a/jobstore/keeper_test.go
+++ b/jobstore/keeper_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -245,3 +246,32 @@
 	}
 	t.Fatal("the row stays")
 }
+
+// Few writes follow each other at once; many are gathered, so that a part has no more than
+// its share.
+func TestWritesArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		k, _ := open(t, store, "a", 1, 1)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- k.Run(ctx) }()
+		began := time.Now()
+		must.Eq(t, Stored, accept(k, testJob))
+		for task := range burst - 1 {
+			note(func(done func()) { k.TaskDone(testJob, task, done) })
+		}
+		must.Eq(t, 0, time.Since(began))
+		for task := range 10 {
+			note(func(done func()) { k.TaskDone(testJob, task, done) })
+		}
+		must.Eq(t, 10*pace, time.Since(began))
+		for task := range 100 {
+			k.TaskDone(testJob, task, func() {})
+		}
+		note(func(done func()) { k.End(testJob, work.StateCompleted, done) })
+		must.LessEq(t, 12*pace, time.Since(began))
+		stop()
+		must.NoError(t, <-done)
+	})
+}
--- a/jobstore/shard.go
+++ b/jobstore/shard.go
@@ -182,10 +182,15 @@
 // maxBatch is how many jobs go into one write: a job takes up to three changes.
 const maxBatch = (platform.MaxChanges - 1) / 3
 
+// due reports whether there is something to be written.
+func (s *shard) due() bool {
+	return (len(s.queue) > 0 || s.away) && !s.lost && s.fenceVersion != 0 && len(s.sent) == 0
+}
+
 // batch returns the changes to write now, if any: while the store is away at least the
 // check of the fence, which shows when it is back.
 func (s *shard) batch(now time.Duration) []platform.Change {
-	if len(s.queue) == 0 && !s.away || s.lost || s.fenceVersion == 0 || len(s.sent) > 0 {
+	if !s.due() {
 		return nil
 	}
 	n := min(len(s.queue), maxBatch)
