Count kept jobs as pending after a takeover; measure the recovery of 10,000

Found by the first run of the new measurement, which timed out on the count. Ruled out: pages of the store (all 1,887 were read). Change: begun jobs are those that this owner has ordered something of, or that show a trace: a task done, failed or saved, a run that goes on, an end that is listed. bin/lab recover hands in kept jobs that wait, kills all VMs at once, and times until all are pending again.

--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -43,6 +43,7 @@
 			orders.Command(),
 			prepared.Command(),
 			prepared.SoakCommand(),
+			prepared.RecoverCommand(),
 			experiment.LoadCommand(),
 			replay.Command(),
 		},
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -38,8 +38,10 @@
 	steps       []*step
 	passed, due int
 	tasks       []*task
-	// begun counts the orders that may have started something.
-	begun int
+	// begun counts the orders that may have started something, assumed are those of them
+	// that former owners may have given; traced is set once it is known that they did.
+	begun, assumed int
+	traced         bool
 	// open counts the tasks that are not done.
 	open  int
 	trail []TrailEntry
--- a/scheduler/kept.go
+++ b/scheduler/kept.go
@@ -118,20 +118,24 @@
 // Begun reports whether a task of a kept job has begun.
 func (s *State) Begun(id string) bool {
 	j := s.byID[id]
-	return j != nil && j.started()
+	return j != nil && j.touched()
 }
 
 // Pending counts the kept jobs of which nothing has begun, by queue.
 func (s *State) Pending() map[string]int32 {
 	pending := map[string]int32{}
 	for _, j := range s.jobs {
-		if j.stored && !j.started() {
+		if j.stored && !j.touched() {
 			pending[j.sub.Queue.Name]++
 		}
 	}
 	return pending
 }
 
+// touched reports whether a task of a job is known to have begun. What former owners
+// ordered may have begun without a trace, which is not told as begun, and not refused.
+func (j *job) touched() bool { return j.begun > j.assumed || j.traced }
+
 // Noted says that the end of a run lies in the store: it may be acknowledged.
 func (s *State) Noted(end EndRef) {
 	s.unnoted--
--- a/scheduler/kept_test.go
+++ b/scheduler/kept_test.go
@@ -249,6 +249,35 @@
 	must.Eq(t, 3, seen(b.pass(100*ms)))
 }
 
+// A job that is taken over counts as pending unless something shows that it has begun.
+func TestResumedJobsMayBePending(t *testing.T) {
+	for name, test := range map[string]struct {
+		progress Progress
+		held     work.Held
+		pending  int
+	}{
+		"nothing is known":      {Progress{}, work.Held{Clock: 5000}, 1},
+		"a task is done":        {Progress{Done: []int{0}}, work.Held{Clock: 5000}, 0},
+		"a run had failed":      {Progress{Fails: map[int]int{0: 1}}, work.Held{Clock: 5000}, 0},
+		"a task has saved work": {Progress{Saved: map[int]string{0: "c"}}, work.Held{Clock: 5000}, 0},
+		"a run goes on":         {Progress{}, work.Held{Clock: 5000, Running: listing(work.Run{Task: "j.0.0.0", Number: 31})}, 0},
+		"an end is listed":      {Progress{}, work.Held{Clock: 5000, Ended: []work.End{{Number: 1, Run: work.Run{Task: "j.0.0.0", Number: 31}, Kind: work.EndDone}}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{})
+			b.target("a", 4)
+			b.do()
+			b.look("a", test.held)
+			b.s.Resume(b.now, b.keptJob("j", 2), test.progress)
+			b.s.Resumed(b.now)
+			must.Eq(t, test.pending, int(b.s.Pending()["k"]))
+			must.Eq(t, test.pending == 0, b.s.Begun("j"))
+			must.SliceEmpty(t, pickEffects[JobEnded](b.do()))
+			must.Eq(t, 0, b.s.Pending()["k"])
+		})
+	}
+}
+
 // A failed run that a former owner had noted, and not acknowledged, is counted once.
 func TestFailedRunsAreCountedOnce(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -99,6 +99,7 @@
 	st.pending = slices.DeleteFunc(st.pending, func(other *task) bool { return other == tk })
 	s.emit(Note{What: "run goes on", Job: tk.job.sub.Job.ID, Task: tk.name, Target: t.ID})
 	tk.job.mark(now, "goes on", tk.name, t.ID, "")
+	tk.job.traced = true
 	s.occupy(t, &run{
 		Run: on.Run, task: tk, target: t, state: running, ordered: now, until: t.lease.until,
 		expected: st.expected, saved: on.Saved, adopted: true,
@@ -128,6 +129,7 @@
 	}
 	// Anything of it may have run, so that it is never refused and goes first.
 	j.begun++
+	j.assumed = 1
 	if !s.over(now, j) {
 		j.order()
 		s.expectDue(j)
@@ -137,6 +139,7 @@
 
 // recall sets what is known of a job's tasks.
 func (s *State) recall(j *job, progress Progress) {
+	j.traced = len(progress.Done)+len(progress.Fails)+len(progress.Saved) > 0
 	known := func(place int) bool { return place >= 0 && place < len(j.tasks) }
 	for _, place := range progress.Done {
 		if known(place) {
@@ -235,6 +238,7 @@
 // adopt takes the orphaned end of a task that isn't running.
 func (s *State) adopt(t *task, o orphan) {
 	s.unnoted++
+	t.job.traced = true
 	switch {
 	case t.complete || t.step.Lasting || o.failed && o.run <= t.lastFailed:
 		s.Noted(o.end)
