--- a/scheduler/kinds_test.go
+++ b/scheduler/kinds_test.go
@@ -199,6 +199,27 @@
 	}
 }
 
+// While one rack could hold a gang that wants one, it waits for room there.
+func TestGangsWaitForTheirRack(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	for id, rack := range map[string]string{"a": "r1", "b": "r2", "c": "r2"} {
+		b.listed(work.Target{ID: id, Capacity: work.Resources{CPU: 1}, Labels: []string{"k", rack}, Rack: rack})
+		b.do()
+		b.look(id, work.Held{Clock: 5000})
+	}
+	small := b.keptJob("small", 1)
+	small.Job.Steps[0].Label = "r2"
+	busy := pickEffects[StartRun](b.store(small))
+	must.SliceLen(t, 1, busy)
+	b.begun(busy)
+	step := gang(2)
+	step.OneRack = true
+	must.SliceEmpty(t, pickEffects[StartRun](b.store(b.stepsJob("j", step))))
+	b.look(busy[0].To.ID, ended(1, busy[0].Run, work.EndDone))
+	must.SliceLen(t, 2, pickEffects[StartRun](b.do()))
+}
+
 // A task goes on from what its last run had saved, however that ended.
 func TestTasksGoOnFromWhatTheySaved(t *testing.T) {
 	for name, harm := range map[string]func(b *bench, run work.Run) []Effect{
@@ -257,6 +278,7 @@
 	for i := 1; i < len(pauses); i++ {
 		must.GreaterEq(t, pauses[i-1], pauses[i])
 	}
+	must.Greater(t, 4*firstHurry, pauses[len(pauses)-1])
 	must.LessEq(t, longestHurry+40*ms, pauses[len(pauses)-1])
 	must.True(t, b.s.CancelKept(b.now, "j"))
 	must.SliceLen(t, 1, pickEffects[StopRun](b.do()))
@@ -469,6 +491,7 @@
 	must.Eq(t, "s.0.0.0", serving[0].Run.Task)
 	b.begun(serving)
 	must.SliceEmpty(t, pickEffects[StartRun](b.pass(100*ms)))
+	must.Eq(t, 0, b.s.targets["a"].fillers)
 	// However long they take, they are not taken for hung.
 	for range 20 {
 		b.look("b", work.Held{Clock: 5000 + (b.now - 10*time.Second).Milliseconds(), Running: listing(fill[2].Run, plain[0].Run)})
