--- /dev/null
+++ b/scheduler/gang_test.go
@@ -0,0 +1,190 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+func gang(tasks int) work.Step { return work.Step{Tasks: tasks, Gang: true} }
+
+// A gang begins once there is room for all of it, under one number.
+func TestGangsBeginTogether(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.usable("a", 2)
+	b.target("b", 2)
+	b.do()
+	must.SliceEmpty(t, pickEffects[StartRun](b.store(b.stepsJob("j", gang(3)))))
+	b.look("b", work.Held{Clock: 5000})
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 3, starts)
+	for _, start := range starts {
+		must.Eq(t, starts[0].Run.Number, start.Run.Number)
+	}
+}
+
+// A gang that no number of targets can hold is refused at once.
+func TestGangsThatFitNowhereAreRefused(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 2)
+	b.s.Submit(b.now, b.stepsJob("j", gang(3)))
+	answers := pickEffects[Answer](b.do())
+	must.SliceLen(t, 1, answers)
+	must.Eq(t, work.Refused, answers[0].Outcome.Result)
+}
+
+// Where a member can't start, or ends badly, the others are stopped, and all begin anew
+// when the last of them is over.
+func TestGangsBeginAnewTogether(t *testing.T) {
+	for name, harm := range map[string]func(b *bench, start StartRun){
+		"refused": func(b *bench, start StartRun) {
+			b.s.Started(b.now, start.To.ID, start.Run, work.OrderAnswer{Verdict: work.VerdictRoom, Clock: 5000})
+		},
+		"unanswered": func(b *bench, start StartRun) {
+			b.s.Started(b.now, start.To.ID, start.Run, work.OrderAnswer{})
+		},
+		"failed": func(b *bench, start StartRun) {
+			b.look(start.To.ID, ended(1, start.Run, work.EndFailed))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{})
+			b.s.Resumed(b.now)
+			b.usable("a", 1)
+			b.usable("b", 1)
+			starts := pickEffects[StartRun](b.store(b.stepsJob("j", gang(2))))
+			must.SliceLen(t, 2, starts)
+			b.begun(starts[1:])
+			harm(b, starts[0])
+			effects := b.do()
+			must.SliceEmpty(t, pickEffects[StartRun](effects))
+			stops := pickEffects[StopRun](effects)
+			must.Eq(t, starts[1].Run, stops[len(stops)-1].Run)
+			if name == "unanswered" {
+				return
+			}
+			must.SliceEmpty(t, pickEffects[StartRun](b.pass(100*ms)))
+			b.look(starts[1].To.ID, work.Held{Clock: 5100, Ended: []work.End{{Number: 1, Run: starts[1].Run, Kind: work.EndStopped}}})
+			again := pickEffects[StartRun](append(b.do(), b.pass(100*ms)...))
+			must.SliceLen(t, 2, again)
+			must.Greater(t, starts[0].Run.Number, again[0].Run.Number)
+			must.Eq(t, again[0].Run.Number, again[1].Run.Number)
+		})
+	}
+}
+
+// One member that is done says that all are; the failed runs of a gang count together.
+func TestGangsEndTogether(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.usable("a", 1)
+	b.usable("b", 1)
+	starts := pickEffects[StartRun](b.store(b.stepsJob("j", gang(2))))
+	b.begun(starts)
+	b.look(starts[0].To.ID, ended(1, starts[0].Run, work.EndDone))
+	must.Eq(t, []JobEnded{{Job: "j", State: work.StateCompleted}}, pickEffects[JobEnded](b.do()))
+
+	b = newBench(t, Options{})
+	b.usable("a", 2)
+	b.s.Resume(b.now, b.stepsJob("j", gang(2)), Progress{Fails: map[int]int{0: 1, 1: maxFails - 1}})
+	must.Eq(t, []JobEnded{{Job: "j", State: work.StateFailed}}, pickEffects[JobEnded](b.do()))
+}
+
+// Small tasks don't keep a gang from its places for ever.
+func TestGangsGetTheirRoom(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	b.usable("a", 2)
+	var small []StartRun
+	b.submit("s0", 1, 1, "")
+	small = append(small, pickEffects[StartRun](b.do())...)
+	b.begun(small)
+	b.store(b.stepsJob("j", gang(2)))
+	for i := range 10 {
+		b.submit("s"+string(rune('1'+i)), 1, 1, "")
+		starts := pickEffects[StartRun](b.pass(40 * ms))
+		for _, start := range starts {
+			if start.Run.Task == "j.0.0.0" {
+				return
+			}
+		}
+		b.begun(starts)
+		small = append(small, starts...)
+		// The oldest small task ends.
+		b.look("a", work.Held{
+			Clock: 5000 + (b.now - 10*time.Second).Milliseconds(), Running: listing(runsOf(small[1:])...),
+			Ended: []work.End{{Number: int64(i + 1), Run: small[0].Run, Kind: work.EndDone}},
+		})
+		small = small[1:]
+		if len(small) == 0 {
+			small = append(small, pickEffects[StartRun](b.do())...)
+			if len(small) > 0 && small[0].Run.Task == "j.0.0.0" {
+				return
+			}
+		}
+	}
+	t.Fatal("the gang never began")
+}
+
+func runsOf(starts []StartRun) []work.Run {
+	var runs []work.Run
+	for _, start := range starts {
+		runs = append(runs, start.Run)
+	}
+	return runs
+}
+
+// A gang that wants one rack waits for it where one can hold it, and is spread where none
+// can.
+func TestGangsOnOneRack(t *testing.T) {
+	for name, test := range map[string]struct {
+		tasks int
+		racks []string
+	}{
+		"one can hold it": {2, []string{"r2", "r2"}},
+		"none can":        {3, []string{"r1", "r2", "r2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{})
+			b.s.Resumed(b.now)
+			racks := map[string]string{"a": "r1", "b": "r2", "c": "r2"}
+			for _, id := range []string{"a", "b", "c"} {
+				b.listed(work.Target{ID: id, Capacity: work.Resources{CPU: 1}, Labels: []string{"k", racks[id]}, Rack: racks[id]})
+				b.do()
+				b.look(id, work.Held{Clock: 5000})
+			}
+			step := gang(test.tasks)
+			step.OneRack = true
+			var used []string
+			for _, start := range pickEffects[StartRun](b.store(b.stepsJob("j", step))) {
+				used = append(used, racks[start.To.ID])
+			}
+			must.SliceContainsAll(t, test.racks, used)
+		})
+	}
+}
+
+// While one rack could hold a gang that wants one, it waits for room there.
+func TestGangsWaitForTheirRack(t *testing.T) {
+	b := newBench(t, Options{})
+	b.s.Resumed(b.now)
+	for id, rack := range map[string]string{"a": "r1", "b": "r2", "c": "r2"} {
+		b.listed(work.Target{ID: id, Capacity: work.Resources{CPU: 1}, Labels: []string{"k", rack}, Rack: rack})
+		b.do()
+		b.look(id, work.Held{Clock: 5000})
+	}
+	small := b.keptJob("small", 1)
+	small.Job.Steps[0].Label = "r2"
+	busy := pickEffects[StartRun](b.store(small))
+	must.SliceLen(t, 1, busy)
+	b.begun(busy)
+	step := gang(2)
+	step.OneRack = true
+	must.SliceEmpty(t, pickEffects[StartRun](b.store(b.stepsJob("j", step))))
+	b.look(busy[0].To.ID, ended(1, busy[0].Run, work.EndDone))
+	must.SliceLen(t, 2, pickEffects[StartRun](b.do()))
+}
