Keep the fuzz's notes of failed runs in their order

Cause: a history of a longer fuzz () said a job had failed that hadn't: the test's store carried two notes out in the other order, and the older one hid the number of the newer. The daemon writes what it knows of a job whole, under the condition that the row is unchanged, so that this can't be. Ruled out, by that history's trace: a run counted twice by one owner; ends of gang members. Change: the test's store keeps the higher number. Measured: that history and the 600 of the test pass; the longer fuzz was not run again.

--- a/scheduler/kept_world_test.go
+++ b/scheduler/kept_world_test.go
@@ -95,7 +95,9 @@
 	case TaskFailed:
 		w.note(o, func() {
 			w.kept.jobs[e.Job].fails[e.Task]++
-			w.kept.jobs[e.Job].lastFailed[e.Task] = e.Run
+			// Notes are written whole, so that an older one never hides a newer one.
+			last := w.kept.jobs[e.Job].lastFailed
+			last[e.Task] = max(last[e.Task], e.Run)
 		}, func() { o.state.Noted(e.End) })
 	case Ask:
 		w.advise(o, e)
