Let a row that another writer left unreadable cost nothing but itself

Cause: an entry of the store may come from any writer. Read in the code and shown by tests that failed: one row whose value isn't base64, or a field of another type, made the whole read count as an outage of the store, for each VM; a state without a name passed for ready; entries without address, capacity, service or failure domain named targets; a listed target whose entry turned unreadable or moved to another failure domain stayed in use; an unreadable claim could never be claimed again, an unreadable fence kept an owner from kept jobs for good; a stored job that names a later step as an earlier one would have ended the process; one target that obeys another group's owner deposed this one. Ruled out: dropping such rows without a word (nobody could explain an idle target); taking a listed target out at once (its own word may be back within a heartbeat: it is used 2.5 s more while it answers, as where its entry lapsed). Change: rows are read each for itself; entries are checked before they name a target; each faulty row has a line and counts as rows_unreadable by table; claims, fences, jobs and progress that can't be read are taken over or passed over; a target that obeys another owner deposes only where it was this owner's. The stand-in's store has such a writer, and the soak plays it.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -70,6 +70,31 @@
 	Ended time.Duration `json:"ended,omitempty"`
 }
 
+// check tells what is wrong with a job that was read: another writer may have left what
+// decodes and can't be run.
+func (a Accepted) check(key string) error {
+	if a.Job.ID != key {
+		return fmt.Errorf("it is of job %q", a.Job.ID)
+	}
+	for i, step := range a.Job.Steps {
+		if step.Tasks < 1 {
+			return fmt.Errorf("step %d has %d tasks", i, step.Tasks)
+		}
+		for _, before := range step.After {
+			if before < 0 || before >= i {
+				return fmt.Errorf("step %d comes after step %d", i, before)
+			}
+		}
+	}
+	if tasks := a.Job.Tasks() * a.Job.Occurrences(); tasks > maxStoredTasks {
+		return fmt.Errorf("it has %d tasks", tasks)
+	}
+	return nil
+}
+
+// maxStoredTasks is more tasks than any job that is accepted has.
+const maxStoredTasks = 10_000
+
 // fence is the value of a fence row.
 type fence struct {
 	Life uint64 `json:"life"`
--- a/jobstore/keeper.go
+++ b/jobstore/keeper.go
@@ -52,6 +52,8 @@
 	// Retention is how long callers may ask for a job that has ended.
 	Retention time.Duration
 	Log       *slog.Logger
+	// Count counts rows that can't be read; it must not block.
+	Count func(what, label string)
 	// Clock is the store's clock.
 	Clock func() time.Duration
 }
@@ -111,7 +113,9 @@
 	if len(rows.Rows) > 0 {
 		var present fence
 		if err := decode(rows.Rows[0], &present); err != nil {
-			return 0, err
+			// It bars nobody, and a row of this owner's has to take its place.
+			k.unreadable(fencesTable, k.options.Group, err)
+			present = fence{}
 		}
 		if present.Token > token {
 			return 0, ErrSuperseded.Errorf("token %d in part %s, this owner has %d", present.Token, part, token)
@@ -154,7 +158,7 @@
 	for _, row := range rows {
 		var p Progress
 		if err := decode(row, &p); err != nil {
-			k.options.Log.Error("progress not understood", "job", row.Key, "error", err)
+			k.unreadable(progressTable, row.Key, err)
 			continue
 		}
 		if p.Home != k.options.Group {
@@ -173,12 +177,16 @@
 	for _, row := range rows {
 		var a Accepted
 		if err := decode(row, &a); err != nil {
-			k.options.Log.Error("job not understood", "job", row.Key, "error", err)
+			k.unreadable(jobsTable, row.Key, err)
 			continue
 		}
 		if a.Home != k.options.Group {
 			continue
 		}
+		if err := a.check(row.Key); err != nil {
+			k.unreadable(jobsTable, row.Key, err)
+			continue
+		}
 		e := s.entries[row.Key]
 		if e == nil {
 			s.load(row.Key, 0, 0, Progress{Home: a.Home, State: work.StateQueued}, 0)
@@ -196,6 +204,12 @@
 	return kept
 }
 
+// unreadable tells of a row that another writer left unreadable; the others hold.
+func (k *Keeper) unreadable(table platform.Table, key string, err error) {
+	k.options.Count("rows_unreadable", string(table))
+	k.options.Log.Warn("row not understood", "table", table, "key", key, "error", err)
+}
+
 func (k *Keeper) retention() time.Duration { return k.options.Retention + remembered }
 
 // shardOf returns the shard of a job and its place.
@@ -433,10 +447,11 @@
 	switch {
 	case len(rows.Rows) > 0:
 		var p Progress
-		if err := decode(rows.Rows[0], &p); err != nil {
+		err := decode(rows.Rows[0], &p)
+		if err != nil && len(job.Rows) == 0 {
 			return work.StateAbsent, err
 		}
-		if !p.State.Final() {
+		if err != nil || !p.State.Final() {
 			return work.StateRunning, nil
 		}
 		return p.State, nil
--- a/jobstore/keeper_test.go
+++ b/jobstore/keeper_test.go
@@ -20,6 +20,7 @@
 	t.Helper()
 	k := New(Options{
 		Group: group, Life: life, Retention: time.Minute, Log: slog.New(slog.DiscardHandler),
+		Count: func(string, string) {},
 		Clock: func() time.Duration { return time.Hour },
 	}, store)
 	kept, err := k.Open(t.Context(), token)
@@ -275,3 +276,41 @@
 		must.NoError(t, <-done)
 	})
 }
+
+// Rows that others left unreadable cost neither the other jobs nor the part.
+func TestUnreadableRowsLeaveTheOtherJobs(t *testing.T) {
+	store := newFakeStore()
+	k := running(t, store, "a", 1, 1)
+	must.Eq(t, Stored, accept(k, testJob))
+	part := PartOf(testJob)
+	for table, keys := range map[platform.Table][]string{
+		jobsTable:     {"garbled", "of another job", "without tasks", "in a circle"},
+		progressTable: {"garbled", "other"},
+	} {
+		for _, key := range keys {
+			value := map[string]string{
+				"garbled":        "\xff",
+				"other":          `{"home":"a","done":[99999,-1],"fails":{"77777":3}}`,
+				"of another job": `{"home":"a","job":{"ID":"x","Steps":[{"Tasks":1}]}}`,
+				"without tasks":  `{"home":"a","job":{"ID":"without tasks","Steps":[{"Tasks":-4}]}}`,
+				"in a circle":    `{"home":"a","job":{"ID":"in a circle","Steps":[{"Tasks":1,"After":[3]}]}}`,
+			}[key]
+			_, err := store.Write(t.Context(), part, []platform.Change{{Table: table, Key: key, Value: []byte(value)}})
+			must.NoError(t, err)
+		}
+	}
+	fence, err := store.Get(t.Context(), fencesTable, part, "a")
+	must.NoError(t, err)
+	_, err = store.Write(t.Context(), part, []platform.Change{{
+		Table: fencesTable, Key: "a", Value: []byte("["), Expected: fence.Rows[0].Version,
+	}})
+	must.NoError(t, err)
+	_, kept := open(t, store, "a", 2, 2)
+	must.SliceLen(t, 1, kept)
+	must.Eq(t, testJob, kept[0].Job.ID)
+	_, err = store.Write(t.Context(), part, []platform.Change{{Table: progressTable, Key: testJob, Value: []byte("?")}})
+	must.NoError(t, err)
+	state, err := Find(t.Context(), store, testJob)
+	must.NoError(t, err)
+	must.Eq(t, work.StateRunning, state)
+}
--- a/jobstore/world_test.go
+++ b/jobstore/world_test.go
@@ -208,7 +208,7 @@
 	w.lives++
 	w.store.fail = nil
 	k := New(Options{
-		Group: group, Life: w.lives, Retention: time.Minute, Clock: func() time.Duration { return w.now },
+		Group: group, Life: w.lives, Retention: time.Minute, Clock: func() time.Duration { return w.now }, Count: func(string, string) {},
 	}, w.store)
 	kept, err := k.Open(context.Background(), int64(w.lives))
 	must.NoError(w.t, err)
--- a/lab/prepared/deployment.go
+++ b/lab/prepared/deployment.go
@@ -207,14 +207,18 @@
 	if err != nil {
 		return err
 	}
-	d.Targets = append(d.Targets, t)
-	d.Store.Write(wire.TargetsTable, t.ID, wire.Target{
+	t.entry = wire.Target{
 		Service: "service", Address: address, Zone: domainName(domain), State: wire.Ready,
 		Capacity: wire.Resources{CPU: targetCPU, MemoryMB: 1 << 10},
-	})
+	}
+	d.Targets = append(d.Targets, t)
+	d.list(t)
 	return nil
 }
 
+// list writes a target's own entry.
+func (d *Deployment) list(t *Target) { d.Store.Write(wire.TargetsTable, t.ID, t.entry) }
+
 // Stop ends all processes and servers.
 func (d *Deployment) Stop() {
 	close(d.stopped)
--- a/lab/prepared/soak.go
+++ b/lab/prepared/soak.go
@@ -191,6 +191,7 @@
 		s.Disturb(0.04, 0.04)
 		return func() { s.Disturb(0, 0) }
 	}},
+	{"rows of another writer", func(s *soaker) func() { return s.foreignRows() }},
 	{"new configuration", func(s *soaker) func() {
 		s.Configure()
 		return nothing
--- a/lab/prepared/store.go
+++ b/lab/prepared/store.go
@@ -79,6 +79,14 @@
 	s.put(wire.Row{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString(data)})
 }
 
+// WriteRaw puts a row as any other writer may leave it: its value needn't be readable.
+func (s *Store) WriteRaw(table, key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.put(wire.Row{Table: table, Key: key, Value: value})
+}
+
 // Remove drops a row.
 func (s *Store) Remove(table, key string) {
 	s.mu.Lock()
--- a/lab/prepared/target.go
+++ b/lab/prepared/target.go
@@ -18,7 +18,9 @@
 
 // Target is a stand-in of a target. The payload of its tasks is their plan.
 type Target struct {
-	ID       string
+	ID string
+	// entry is its own in the registry.
+	entry    wire.Target
 	capacity int64
 	recorder *Recorder
 	adviser  *Adviser
--- a/node/node.go
+++ b/node/node.go
@@ -111,7 +111,7 @@
 		calls:   link.NewClient(),
 		config:  configuration{log: o.Log},
 	}
-	n.store = platform.NewStore(s.Store, platform.StoreEvents{Called: o.storeCall, Clock: n.clock.read})
+	n.store = platform.NewStore(s.Store, platform.StoreEvents{Called: o.storeCall, Clock: n.clock.read, Unreadable: o.unreadable})
 	if s.Advisor != "" {
 		n.adviser = platform.NewAdvisor(s.Advisor)
 	}
@@ -144,6 +144,12 @@
 	o.Observe("store_"+call, took)
 }
 
+// unreadable tells of a row that another writer left unreadable.
+func (o Options) unreadable(table platform.Table, key string, err error) {
+	o.Count("rows_unreadable", string(table))
+	o.Log.Warn("row not understood", "table", table, "key", key, "error", err)
+}
+
 // Run serves until the context ends, then leaves in good order.
 func (n *Node) Run(ctx context.Context) error {
 	duties, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -237,7 +243,7 @@
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, Heard: n.ages.heard(&n.ages.registry),
 		Lend: n.lend, Hungry: n.beats.Hurry, StoreClock: n.clock.told,
 		Jobs: jobstore.New(jobstore.Options{
-			Group: held.Group, Life: n.self.Life, Retention: n.options.Settings.JobRetention, Log: n.log, Clock: n.clock.now,
+			Group: held.Group, Life: n.self.Life, Retention: n.options.Settings.JobRetention, Log: n.log, Count: n.options.Count, Clock: n.clock.now,
 		}, n.store),
 	}
 	if n.adviser != nil {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -26,7 +26,7 @@
 
 func (oneTarget) Read(context.Context, platform.Table) (platform.Rows, error) {
 	value, err := json.Marshal(wire.Target{
-		Service: "service", Address: "target", Zone: "domain", State: wire.Ready,
+		Service: "service", Address: "127.0.0.1:1", Zone: "domain", State: wire.Ready,
 		Capacity: wire.Resources{CPU: 4000, MemoryMB: 4000},
 	})
 	return platform.Rows{Version: 1, Rows: []platform.Row{{Key: targetID, Value: value, Version: 1}}}, err
@@ -132,14 +132,18 @@
 	return func() { close(held) }
 }
 
-// run has an owner order a target until the test ends.
-func run(t *testing.T, target *fencingTarget) *Owner {
-	t.Helper()
-	o := New(Options{
+func testOptions() Options {
+	return Options{
 		Group: "domain", FailureDomain: "domain", Token: 5, Log: slog.New(slog.DiscardHandler),
 		Count: func(string, string) {}, Observe: func(string, time.Duration) {}, Gauge: func(string, float64) {}, Hungry: func() {},
 		StoreClock: func() (time.Duration, bool) { return 0, false },
-	}, target, oneTarget{})
+	}
+}
+
+// run has an owner order a target until the test ends.
+func run(t *testing.T, target *fencingTarget) *Owner {
+	t.Helper()
+	o := New(testOptions(), target, oneTarget{})
 	ctx, end := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- o.Run(ctx) }()
--- a/owner/registry.go
+++ b/owner/registry.go
@@ -39,12 +39,15 @@
 			continue
 		}
 		target, err := platform.DecodeTarget(row.Key, row.Value)
-		if err != nil {
-			o.options.Log.Error("target not understood", "target", row.Key, "error", err)
-			continue
-		}
-		seen[target.ID] = true
-		if target.FailureDomain == o.registry.domain {
+		switch {
+		case err != nil:
+			o.options.Count("rows_unreadable", string(platform.TargetsTable))
+			o.options.Log.Warn("row not understood", "table", platform.TargetsTable, "key", row.Key, "version", row.Version, "error", err)
+			o.unlist(now, row.Key)
+		case target.FailureDomain != o.registry.domain:
+			o.unlist(now, row.Key)
+		default:
+			seen[target.ID] = true
 			o.registry.listed[target.ID] = target
 			o.offer(now, target)
 		}
@@ -61,6 +64,9 @@
 	}
 }
 
+// unlist takes a target off the list whose entry is gone, or names no target of this
+// failure domain any more. Others than the target may have written it: the target is used
+// a little longer, until its own word may be back.
 func (o *Owner) unlist(now time.Duration, id string) {
 	delete(o.registry.listed, id)
 	o.state.TargetMissing(now, id)
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -162,8 +162,10 @@
 		}
 		claim := &linkpb.Claim{}
 		if err := proto.Unmarshal(row.Value, claim); err != nil {
-			k.options.Log.Error("claim not understood", "group", row.Key, "error", err)
-			continue
+			// Whoever wrote it owns nothing; the next claim needs its version.
+			k.options.Count("rows_unreadable", string(claimsTable))
+			k.options.Log.Warn("row not understood", "table", claimsTable, "key", row.Key, "version", row.Version, "error", err)
+			claim = &linkpb.Claim{}
 		}
 		k.adopt(Held{Group: row.Key, Claim: claim, Version: row.Version})
 	}
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -237,3 +237,24 @@
 	k.Merge([]Held{{Group: "g", Claim: &linkpb.Claim{Vm: "o", Life: 9}, Version: 1}})
 	must.Eq(t, map[string]int{"owner_changes g": 3}, counts)
 }
+
+// A claim that can't be read is nobody's: once its owner would have been heard, it is
+// claimed anew over the version that lies there.
+func TestAnUnreadableClaimIsTakenOver(t *testing.T) {
+	counted := 0
+	k := New(Options{
+		Self: heartbeat.Self{VM: "v", Life: 1}, Group: "g", Log: slog.New(slog.DiscardHandler),
+		Changed: func([]Held) {}, Count: func(what, _ string) {
+			if what == "rows_unreadable" {
+				counted++
+			}
+		},
+	}, nil, nil)
+	k.take(mirror.Update{Whole: true, Rows: platform.Rows{Version: 9, Rows: []platform.Row{{Key: "g", Value: []byte("\xff\xff"), Version: 9}}}})
+	held, ok := k.Claim()
+	must.True(t, ok)
+	must.Eq(t, 9, held.Version)
+	must.Eq(t, 1, counted)
+	must.False(t, Take(Belief{Held: &held, VM: "v", Life: 1, Waited: 100 * ms, Silent: 100 * ms}))
+	must.True(t, Take(Belief{Held: &held, VM: "v", Life: 1, Waited: time.Second, Silent: time.Second}))
+}
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -46,10 +46,41 @@
 	case work.VerdictGone:
 		s.lose(now, t, "another life answers at its address")
 	case work.VerdictFenced:
+		if s.foreign(t) {
+			s.leaveTo(now, t)
+			return
+		}
 		s.emit(Deposed{Target: t.ID})
 	}
 }
 
+// foreign reports whether a target that obeys another owner may be of another group, so
+// that it says nothing about this one's: its entry is gone from the group, or it has never
+// obeyed this owner while others do.
+func (s *State) foreign(t *target) bool {
+	if t.missing != 0 {
+		return true
+	}
+	if t.barred {
+		return false
+	}
+	for _, other := range s.targets {
+		if other.barred {
+			return true
+		}
+	}
+	return false
+}
+
+// leaveTo takes a target out of use that obeys the owner of another group. What runs there
+// ends with its lease, which only that owner prolongs once it has stopped it.
+func (s *State) leaveTo(now time.Duration, t *target) {
+	s.emit(Note{What: "target obeys another owner", Target: t.ID, Age: now - t.lease.at})
+	t.failedLooks = silentLooks
+	s.silence(now, t, "it obeys another owner")
+	s.touch(t)
+}
+
 func (s *State) began(r *run) {
 	if r.state != running {
 		r.state = running
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -317,6 +317,42 @@
 	must.Eq(t, []Deposed{{Target: "a"}}, pickEffects[Deposed](b.do()))
 }
 
+// A target that another group's owner has is no word on this group: an entry may name the
+// wrong failure domain.
+func TestATargetOfAnotherGroupDeposesNobody(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.target("theirs", 4)
+	b.do()
+	b.s.Looked(b.now, "theirs", work.Held{}, work.VerdictFenced)
+	effects := b.do()
+	must.SliceEmpty(t, pickEffects[Deposed](effects))
+	must.SliceEmpty(t, pickEffects[Look](effects), must.Sprint("looks at it are paced"))
+	b.submit("j", 2, 1, "")
+	starts := pickEffects[StartRun](b.do())
+	must.SliceLen(t, 1, starts)
+	must.Eq(t, "a", starts[0].To.ID)
+}
+
+// The same for one whose entry has moved away while tasks run there: they are over when
+// its lease is.
+func TestATargetThatMovesToAnotherGroupDeposesNobody(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	b.submit("j", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	b.s.Started(b.now, "a", start.Run, done(5000))
+	b.usable("b", 1)
+	b.s.TargetMissing(b.now, "a")
+	b.s.Looked(b.now, "a", work.Held{}, work.VerdictFenced)
+	effects := b.do()
+	must.SliceEmpty(t, pickEffects[Deposed](effects))
+	must.SliceEmpty(t, pickEffects[StartRun](effects), must.Sprint("its run may go on"))
+	starts := pickEffects[StartRun](b.pass(1200 * ms))
+	must.SliceLen(t, 1, starts)
+	must.Eq(t, "b", starts[0].To.ID)
+}
+
 func TestAnotherLifeEndsAllRuns(t *testing.T) {
 	b := newBench(t, Options{})
 	b.usable("a", 1)
