Tell late jobs without a chance at once

Change: a job that turns late is forecast once more, behind all work that can be in time; without a chance its caller is told then, with the forecast as the time to come back.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -144,6 +144,32 @@
 	return min(wait, maxForecast), wait <= slack
 }
 
+// turnAway refuses a job that has become late and, behind all work that can be in time,
+// won't find its places while its end is of any use: its caller is told now instead of at
+// the end of that time. While bursts meet slow targets this halves the worth of requests
+// that are held in vain, at no other loss.
+func (s *State) turnAway(now time.Duration, j *job) {
+	if j.kept() || j.sub.Part != nil {
+		return
+	}
+	need := j.firstNeed()
+	room, flow := j.pool.supply(now, need.each)
+	flow *= j.pool.left(now, Priorities)
+	wait := maxForecast
+	// The job itself is among those that wait.
+	if short := s.ahead(j) - room; short <= 0 || flow == 0 && (!s.listed || j.pool.adopting()) {
+		wait = 0
+	} else if flow > 0 {
+		wait = min(time.Duration(float64(short)/flow*float64(time.Millisecond)), maxForecast)
+	}
+	if wait <= j.useful-j.chain()-now {
+		return
+	}
+	outcome := j.giveUp("late, and too much work goes first")
+	outcome.RetryAfter = wait
+	s.finish(now, j, outcome)
+}
+
 // maxForecast bounds what callers are told.
 const maxForecast = 10 * time.Second
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -373,6 +373,7 @@
 		j.late = true
 		j.mark(now, "late", "", "", "no place in time; goes behind work that can be in time")
 		s.reorder(j)
+		s.turnAway(now, j)
 	}
 }
 
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -120,6 +120,44 @@
 	must.Between(t, 40, refused, 55)
 }
 
+// Jobs that were taken while there were places and turn late after these are lost are told
+// so then, not at the end of the time in which they are of use; what has a chance still
+// waits.
+func TestLateJobsWithoutAChanceAreToldAtOnce(t *testing.T) {
+	for name, lost := range map[string]bool{"the places are lost": true, "the places stay": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, Options{})
+			b.usable("a", 1)
+			b.usable("b", 1)
+			for _, id := range []string{"x", "y", "j"} {
+				b.submit(id, 1, 1, "")
+			}
+			starts := pickEffects[StartRun](b.do())
+			must.SliceLen(t, 2, starts)
+			for _, start := range starts {
+				b.s.Started(b.now, start.To.ID, start.Run, done(5000))
+			}
+			if lost {
+				for _, id := range []string{"a", "b"} {
+					b.s.targets[id].health.suspend(b.now + time.Hour)
+					b.s.touch(b.s.targets[id])
+				}
+			}
+			// It has to begin within 1.1 s to be in time and is of use for 3.6 s.
+			must.SliceEmpty(t, pickEffects[Answer](b.pass(time.Second)))
+			answers := pickEffects[Answer](b.pass(200 * ms))
+			if !lost {
+				must.SliceEmpty(t, answers)
+				return
+			}
+			must.SliceLen(t, 1, answers)
+			must.Eq(t, b.ref, answers[0].Ref)
+			must.Eq(t, work.Refused, answers[0].Outcome.Result)
+			must.Positive(t, answers[0].Outcome.RetryAfter)
+		})
+	}
+}
+
 // A job fails when one of its tasks has failed as often as its queue allows, and
 // is tried elsewhere before.
 func TestFailedRunsAreBounded(t *testing.T) {
