Account for late and lost jobs from the logs alone

Cause: what binds a deployment had to be read out of logs by hand, for each one anew. Change: lab losses reads the daemons' logs and counts each job that wasn't answered in time once, by cause, queue and window. Limits: late is by the objective that the daemon reckons from declared run times, so more jobs count as late than were; callers whose VM died leave no line; worth and prices aren't in the logs.

--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -12,6 +12,7 @@
 	"github.com/burdockward/burdockward/lab/compare"
 	"github.com/burdockward/burdockward/lab/demo"
 	"github.com/burdockward/burdockward/lab/experiment"
+	"github.com/burdockward/burdockward/lab/losses"
 	"github.com/burdockward/burdockward/lab/orders"
 	"github.com/burdockward/burdockward/lab/prepared"
 	"github.com/burdockward/burdockward/lab/replay"
@@ -46,6 +47,7 @@
 			prepared.RecoverCommand(),
 			experiment.LoadCommand(),
 			replay.Command(),
+			losses.Command(),
 		},
 	}
 }
--- /dev/null
+++ b/lab/losses/command.go
@@ -0,0 +1,76 @@
+package losses
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Command accounts for the losses that logs tell of.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:      "losses",
+		Usage:     "account for the jobs that were not answered in time, from the daemons' logs",
+		ArgsUsage: "LOG (- for standard input)",
+		Flags:     []cli.Flag{&cli.DurationFlag{Name: "window", Usage: "the length of the windows that losses are counted in", Value: 2 * time.Second}},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			logs := io.Reader(os.Stdin)
+			switch name := cmd.Args().First(); name {
+			case "":
+				return fmt.Errorf("name the logs: lab losses FILE, or - for standard input")
+			case "-":
+			default:
+				file, err := os.Open(name)
+				if err != nil {
+					return err
+				}
+				defer func() { _ = file.Close() }()
+				logs = file
+			}
+			found, err := Read(logs)
+			if err != nil {
+				return err
+			}
+			if err := table(os.Stdout, "queue", found, ByQueue); err != nil {
+				return err
+			}
+			fmt.Println()
+			return table(os.Stdout, "ended", found, ByWindow(cmd.Duration("window")))
+		},
+	}
+}
+
+// table writes a row for each queue or window, a column for each cause that was seen.
+func table(to io.Writer, head string, found []Loss, of func(Loss) string) error {
+	counts := Count(found, of)
+	rows, causes := map[string]int{}, map[Cause]int{}
+	for cell, n := range counts {
+		rows[cell.Of] += n
+		causes[cell.Cause] += n
+	}
+	out := tabwriter.NewWriter(to, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(out, "cause\tall\t")
+	names := slices.Sorted(maps.Keys(rows))
+	for _, name := range names {
+		fmt.Fprintf(out, "%s %s\t", head, name)
+	}
+	fmt.Fprintln(out)
+	for _, cause := range Causes() {
+		if causes[cause] == 0 {
+			continue
+		}
+		fmt.Fprintf(out, "%s\t%d\t", cause, causes[cause])
+		for _, name := range names {
+			fmt.Fprintf(out, "%d\t", counts[Cell{cause, name}])
+		}
+		fmt.Fprintln(out)
+	}
+	return out.Flush()
+}
