--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -428,11 +428,16 @@
 
 // lookWait is short while answers get lost: a lost look shows only after its wait.
 func (s *State) lookWait(now time.Duration) time.Duration {
-	if s.disturbed > 0 && now-s.disturbed < disturbedTime {
+	if s.unsettled(now) {
 		return disturbedWait
 	}
 	return s.options.LookWait
 }
 
+// unsettled reports whether answers were lost lately.
+func (s *State) unsettled(now time.Duration) bool {
+	return s.disturbed > 0 && now-s.disturbed < disturbedTime
+}
+
 // lookPause paces the looks at a target that doesn't answer.
 const lookPause = 100 * time.Millisecond
--- a/scheduler/guards_test.go
+++ b/scheduler/guards_test.go
@@ -377,6 +377,8 @@
 			b.submit("j", 1, 1, "")
 			start := pickEffects[StartRun](b.do())[0]
 			b.s.Started(b.now, "a", start.Run, done(5000))
+			// It may take as long as the test, so that it speaks against no target.
+			b.s.targets["a"].runs[start.Run.Task].expected = 5 * time.Second
 			b.do()
 			b.s.TargetMissing(b.now, "a")
 			b.usable("b", 2)
--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -82,13 +82,20 @@
 }
 
 // lookAgain sends a look again that should have been answered; it asks for an answer at
-// once.
+// once. While answers get lost a second look waits beside each one from early on: an end
+// that only a lost look would have told costs a short task its slack.
 func (s *State) lookAgain(now time.Duration, t *target) {
-	if !t.looking || !s.resend.due(now, &t.lookCopies, t.look.Wait) {
+	c := &t.lookCopies
+	switch {
+	case !t.looking:
+		return
+	case c.count == 1 && s.unsettled(now) && s.resend.due(now, c, 0):
+	case s.resend.due(now, c, t.look.Wait):
+		s.disturbed = now
+		t.look.Wait = 0
+	default:
 		return
 	}
-	s.disturbed = now
-	t.look.Wait = 0
-	t.lookCopies.add(now)
+	c.add(now)
 	s.emit(t.look)
 }
--- a/scheduler/resend_test.go
+++ b/scheduler/resend_test.go
@@ -119,6 +119,30 @@
 	must.True(t, b.s.targets["a"].looking)
 }
 
+// While answers get lost a second look waits beside the first one, so that an end is told
+// though one of them is lost; otherwise it doesn't.
+func TestASecondLookWaitsWhileAnswersGetLost(t *testing.T) {
+	for name, lost := range map[string]bool{"answers are lost": true, "all is well": false} {
+		b, start := orderedRun(t)
+		if lost {
+			b.s.disturbed = b.now
+		}
+		b.s.Started(b.now, "a", start.Run, done(5000))
+		b.look("a", work.Held{Clock: 5000, Running: listing(start.Run)})
+		b.do()
+		looks := pickEffects[Look](b.pass(40 * ms))
+		if !lost {
+			must.SliceEmpty(t, looks, must.Sprint(name))
+			continue
+		}
+		must.SliceLen(t, 1, looks)
+		must.Eq(t, disturbedWait, looks[0].Wait)
+		first := b.s.targets["a"].look.At
+		b.s.Looked(b.now, "a", first, work.Held{Clock: 5040, Ended: []work.End{{Number: 1, Run: start.Run, Kind: work.EndDone}}}, work.VerdictDone)
+		must.Eq(t, work.Completed, pickEffects[Answer](b.do())[0].Outcome.Result)
+	}
+}
+
 func TestPauseFollowsTheAnswers(t *testing.T) {
 	r := &resending{}
 	must.Eq(t, leastResend, r.pause())
