Send second looks only where the processor allows; suspect a third again

Change: second looks only for owners of up to 40 targets whose answers come within 8 ms in the mean; a test holds both.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -40,10 +40,9 @@
 	// beyond 2.5 times only in one of a hundred.
 	overdueFactor = 2.5
 	overdueSlack  = 30 * time.Millisecond
-	// maxSuspected is the share of a service's targets that may be suspected at one time:
-	// a failure domain may have most of the bad ones, and these draw work to them, as what
-	// fails soon leaves room. Jobs that fail everywhere are no evidence.
-	maxSuspected = 0.6
+	// maxSuspected is the share of a service's targets that may be suspected at
+	// one time.
+	maxSuspected = 0.34
 )
 
 func newHealth() health {
--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -32,11 +32,24 @@
 	deviationFactor             = 4
 	// stallGap is twice the time between two ticks, less what timers vary by.
 	stallGap = 35 * time.Millisecond
+	// maxTwice is the most targets of an owner that has the processor for twice the looks:
+	// with 117 targets these filled it, so that answers came late, looks were taken for lost
+	// and a calm day lost half of its worth.
+	maxTwice = 40
+	// promptAnswer is the mean time of answers up to which the process isn't short of
+	// processor: two or three times the usual one.
+	promptAnswer = 8 * time.Millisecond
 	// answerTime is how long the first copy of an order may go unanswered while others are
 	// on their way: what the adapter waits for an answer, less what its timer varies by.
 	answerTime = 110 * time.Millisecond
 )
 
+// looksTwice reports whether a second look waits beside each one: answers get lost, and
+// it isn't for want of processor that they come late.
+func (s *State) looksTwice(now time.Duration) bool {
+	return s.unsettled(now) && len(s.targets) <= maxTwice && s.resend.mean <= promptAnswer
+}
+
 // learn takes the time of an answer to the one copy that was sent.
 func (r *resending) learn(took time.Duration) {
 	if r.mean == 0 {
@@ -89,7 +102,7 @@
 	switch {
 	case !t.looking:
 		return
-	case c.count == 1 && s.unsettled(now) && s.resend.due(now, c, 0):
+	case c.count == 1 && s.looksTwice(now) && s.resend.due(now, c, 0):
 	case s.resend.due(now, c, t.look.Wait):
 		s.disturbed = now
 		t.look.Wait = 0
--- a/scheduler/resend_test.go
+++ b/scheduler/resend_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -143,6 +144,24 @@
 	}
 }
 
+// An owner that is short of processor, or has many targets, sends no second looks: they
+// would only make its answers later still.
+func TestNoSecondLooksForWantOfProcessor(t *testing.T) {
+	b, _ := orderedRun(t)
+	b.s.disturbed = b.now
+	must.True(t, b.s.looksTwice(b.now))
+	for range 50 {
+		b.s.resend.learn(2 * promptAnswer)
+	}
+	must.False(t, b.s.looksTwice(b.now))
+	many, _ := orderedRun(t)
+	many.s.disturbed = many.now
+	for i := range maxTwice {
+		many.target(fmt.Sprint("t", i), 1)
+	}
+	must.False(t, many.s.looksTwice(many.now))
+}
+
 func TestPauseFollowsTheAnswers(t *testing.T) {
 	r := &resending{}
 	must.Eq(t, leastResend, r.pause())
