Count a job as begun when one of several copies meets another owner

A second copy of its start met a target that obeyed another owner by then, or another life of it, and was taken as proof that nothing had begun; the first copy had begun it. That the fuzz told it only sometimes had a cause of its own: stops of unknown runs and withdrawals went out in the order of a map. Ruled out: a refusal of a job that turned late; the guard of second looks. Change: such an answer to one of several copies says nothing of the others; stops and withdrawals go out in a fixed order. Measured: a unit test of both answers fails before and passes after; eight runs of the package's tests at once pass.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -40,22 +40,21 @@
 		if r.copies.waiting <= 0 || now-r.ordered >= answerTime {
 			s.unanswered(now, t, r)
 		}
-	case r.copies.count > 1 && !ofTheLife(verdict):
+	case r.copies.count > 1:
 		s.copyRefused(now, t, r, verdict)
 	default:
 		s.notBegun(now, t, r, verdict)
 	}
 }
 
-// ofTheLife reports whether a refusal holds for all copies of an order.
-func ofTheLife(verdict work.Verdict) bool {
-	return verdict == work.VerdictGone || verdict == work.VerdictFenced
-}
-
 // copyRefused takes the refusal of one copy of a start, which tells nothing of the others:
 // a run that has ended already was begun by one of them, and its end is listed.
 func (s *State) copyRefused(now time.Duration, t *target, r *run, verdict work.Verdict) {
 	switch {
+	case verdict == work.VerdictGone || verdict == work.VerdictFenced:
+		// Another copy may have begun it in the former life, or under the former token: the
+		// job counts as begun.
+		s.answeredElsewhere(now, t, verdict)
 	case r.state != ordered:
 	case verdict == work.VerdictOld && r.stop == nil:
 		s.began(r)
--- a/scheduler/lend.go
+++ b/scheduler/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -180,8 +181,8 @@
 // withdraw gives up the parts of a job that has ended. Its ID counts as unsettled
 // until they are certainly stopped.
 func (s *State) withdraw(now time.Duration, j *job) {
-	for id, p := range s.parts {
-		if p.job != j {
+	for _, id := range slices.Sorted(maps.Keys(s.parts)) {
+		if s.parts[id].job != j {
 			continue
 		}
 		s.emit(Withdraw{Part: id})
--- a/scheduler/resend_test.go
+++ b/scheduler/resend_test.go
@@ -80,6 +80,23 @@
 	}
 }
 
+// Nor does the word of another owner's target, or of another life: what one copy may have
+// begun was begun, so that its caller isn't told that nothing had.
+func TestACopyThatMeetsAnotherOwnerLeavesTheJobBegun(t *testing.T) {
+	for _, verdict := range []work.Verdict{work.VerdictFenced, work.VerdictGone} {
+		b := newBench(t, Options{})
+		b.usable("a", 1)
+		b.submit("j", 1, 1, "")
+		start := pickEffects[StartRun](b.do())[0]
+		b.pass(40 * ms)
+		b.s.Started(b.now, "a", start.Run, work.OrderAnswer{Verdict: verdict, Clock: 5000})
+		deposed := pickEffects[Deposed](b.do())
+		must.Eq(t, verdict == work.VerdictFenced, len(deposed) > 0)
+		b.s.Abandon(b.now)
+		must.Eq(t, work.Unknown, pickEffects[Answer](b.do())[0].Outcome.Result, must.Sprint(verdict))
+	}
+}
+
 // A process that had no processor adds no copies: the answers may wait to be read.
 func TestNoCopiesAfterAStall(t *testing.T) {
 	b, start := orderedRun(t)
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -177,6 +178,15 @@
 	return runs
 }
 
+func (t *target) sortedStrangers() []work.Run {
+	if len(t.strangers) == 0 {
+		return nil
+	}
+	return slices.SortedFunc(maps.Keys(t.strangers), func(a, b work.Run) int {
+		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Number, b.Number))
+	})
+}
+
 func (t *target) address() work.Address { return work.Address{ID: t.ID, Address: t.Address} }
 
 // TargetSeen takes a target's entry in the registry.
@@ -371,8 +381,8 @@
 	for _, r := range t.sortedRuns() {
 		s.tickRun(now, t, r)
 	}
-	for stranger, try := range t.strangers {
-		if s.stopDue(now, try) {
+	for _, stranger := range t.sortedStrangers() {
+		if s.stopDue(now, t.strangers[stranger]) {
 			s.emit(StopRun{To: t.address(), Run: stranger})
 		}
 	}
