Let sending again take from spare processor, not end at 40 targets

Cause: orders, looks and stops without an answer were sent again only by owners of up to 40 targets. The border stood for processor: at 117 targets copies after a loss of all VMs had filled it. On one VM with 220 targets nothing settled doubt sooner than by a stop and a new start. Change: copies need ticks that come in time and answers that are read soon, both measured; each answer earns one copy, 64 at most, so that what isn't answered at all (first looks of a takeover) is not asked again 220 times; how long answers take is measured for each copy, so that late ones count; looks while answers get lost wait between 60 and 300 ms, as the processor allows, and are doubled only at 60. The replay gets owners with a processor and calls that get lost. TestNoCopiesForWantOfProcessor asserted the limit by count, which goes: it now asserts the same at 2 and 240 targets for want of processor, and that copies are sent once there is some again.

--- a/lab/replay/site.go
+++ b/lab/replay/site.go
@@ -45,6 +45,9 @@
 	Bursts []Burst
 	// Faults strike targets.
 	Faults []Fault
+	// CallTime is how long an owner's processor works for sending a call, and for reading
+	// an answer, one after the other; 0 takes no time.
+	CallTime time.Duration
 }
 
 // Burst multiplies the load for a while.
@@ -53,13 +56,15 @@
 	Times    float64
 }
 
-// Fault makes a share of the targets slow for a while; hung targets end nothing.
+// Fault makes a share of the targets slow for a while; hung targets end nothing. Of the
+// calls to them a share may be lost, which is neither carried out nor answered.
 type Fault struct {
 	From, To time.Duration
 	Share    float64
 	Slower   float64
 	Hang     bool
 	Gone     bool
+	Lost     float64
 }
 
 // Spreads of the sites' load, as shares of the mean.
@@ -95,6 +100,26 @@
 	}
 }
 
+// Large is one failure domain of a deployment of hundreds of VMs: its owner has a number of
+// targets, of which a third is busy. Of the time of its processor calls take a share, as
+// long as none is sent again.
+func Large(targets int, busy float64) Site {
+	site := Site{
+		Name: "large", Domains: 1, Targets: targets, CPU: 32000, Kinds: kinds(16000),
+		Load: float64(targets) * largeLoad, Length: 10 * time.Second, Far: 500 * time.Microsecond, Near: 100 * time.Microsecond,
+	}
+	calls := 0.0
+	for _, k := range site.Kinds {
+		// A start, its answer, and the look and the answer that tell its end.
+		calls += 4 * k.PerS * k.Tasks * site.Load
+	}
+	site.CallTime = time.Duration(busy / calls * float64(time.Second))
+	return site
+}
+
+// largeLoad is what a target adds to the load for a third of the places to be busy.
+const largeLoad = 0.0092
+
 func kinds(cpu float64) []Kind {
 	return []Kind{
 		{Name: "short", PerS: 34.4, Worth: 0.0291, Priority: 0, Attempts: 2, Tasks: 8, CPU: cpu, Run: 60 * time.Millisecond},
--- a/lab/replay/target.go
+++ b/lab/replay/target.go
@@ -19,9 +19,15 @@
 	running map[work.Run]*runSim
 	ended   []work.End
 	number  int64
-	polling func()
-	poll    int
-	fault   *Fault
+	// polls are the looks that wait for an end.
+	polls []*poll
+	fault *Fault
+}
+
+// poll is a look that waits for an end.
+type poll struct {
+	answer func()
+	over   bool
 }
 
 type runSim struct {
@@ -63,15 +69,27 @@
 // clock is the target's clock in milliseconds, off from the owner's.
 func (t *targetSim) clock() int64 { return t.world.now.Milliseconds() + 5000 }
 
-// reply sends an answer on its way to the owner.
+// reply sends an answer on its way to the owner, which reads it when it has the processor.
 func (t *targetSim) reply(o *ownerSim, do func(now time.Duration)) {
 	t.world.after(t.world.hop(), func() {
-		do(t.world.now)
-		t.world.carryOut(o)
+		t.world.work(o, t.world.options.Site.CallTime, func() {
+			do(t.world.now)
+			t.world.carryOut(o)
+		})
+	})
+}
+
+// unanswered tells the owner after a while that a call has no answer.
+func (t *targetSim) unanswered(o *ownerSim, after time.Duration, do func()) {
+	t.world.after(after, func() {
+		t.world.work(o, 0, func() {
+			do()
+			t.world.carryOut(o)
+		})
 	})
 }
 
-func (t *targetSim) start(o *ownerSim, e scheduler.StartRun) {
+func (t *targetSim) start(o *ownerSim, e scheduler.StartRun, sent time.Duration) {
 	answer := work.OrderAnswer{Clock: t.clock(), Verdict: work.VerdictDone}
 	a := t.world.jobs[strings.SplitN(e.Run.Task, ".", 2)[0]]
 	need := a.job.Steps[0].Each
@@ -82,7 +100,10 @@
 	} else {
 		t.begin(e.Run, a, need)
 	}
-	t.reply(o, func(now time.Duration) { o.state.Started(now, t.ID, e.Run, answer) })
+	t.reply(o, func(now time.Duration) {
+		o.state.Answered(now - sent)
+		o.state.Started(now, t.ID, e.Run, answer)
+	})
 }
 
 func (t *targetSim) begin(run work.Run, a *arrival, need work.Resources) {
@@ -124,42 +145,53 @@
 	}
 	t.number++
 	t.ended = append(t.ended, work.End{Number: t.number, Run: run, Kind: kind})
-	if t.polling != nil {
-		t.polling()
+	for _, p := range t.polls {
+		p.answer()
 	}
+	t.polls = nil
 }
 
 // stopDelay is about what a stop takes.
 const stopDelay = 20 * time.Millisecond
 
-func (t *targetSim) stop(o *ownerSim, e scheduler.StopRun) {
+func (t *targetSim) stop(o *ownerSim, e scheduler.StopRun, sent time.Duration) {
 	if r := t.running[e.Run]; r != nil {
 		t.world.after(stopDelay, func() { t.end(e.Run, r, work.EndStopped) })
 	}
 	answer := work.OrderAnswer{Clock: t.clock(), Verdict: work.VerdictDone}
-	t.reply(o, func(now time.Duration) { o.state.Stopped(now, t.ID, e.Run, answer) })
+	t.reply(o, func(now time.Duration) {
+		o.state.Answered(now - sent)
+		o.state.Stopped(now, t.ID, e.Run, answer)
+	})
 }
 
-func (t *targetSim) look(o *ownerSim, e scheduler.Look) {
+func (t *targetSim) look(o *ownerSim, e scheduler.Look, sent time.Duration) {
 	t.ended = slices.DeleteFunc(t.ended, func(end work.End) bool { return end.Number <= e.Seen })
-	t.poll++
-	poll := t.poll
-	answer := func() {
-		if t.polling == nil || t.poll != poll {
+	p := &poll{}
+	p.answer = func() {
+		if p.over {
 			return
 		}
-		t.polling = nil
+		p.over = true
 		held := work.Held{Clock: t.clock(), Ended: slices.Clone(t.ended)}
 		for run := range t.running {
 			held.Running = append(held.Running, work.Running{Run: run})
 		}
 		slices.SortFunc(held.Running, func(a, b work.Running) int { return strings.Compare(a.Run.Task, b.Run.Task) })
-		t.reply(o, func(now time.Duration) { o.state.Looked(now, t.ID, e.At, held, work.VerdictDone) })
+		t.reply(o, func(now time.Duration) {
+			if e.Wait == 0 {
+				o.state.Answered(now - sent)
+			}
+			o.state.Looked(now, t.ID, e.At, held, work.VerdictDone)
+		})
 	}
-	t.polling = answer
 	if len(t.ended) > 0 || e.Wait == 0 {
-		answer()
+		p.answer()
 		return
 	}
-	t.world.after(e.Wait, answer)
+	t.polls = append(t.polls, p)
+	t.world.after(e.Wait, func() {
+		p.answer()
+		t.polls = slices.DeleteFunc(t.polls, func(other *poll) bool { return other == p })
+	})
 }
--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -116,17 +116,21 @@
 	lenders map[scheduler.Ref]func(work.Outcome)
 	lent    map[scheduler.Part]func()
 	asked   time.Duration
+	// busy is until when its processor has work.
+	busy time.Duration
 }
 
 // Figures of the simulated runtime.
 const (
-	tick      = 20 * time.Millisecond
+	tick      = scheduler.TickInterval
 	beat      = 80 * time.Millisecond
 	hop       = 300 * time.Microsecond
 	offerTime = 10 * time.Millisecond
 	// promptTime is within what a refusal counts as prompt.
 	promptTime = 15 * time.Millisecond
 	drainTime  = 8 * time.Second
+	// orderTime is how long an owner waits for an answer, beside what a look waits itself.
+	orderTime = 120 * time.Millisecond
 )
 
 // Play plays a day.
@@ -189,11 +193,38 @@
 }
 
 func (w *world) tick(o *ownerSim) {
-	o.state.Tick(w.now)
-	w.carryOut(o)
+	w.work(o, 0, func() {
+		o.state.Tick(w.now)
+		w.carryOut(o)
+	})
 	w.after(tick, func() { w.tick(o) })
 }
 
+// work has an owner's processor do something that takes some time, after all that it has to
+// do already.
+func (w *world) work(o *ownerSim, takes time.Duration, do func()) {
+	if w.options.Site.CallTime == 0 {
+		do()
+		return
+	}
+	o.busy = max(o.busy, w.now) + takes
+	w.at(o.busy, do)
+}
+
+// call sends a call to a target: do carries it out there, lost takes its place where it gets
+// lost.
+func (w *world) call(o *ownerSim, target string, do, lost func(t *targetSim)) {
+	w.work(o, w.options.Site.CallTime, func() {
+		w.order(func() {
+			t := w.targets[target]
+			if t.fault != nil && t.fault.Lost > 0 && w.random.Float64() < t.fault.Lost {
+				do = lost
+			}
+			do(t)
+		})
+	})
+}
+
 func (w *world) beat(o *ownerSim) {
 	o.loads = o.state.Load(w.now, "service")
 	w.after(beat, func() { w.beat(o) })
@@ -288,11 +319,20 @@
 				cancel()
 			}
 		case scheduler.StartRun:
-			w.order(func() { w.targets[e.To.ID].start(o, e) })
+			sent := w.now
+			w.call(o, e.To.ID, func(t *targetSim) { t.start(o, e, sent) }, func(t *targetSim) {
+				t.unanswered(o, orderTime, func() { o.state.Started(w.now, t.ID, e.Run, work.OrderAnswer{}) })
+			})
 		case scheduler.StopRun:
-			w.order(func() { w.targets[e.To.ID].stop(o, e) })
+			sent := w.now
+			w.call(o, e.To.ID, func(t *targetSim) { t.stop(o, e, sent) }, func(t *targetSim) {
+				t.unanswered(o, orderTime, func() { o.state.Stopped(w.now, t.ID, e.Run, work.OrderAnswer{}) })
+			})
 		case scheduler.Look:
-			w.order(func() { w.targets[e.To.ID].look(o, e) })
+			sent := w.now
+			w.call(o, e.To.ID, func(t *targetSim) { t.look(o, e, sent) }, func(t *targetSim) {
+				t.unanswered(o, e.Wait+orderTime, func() { o.state.Looked(w.now, t.ID, e.At, work.Held{}, work.VerdictUnknown) })
+			})
 		}
 	}
 	w.askRoom(o)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -31,8 +31,6 @@
 	answersRoom = 4096
 	// batch bounds the messages between two rounds of placing.
 	batch = 64
-	// tickInterval is the pace of what time alone decides.
-	tickInterval = 20 * time.Millisecond
 	// registryWait bounds how long a dead connection to the store goes unnoticed,
 	// below the bound on draining targets.
 	registryWait = 1200 * time.Millisecond
@@ -174,7 +172,7 @@
 }
 
 func (o *Owner) loop(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(scheduler.TickInterval)
 	defer ticker.Stop()
 	for {
 		var m message
@@ -269,14 +267,15 @@
 func (o *Owner) Jobs() int { return int(o.jobs.Load()) }
 
 func (o *Owner) carryOut(ctx context.Context, effects []scheduler.Effect) {
+	sent := bootclock.Now()
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case scheduler.StartRun:
-			go o.start(ctx, e)
+			go o.start(ctx, e, sent)
 		case scheduler.StopRun:
-			go o.stop(ctx, e)
+			go o.stop(ctx, e, sent)
 		case scheduler.Look:
-			go o.look(ctx, e)
+			go o.look(ctx, e, sent)
 		case scheduler.Ask:
 			go o.advise(ctx, e)
 		case scheduler.Lend:
@@ -297,29 +296,48 @@
 	}
 }
 
-func (o *Owner) start(ctx context.Context, e scheduler.StartRun) {
+func (o *Owner) start(ctx context.Context, e scheduler.StartRun, sent time.Duration) {
 	token, began := o.token.Load(), bootclock.Now()
 	answer := o.targets.Start(ctx, e.To, e.Order, token)
 	answer.Verdict = scheduler.Settle(answer.Verdict, token, o.token.Load())
 	o.options.Count("starts", answer.Verdict.String())
 	o.options.Observe("start_answer", bootclock.Now()-began)
-	o.post(ctx, func(now time.Duration) { o.state.Started(now, e.To.ID, e.Run, answer) })
+	o.post(ctx, func(now time.Duration) {
+		o.answered(answer.Verdict, now-sent)
+		o.state.Started(now, e.To.ID, e.Run, answer)
+	})
 }
 
-func (o *Owner) stop(ctx context.Context, e scheduler.StopRun) {
+func (o *Owner) stop(ctx context.Context, e scheduler.StopRun, sent time.Duration) {
 	token := o.token.Load()
 	answer := o.targets.Stop(ctx, e.To, e.Run, token)
 	answer.Verdict = scheduler.Settle(answer.Verdict, token, o.token.Load())
 	o.options.Count("stops", answer.Verdict.String())
-	o.post(ctx, func(now time.Duration) { o.state.Stopped(now, e.To.ID, e.Run, answer) })
+	o.post(ctx, func(now time.Duration) {
+		o.answered(answer.Verdict, now-sent)
+		o.state.Stopped(now, e.To.ID, e.Run, answer)
+	})
 }
 
-func (o *Owner) look(ctx context.Context, e scheduler.Look) {
+func (o *Owner) look(ctx context.Context, e scheduler.Look, sent time.Duration) {
 	token := o.token.Load()
 	held, verdict := o.targets.Look(ctx, e.To, token, e.Until, e.Seen, e.Wait)
 	verdict = scheduler.Settle(verdict, token, o.token.Load())
 	o.options.Count("looks", verdict.String())
-	o.post(ctx, func(now time.Duration) { o.state.Looked(now, e.To.ID, e.At, held, verdict) })
+	o.post(ctx, func(now time.Duration) {
+		if e.Wait == 0 {
+			o.answered(verdict, now-sent)
+		}
+		o.state.Looked(now, e.To.ID, e.At, held, verdict)
+	})
+}
+
+// answered tells how long a target's answer took, from the order's leaving the decisions to
+// its being read, so that it shows what this process makes it wait.
+func (o *Owner) answered(verdict work.Verdict, took time.Duration) {
+	if verdict != work.VerdictUnknown && verdict != work.VerdictUnsent {
+		o.state.Answered(took)
+	}
 }
 
 // advise asks the adviser.
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -19,6 +19,7 @@
 
 // Started takes the answer to a StartRun.
 func (s *State) Started(now time.Duration, id string, order work.Run, answer work.OrderAnswer) {
+	s.resend.heard(answer.Verdict)
 	t := s.targets[id]
 	if t == nil {
 		return
@@ -30,9 +31,6 @@
 		return
 	}
 	r.copies.waiting--
-	if r.copies.count == 1 && answer.Verdict != work.VerdictUnknown {
-		s.resend.learn(now - r.ordered)
-	}
 	switch verdict := answer.Verdict; {
 	case verdict == work.VerdictDone:
 		s.began(r)
@@ -166,6 +164,7 @@
 
 // Stopped takes the answer to a StopRun.
 func (s *State) Stopped(now time.Duration, id string, order work.Run, answer work.OrderAnswer) {
+	s.resend.heard(answer.Verdict)
 	t := s.targets[id]
 	if t == nil {
 		return
@@ -196,6 +195,7 @@
 // Looked takes the answer to a Look.
 // at is that of the look.
 func (s *State) Looked(now time.Duration, id string, at time.Duration, held work.Held, verdict work.Verdict) {
+	s.resend.heard(verdict)
 	t := s.targets[id]
 	if t == nil || !t.looking || at != t.look.At {
 		return
@@ -421,14 +421,16 @@
 const (
 	// disturbedTime is how long after a lost answer others are expected to be lost.
 	disturbedTime = 2 * time.Second
-	// disturbedWait bounds how long the end of a run goes unseen when a look is lost.
+	// disturbedWait is how long the end of a run goes unseen when a look is lost, where
+	// there is the processor for it.
 	disturbedWait = 60 * time.Millisecond
 )
 
-// lookWait is short while answers get lost: a lost look shows only after its wait.
+// lookWait is short while answers get lost, as far as there is the processor for more looks:
+// a lost look shows only after its wait.
 func (s *State) lookWait(now time.Duration) time.Duration {
 	if s.unsettled(now) {
-		return disturbedWait
+		return s.resend.look
 	}
 	return s.options.LookWait
 }
--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -1,21 +1,33 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/burdockward/burdockward/work"
+)
 
 // Orders and looks without an answer are sent again, unchanged: where a fifth of them
 // stays unanswered and the first answer to one of four copies counts, one start in six
 // hundred is left in doubt, instead of one in five. A copy does no harm: a target that has
 // the run says so, one that has seen its end refuses it, and a copy that is carried out
 // late finds its lease over.
+//
+// What settling doubt may cost follows what this process has to spare, however many targets
+// it owns: answers that come late for want of processor look like lost ones, and copies of
+// their orders would make them later still.
 
 // resending decides when.
 type resending struct {
 	// mean and deviation are moving averages of how long answers take.
 	mean, deviation time.Duration
-	// stalled says that the last tick came late, or that there are too many targets: this
-	// process has no processor to spare, answers may wait to be read, and copies would add
-	// to the load.
+	// late is a moving average of how late ticks come.
+	late time.Duration
+	// stalled says that the last tick came so late that answers may wait to be read.
 	stalled bool
+	// budget is how many copies may be sent: each answer adds one, up to maxBudget.
+	budget int
+	// look is how long a look waits while answers get lost.
+	look time.Duration
 }
 
 // Figures of sending again.
@@ -32,26 +44,68 @@
 	meanWeight, deviationWeight = 0.125, 0.25
 	deviationFactor             = 4
 	// stallGap is twice the time between two ticks, less what timers vary by.
-	stallGap = 35 * time.Millisecond
-	// maxResending is the most targets of an owner that has the processor for copies. With
-	// 117 targets they filled it after each loss of VMs, so that answers came late, were taken
-	// for lost, and days with trouble lost up to a quarter of their worth.
-	maxResending = 40
+	stallGap = 2*TickInterval - 5*time.Millisecond
+	// lateWeight averages the lateness of ticks over a sixth of a second.
+	lateWeight = 0.125
+	// spareLate is the mean lateness of ticks up to which there is processor to spare: a
+	// single server that has work for half of its time makes what comes wait for about as
+	// long as a batch of messages takes, some milliseconds.
+	spareLate = 6 * time.Millisecond
 	// promptAnswer is the mean time of answers up to which the process isn't short of
 	// processor: two or three times the usual one.
 	promptAnswer = 8 * time.Millisecond
+	// maxBudget is the most copies in a row without an answer to anything: those of the
+	// orders that a few targets lose, not of all first looks of a takeover.
+	maxBudget = 64
+	// lookGrowth and lookDecline change the wait of looks at each tick, so that it is five
+	// times as long within 80 ms of want of processor and back within 300 ms of plenty.
+	lookGrowth, lookDecline = 1.5, 0.9
 	// answerTime is how long the first copy of an order may go unanswered while others are
 	// on their way: what the adapter waits for an answer, less what its timer varies by.
 	answerTime = 110 * time.Millisecond
 )
 
+// newResending has what a process needs to settle doubt about its first orders.
+func newResending() resending { return resending{budget: maxBudget, look: disturbedWait} }
+
+// tick takes the time since the last tick.
+func (r *resending) tick(gap time.Duration) {
+	late := max(gap-TickInterval, 0)
+	r.late += time.Duration(lateWeight * float64(late-r.late))
+	r.stalled = gap > stallGap
+}
+
+// spare reports whether this process has processor to spare: its ticks come in time, and
+// answers don't wait to be read.
+func (r *resending) spare() bool {
+	return !r.stalled && r.late <= spareLate && r.mean <= promptAnswer
+}
+
+// pace sets how long looks wait while answers get lost: as short as the processor allows.
+func (r *resending) pace(longest time.Duration) {
+	factor := lookDecline
+	if !r.spare() {
+		factor = lookGrowth
+	}
+	r.look = min(max(time.Duration(factor*float64(r.look)), disturbedWait), longest)
+}
+
 // looksTwice reports whether a second look waits beside each one: answers get lost, and
-// it isn't for want of processor that they come late.
+// there is the processor for more than short looks.
 func (s *State) looksTwice(now time.Duration) bool {
-	return s.unsettled(now) && s.resend.mean <= promptAnswer
+	return s.unsettled(now) && s.resend.spare() && s.resend.look == disturbedWait
 }
 
-// learn takes the time of an answer to the one copy that was sent.
+// heard counts an answer of a target towards what copies may cost.
+func (r *resending) heard(verdict work.Verdict) {
+	if verdict != work.VerdictUnknown && verdict != work.VerdictUnsent {
+		r.budget = min(r.budget+1, maxBudget)
+	}
+}
+
+// Answered says how long the answer to one copy of an order took, until it was read.
+func (s *State) Answered(took time.Duration) { s.resend.learn(took) }
+
 func (r *resending) learn(took time.Duration) {
 	if r.mean == 0 {
 		r.mean, r.deviation = took, took/2
@@ -80,9 +134,13 @@
 	c.waiting++
 }
 
-// due reports whether the next copy is to be sent.
+// due reports whether the next copy is to be sent, and spends what it costs.
 func (r *resending) due(now time.Duration, c *copies, wait time.Duration) bool {
-	return !r.stalled && c.count < maxCopies && now-c.sent >= wait+r.pause()
+	if c.count >= maxCopies || now-c.sent < wait+r.pause() || !r.spare() || r.budget == 0 {
+		return false
+	}
+	r.budget--
+	return true
 }
 
 // startAgain sends a start without an answer again.
--- a/scheduler/resend_test.go
+++ b/scheduler/resend_test.go
@@ -161,21 +161,77 @@
 	}
 }
 
-// An owner that is short of processor, or has many targets, sends no second looks: they
-// would only make its answers later still.
+// An owner that is short of processor sends no second looks and no copies: they would only
+// make its answers later still. It does once it has the processor again, however many
+// targets it owns.
 func TestNoCopiesForWantOfProcessor(t *testing.T) {
+	for _, targets := range []int{2, 240} {
+		b, start := orderedRun(t)
+		for i := 2; i < targets; i++ {
+			b.usable(fmt.Sprint("t", i), 1)
+		}
+		b.s.disturbed = b.now
+		must.True(t, b.s.looksTwice(b.now))
+		for range 50 {
+			b.s.Answered(2 * promptAnswer)
+		}
+		must.False(t, b.s.looksTwice(b.now))
+		must.Eq(t, 0, copiesIn(b, start, 60*ms))
+		for range 50 {
+			b.s.Answered(promptAnswer / 4)
+		}
+		must.Eq(t, 1, copiesIn(b, start, 20*ms))
+	}
+}
+
+// Ticks that come late again and again show want of processor, though none is late enough
+// to show it alone.
+func TestNoCopiesWhileTicksComeLate(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	lateTicks := func(n int) {
+		for range n {
+			b.now += stallGap - ms
+			b.s.Tick(b.now)
+			b.do()
+		}
+	}
+	lateTicks(8)
+	b.submit("j", 1, 1, "")
+	start := pickEffects[StartRun](b.do())[0]
+	lateTicks(3)
+	must.Eq(t, 1, b.starts[start.Run])
+	b.pass(300 * ms)
+	must.Eq(t, maxCopies, b.starts[start.Run])
+}
+
+// Looks get longer for want of processor, as far as they are while all is well, and short
+// again with plenty of it.
+func TestShortLooksFollowTheProcessor(t *testing.T) {
 	b, _ := orderedRun(t)
 	b.s.disturbed = b.now
-	must.True(t, b.s.looksTwice(b.now))
+	must.Eq(t, disturbedWait, b.s.lookWait(b.now))
 	for range 50 {
-		b.s.resend.learn(2 * promptAnswer)
+		b.s.Answered(2 * promptAnswer)
 	}
-	must.False(t, b.s.looksTwice(b.now))
-	many, start := orderedRun(t)
-	for i := range maxResending {
-		many.target(fmt.Sprint("t", i), 1)
+	b.pass(100 * ms)
+	must.Eq(t, DefaultLookWait, b.s.lookWait(b.now))
+	for range 50 {
+		b.s.Answered(promptAnswer / 4)
+	}
+	b.pass(400 * ms)
+	must.Eq(t, disturbedWait, b.s.lookWait(b.now))
+}
+
+// Where nothing is answered, copies are bounded for all targets together: those of a
+// takeover's first looks would take the processor that its first answers need.
+func TestCopiesWithoutAnyAnswerAreBounded(t *testing.T) {
+	b := newBench(t, Options{})
+	for i := range 240 {
+		b.target(fmt.Sprint("t", i), 1)
 	}
-	must.Eq(t, 0, copiesIn(many, start, 80*ms))
+	must.SliceLen(t, 240, pickEffects[Look](b.do()))
+	must.SliceLen(t, maxBudget, pickEffects[Look](b.pass(100*ms)))
 }
 
 func TestPauseFollowsTheAnswers(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -221,6 +221,7 @@
 		left:     map[string]leftover{},
 		repeated: map[*job]bool{},
 		asked:    map[string]*step{},
+		resend:   newResending(),
 	}
 }
 
@@ -280,12 +281,21 @@
 	return j.kept() || j.sub.Entry == "" || now < s.entries[j.sub.Entry]
 }
 
-// Tick looks at all that time alone changes. It is to be called every 20 ms or so.
+// TickInterval is the time between two calls of Tick: a fraction of the shortest time that
+// it decides on. Ticks that come later show that this process is short of processor.
+const TickInterval = 20 * time.Millisecond
+
+// Tick looks at all that time alone changes. It is to be called every TickInterval.
 func (s *State) Tick(now time.Duration) {
 	if s.ticked != 0 && now-s.ticked > s.options.Pause {
 		s.resume(now, now-s.ticked)
 	}
-	s.resend.stalled = s.ticked != 0 && now-s.ticked > stallGap || len(s.targets) > maxResending
+	if s.ticked != 0 {
+		s.resend.tick(now - s.ticked)
+	}
+	if s.unsettled(now) {
+		s.resend.pace(s.options.LookWait)
+	}
 	s.ticked = now
 	s.callDue(now)
 	for _, j := range s.sortedJobs() {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -339,7 +339,7 @@
 // order.
 func (s *State) stopDue(now time.Duration, o *orderTry) bool {
 	pause := stopRetry
-	if o.tries < maxCopies && !s.resend.stalled {
+	if o.tries < maxCopies && s.resend.spare() {
 		pause = s.resend.pause()
 	}
 	if o.acked != 0 || now-o.sent < pause {
