Fetch a job's answer over another connection when its own breaks

Cause: when the connection between an entry VM and an owner broke with a job in hand (reset connections are this customer's trouble), the owner took it for a caller that had left and stopped the job, and the entry VM told its caller that nothing was known: a payment that ran was given up at the very moment its answer was due, and sent again 1.3 s later. A start whose connection to the target broke was stopped and begun elsewhere. Ruled out: to run the job afresh (a payment could land twice); to keep jobs for callers whose own connection breaks (they come again 1.3 s later, when the answer is of little use). What never came is begun; what may have been forgotten, or was another life's, is unknown, never begun again. A caller that leaves is told to the owner at once, by datagram. Starts whose connection broke are sent again at once, as copies are.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,13 +19,13 @@
 // Peers is what heartbeats tell of owners.
 type Peers interface {
 	View(life uint64) (heartbeat.View, bool)
-	GiveUp(job string)
+	GiveUp(owner uint64, job string)
 }
 
 // Remote runs jobs at other VMs.
 type Remote interface {
 	// RunUntil gives the job up when the caller has left or the owner is silent.
-	RunUntil(ctx, alive context.Context, address string, order link.Order) work.Outcome
+	RunUntil(ctx, alive context.Context, to heartbeat.Owner, order link.Order) work.Outcome
 	// State and Cancel ask an owner about kept jobs.
 	State(ctx context.Context, address, id string) (work.State, error)
 	Cancel(ctx context.Context, address, id string) (work.State, error)
@@ -223,12 +223,12 @@
 		}
 		return local.Submit(ctx, scheduler.Submission{Job: r.job, Queue: r.queue, Age: age, Wait: r.wait})
 	}
-	outcome := e.remote.RunUntil(ctx, c.View.Alive, c.Owner.Control, link.Order{
+	outcome := e.remote.RunUntil(ctx, c.View.Alive, c.Owner, link.Order{
 		Group: c.Group, Entry: heartbeat.EntryID(e.options.VM, e.options.Life), Stamp: c.View.Stamp,
 		Job: r.job, Queue: r.queue, Age: age, Wait: r.wait,
 	})
 	if outcome.Result == work.Unknown {
-		e.peers.GiveUp(r.job.ID)
+		e.peers.GiveUp(c.Owner.Life, r.job.ID)
 	}
 	if ctx.Err() == nil && (outcome.Result == work.Unknown || outcome.Result == work.Moved) {
 		e.options.Lost(c.Owner)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -57,9 +57,10 @@
 	return view, ok
 }
 
-func (f *fakePeers) GiveUp(job string) { f.givenUp = append(f.givenUp, job) }
+func (f *fakePeers) GiveUp(_ uint64, job string) { f.givenUp = append(f.givenUp, job) }
 
-func (f *fakePeers) RunUntil(_, _ context.Context, address string, _ link.Order) work.Outcome {
+func (f *fakePeers) RunUntil(_, _ context.Context, to heartbeat.Owner, _ link.Order) work.Outcome {
+	address := to.Control
 	f.asked = append(f.asked, address)
 	next := f.outcomes[address][0]
 	if len(f.outcomes[address]) > 1 {
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -113,11 +113,17 @@
 	return pingers
 }
 
-// GiveUp tells owners in the next pings that a job is no longer wanted.
-func (s *Service) GiveUp(job string) {
+// GiveUp tells the owner that runs a job that it is no longer wanted, at once and, as
+// datagrams get lost, in the next pings.
+func (s *Service) GiveUp(owner uint64, job string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.book.givenUp[job] = bootclock.Now()
+	s.mu.Unlock()
+	for _, p := range s.pings() {
+		if p.ping.GetOwnerLife() == owner {
+			s.write(p.address, p.ping)
+		}
+	}
 }
 
 func (s *Service) send(ctx context.Context) {
--- a/link/link.go
+++ b/link/link.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/burdockward/burdockward/heartbeat"
 	"github.com/burdockward/burdockward/link/linkpb"
 	"github.com/burdockward/burdockward/owner"
 	"github.com/burdockward/burdockward/ownership"
@@ -28,6 +29,15 @@
 	Age, Wait time.Duration
 	// Part names the tasks where the job is a part that another owner hands over.
 	Part []string
+	// Given says that the job was asked for before; zero for a first request.
+	Given Given
+}
+
+// Given is a job that an owner's process was given over a connection that has broken: its
+// answer is due to the next request.
+type Given struct {
+	Life uint64
+	Ago  time.Duration
 }
 
 // Tables is what a VM last read from the store.
@@ -69,6 +79,8 @@
 		Age:   duration(r.GetAgeUs()),
 		Wait:  duration(r.GetWaitUs()),
 		Part:  r.GetPart(),
+
+		Given: Given{Life: r.GetGivenLife(), Ago: duration(r.GetGivenUs())},
 	})), nil
 }
 
@@ -142,9 +154,9 @@
 	return linkpb.NewFleetProtobufClient("http://"+address, c.http)
 }
 
-// Run runs a job at another VM. The end of the context gives it up there.
-func (c *Client) Run(ctx context.Context, address string, order Order) work.Outcome {
-	reply, err := c.fleet(address).Run(ctx, &linkpb.RunRequest{
+// run asks another VM to run a job. The end of the context gives it up there.
+func (c *Client) run(ctx context.Context, address string, order Order) (*linkpb.RunReply, error) {
+	return c.fleet(address).Run(ctx, &linkpb.RunRequest{
 		Group:  order.Group,
 		Entry:  order.Entry,
 		Stamp:  order.Stamp,
@@ -153,24 +165,42 @@
 		AgeUs:  micros(order.Age),
 		WaitUs: micros(order.Wait),
 		Part:   order.Part,
+
+		GivenLife: order.Given.Life,
+		GivenUs:   micros(order.Given.Ago),
 	})
+}
+
+// maxRejoins is how often in a row a job is asked for again whose connection breaks.
+const maxRejoins = 3
+
+// RunUntil runs a job at another VM while that VM is alive. Where the connection breaks
+// the job goes on there, and its answer is fetched over another one: of the jobs in hand
+// when a third of the VMs have half of their connections reset, most are answered in time
+// that would have been given up.
+func (c *Client) RunUntil(ctx, alive context.Context, to heartbeat.Owner, order Order) work.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(alive, cancel)()
+	began := time.Now()
+	reply, err := c.run(ctx, to.Control, order)
 	if err == nil {
 		return outcomeFromWire(reply)
 	}
 	if dial, ok := errors.AsType[*net.OpError](err); ok && dial.Op == "dial" {
 		return work.Outcome{Result: work.Moved, Reason: "no connection to the owner"}
 	}
+	age := order.Age
+	for try := 0; try < maxRejoins && ctx.Err() == nil && !order.Job.Kept; try++ {
+		ago := time.Since(began)
+		order.Age, order.Given = age+ago, Given{Life: to.Life, Ago: ago}
+		if reply, err = c.run(ctx, to.Control, order); err == nil {
+			return outcomeFromWire(reply)
+		}
+	}
 	return work.Outcome{Result: work.Unknown, Reason: "the owner was lost: " + err.Error()}
 }
 
-// RunUntil runs a job at another VM while that VM is alive.
-func (c *Client) RunUntil(ctx, alive context.Context, address string, order Order) work.Outcome {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(alive, cancel)()
-	return c.Run(ctx, address, order)
-}
-
 // Release asks a former owner which targets it uses no more.
 func (c *Client) Release(ctx context.Context, address, group string, token int64) (owner.Released, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/node/calls.go
+++ b/node/calls.go
@@ -16,15 +16,47 @@
 
 // runFor runs a job for another VM.
 func (n *Node) runFor(ctx context.Context, order link.Order) work.Outcome {
+	if order.Given != (link.Given{}) {
+		if outcome, known := n.rejoin(ctx, order); known {
+			return outcome
+		}
+	}
 	o := n.owned()
 	until := time.Duration(order.Stamp) + heartbeat.Vouch
 	if o == nil || bootclock.Now() >= until {
 		return work.Outcome{Result: work.Moved, Reason: "not the owner, or the order is stale"}
 	}
 	o.Vouched(order.Entry, until, nil)
-	return o.Submit(ctx, scheduler.Submission{
+	return o.Submit(ctx, submissionOf(order))
+}
+
+func submissionOf(order link.Order) scheduler.Submission {
+	return scheduler.Submission{
 		Entry: order.Entry, Job: order.Job, Queue: order.Queue, Age: order.Age, Wait: order.Wait, Part: order.Part,
-	})
+	}
+}
+
+// rejoin answers a job that an owner in this process was given before; false means that it
+// never came here, so that nothing of it was begun.
+func (n *Node) rejoin(ctx context.Context, order link.Order) (work.Outcome, bool) {
+	unknown := work.Outcome{Result: work.Unknown, Reason: "the connection broke, and who owned the targets then has ended"}
+	certain := n.owned() != nil && order.Given.Life == n.self.Life
+	for _, o := range n.owners() {
+		outcome, presence := o.Rejoin(ctx, submissionOf(order), order.Given.Ago)
+		switch presence {
+		case scheduler.Present:
+			n.options.Count("rejoins", outcome.Result.String())
+			return outcome, true
+		case scheduler.Forgotten:
+			certain, unknown = false, outcome
+		}
+	}
+	if certain {
+		n.options.Count("rejoins", "absent")
+		return work.Outcome{}, false
+	}
+	n.options.Count("rejoins", "forgotten")
+	return unknown, true
 }
 
 // owners are the owner in this process and the one that hands over, as far as there
--- a/node/lend.go
+++ b/node/lend.go
@@ -41,10 +41,14 @@
 		if !ok || view.Stamp == 0 || view.Alive.Err() != nil {
 			break
 		}
-		return n.calls.RunUntil(ctx, view.Alive, view.Control, link.Order{
+		outcome := n.calls.RunUntil(ctx, view.Alive, view.Owner, link.Order{
 			Group: held.Group, Entry: heartbeat.EntryID(n.self.VM, n.self.Life), Stamp: view.Stamp,
 			Job: sub.Job, Queue: sub.Queue, Age: sub.Age, Wait: sub.Wait, Part: sub.Part,
 		})
+		if outcome.Result == work.Unknown {
+			n.beats.GiveUp(view.Life, sub.Job.ID)
+		}
+		return outcome
 	}
 	return work.Outcome{Result: work.Moved, Reason: "the other owner is silent"}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -52,7 +52,9 @@
 	// Token is the fencing token of the claim.
 	Token    int64
 	Schedule scheduler.Options
-	Log      *slog.Logger
+	// RejoinTime is how long a job goes on whose connection broke; 0 takes the default.
+	RejoinTime time.Duration
+	Log        *slog.Logger
 	// Count counts what is noted and how submissions end; it must not block.
 	Count func(what, label string)
 	// Observe takes times and Gauge values; they must not block.
@@ -87,11 +89,13 @@
 	answers     chan message
 	state       *scheduler.State
 	waiting     map[scheduler.Ref]chan work.Outcome
-	lastRef     scheduler.Ref
-	lent        map[scheduler.Part]context.CancelFunc
-	loads       atomic.Pointer[map[string]scheduler.Load]
-	services    map[string]bool
-	registry    registry
+	// made is when it was made, on the boot clock.
+	made     time.Duration
+	lastRef  scheduler.Ref
+	lent     map[scheduler.Part]context.CancelFunc
+	loads    atomic.Pointer[map[string]scheduler.Load]
+	services map[string]bool
+	registry registry
 	// deposed is set once a target has seen another owner.
 	deposed bool
 	token   atomic.Int64
@@ -109,12 +113,16 @@
 
 // New makes an owner that doesn't order anything before Run.
 func New(o Options, targets Targets, store mirror.Source) *Owner {
+	if o.RejoinTime == 0 {
+		o.RejoinTime = DefaultRejoinTime
+	}
 	owner := &Owner{
 		options: o, targets: targets, store: store,
 		submissions: ring.New[message](submissionsRoom),
 		answers:     make(chan message, answersRoom),
 		state:       scheduler.New(o.Schedule),
 		waiting:     map[scheduler.Ref]chan work.Outcome{},
+		made:        bootclock.Now(),
 		lent:        map[scheduler.Part]context.CancelFunc{},
 		services:    map[string]bool{},
 		registry:    newRegistry(o.FailureDomain, o.Former != nil),
@@ -335,7 +343,9 @@
 // answered tells how long a target's answer took, from the order's leaving the decisions to
 // its being read, so that it shows what this process makes it wait.
 func (o *Owner) answered(verdict work.Verdict, took time.Duration) {
-	if verdict != work.VerdictUnknown && verdict != work.VerdictUnsent {
+	switch verdict {
+	case work.VerdictUnknown, work.VerdictBroken, work.VerdictUnsent:
+	default:
 		o.state.Answered(took)
 	}
 }
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -21,10 +21,7 @@
 	arrived := time.Now()
 	accepted := o.submissions.Offer(func(now time.Duration) {
 		defer close(taken)
-		o.lastRef++
-		ref = o.lastRef
-		o.waiting[ref] = outcome
-		sub.Ref = ref
+		ref = o.await(&sub, outcome)
 		sub.Age += time.Since(arrived)
 		if sub.Job.Kept && !o.mayAccept(sub) {
 			return
@@ -41,10 +38,21 @@
 		return o.afterEnd(outcome)
 	case <-ctx.Done():
 	}
+	if sub.Entry != "" && !sub.Job.Kept {
+		o.awaitRejoin(outcome)
+	}
 	o.cancel(ctx, taken, &ref)
 	return work.Outcome{Result: work.Unknown, Reason: "the caller left"}
 }
 
+// await makes an outcome channel that of a submission's answer.
+func (o *Owner) await(sub *scheduler.Submission, outcome chan work.Outcome) scheduler.Ref {
+	o.lastRef++
+	sub.Ref = o.lastRef
+	o.waiting[sub.Ref] = outcome
+	return sub.Ref
+}
+
 // afterEnd takes the answer that the loop gave at its end; a submission that it
 // never took was not run.
 func (o *Owner) afterEnd(outcome chan work.Outcome) work.Outcome {
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -34,7 +34,8 @@
 	switch verdict := answer.Verdict; {
 	case verdict == work.VerdictDone:
 		s.began(r)
-	case verdict == work.VerdictUnknown:
+	case verdict == work.VerdictBroken && s.startAtOnce(now, r):
+	case unanswered(verdict):
 		if r.copies.waiting <= 0 || now-r.ordered >= answerTime {
 			s.unanswered(now, t, r)
 		}
@@ -45,6 +46,11 @@
 	}
 }
 
+// unanswered reports whether an order may have been carried out without a word of it.
+func unanswered(verdict work.Verdict) bool {
+	return verdict == work.VerdictUnknown || verdict == work.VerdictBroken
+}
+
 // copyRefused takes the refusal of one copy of a start, which tells nothing of the others:
 // a run that has ended already was begun by one of them, and its end is listed.
 func (s *State) copyRefused(now time.Duration, t *target, r *run, verdict work.Verdict) {
@@ -201,7 +207,7 @@
 		return
 	}
 	t.lookCopies.waiting--
-	if verdict == work.VerdictUnknown && t.lookCopies.waiting > 0 && now-at < t.lookTime+answerTime {
+	if unanswered(verdict) && t.lookCopies.waiting > 0 && now-at < t.lookTime+answerTime {
 		return
 	}
 	t.looking = false
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -308,6 +308,7 @@
 	if j.stored {
 		s.endKept(now, j, outcome)
 	} else {
+		s.remember(now, j.sub, outcome)
 		s.emit(Answer{Ref: j.sub.Ref, Outcome: outcome, Times: j.times(now)})
 	}
 	s.tell(now, j, outcome)
@@ -399,11 +400,16 @@
 
 // GiveUp gives up a job by its ID, with its parts, if it is still an entry VM's.
 func (s *State) GiveUp(now time.Duration, entry, id string) {
-	for _, j := range s.sortedJobs() {
+	var given []*job
+	for _, j := range s.jobs {
 		if j.sub.Job.ID == id && j.sub.Entry == entry && !j.kept() {
-			s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "its entry VM has given it up"})
+			given = append(given, j)
 		}
 	}
+	slices.SortFunc(given, func(a, b *job) int { return cmp.Compare(a.sub.Ref, b.sub.Ref) })
+	for _, j := range given {
+		s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "its entry VM has given it up"})
+	}
 }
 
 // key tells a job from its parts that other owners hand over.
--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -98,7 +98,7 @@
 
 // heard counts an answer of a target towards what copies may cost.
 func (r *resending) heard(verdict work.Verdict) {
-	if verdict != work.VerdictUnknown && verdict != work.VerdictUnsent {
+	if !unanswered(verdict) && verdict != work.VerdictUnsent {
 		r.budget = min(r.budget+1, maxBudget)
 	}
 }
@@ -153,6 +153,17 @@
 	}
 }
 
+// startAtOnce sends a start again whose connection broke: no answer will come to that copy,
+// and to ask for it costs less than to stop the run and to start its task elsewhere.
+func (s *State) startAtOnce(now time.Duration, r *run) bool {
+	if r.state != ordered || r.stop != nil || r.copies.count >= maxCopies || s.resend.budget == 0 || now-r.ordered >= answerTime {
+		return false
+	}
+	s.resend.budget--
+	s.sendStart(now, r)
+	return true
+}
+
 // lookAgain sends a look again that should have been answered; it asks for an answer at
 // once. While answers get lost a second look waits beside each one from early on: an end
 // that only a lost look would have told costs a short task its slack.
--- a/scheduler/resend_test.go
+++ b/scheduler/resend_test.go
@@ -250,3 +250,23 @@
 	}
 	must.Eq(t, mostResend, r.pause())
 }
+
+// A start whose connection breaks is sent again at once: no answer to it will come.
+func TestABrokenStartIsSentAgainAtOnce(t *testing.T) {
+	b, start := orderedRun(t)
+	broken := work.OrderAnswer{Verdict: work.VerdictBroken}
+	for copies := 1; copies < maxCopies; copies++ {
+		b.s.Started(b.now, "a", start.Run, broken)
+		must.SliceEmpty(t, b.do())
+		must.Eq(t, copies+1, b.starts[start.Run])
+	}
+	b.s.Started(b.now, "a", start.Run, broken)
+	must.Eq(t, start.Run, pickEffects[StopRun](b.do())[0].Run)
+}
+
+// One that broke when its answer was due already is stopped like any other.
+func TestAStartThatBreaksLateIsStopped(t *testing.T) {
+	b, start := orderedRun(t)
+	b.s.Started(b.now+answerTime, "a", start.Run, work.OrderAnswer{Verdict: work.VerdictBroken})
+	must.Eq(t, start.Run, pickEffects[StopRun](b.do())[0].Run)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -191,7 +191,11 @@
 	// wall is the time since 1970 at time zero of the State's time.
 	wall time.Duration
 	// asked holds the steps that the adviser is asked about, asking counts them.
-	asked  map[string]*step
+	asked map[string]*step
+	// unclaimed holds the outcomes of jobs of other VMs that ended lately.
+	unclaimed map[jobRef]unclaimed
+	// forgot is when one wasn't remembered for want of room; 0 before the first.
+	forgot time.Duration
 	asking int
 	// repeated holds the jobs with occurrences that aren't due yet.
 	repeated map[*job]bool
@@ -222,6 +226,8 @@
 		repeated: map[*job]bool{},
 		asked:    map[string]*step{},
 		resend:   newResending(),
+
+		unclaimed: map[jobRef]unclaimed{},
 	}
 }
 
@@ -307,6 +313,7 @@
 		}
 	}
 	s.settleWithdrawn(now)
+	s.forgetUnclaimed(now)
 	for _, p := range s.pools {
 		p.usual = p.usualSpeed()
 	}
--- a/work/orders.go
+++ b/work/orders.go
@@ -30,13 +30,16 @@
 	VerdictOvertaken
 	// VerdictTicket says that the adviser's ticket doesn't hold there.
 	VerdictTicket
+	// VerdictBroken says what VerdictUnknown does, and that no answer will come: the
+	// connection broke.
+	VerdictBroken
 )
 
 var verdictNames = map[Verdict]string{
 	VerdictUnknown: "unknown", VerdictDone: "done", VerdictUnsent: "unsent", VerdictFenced: "fenced",
 	VerdictOld: "old", VerdictLate: "late", VerdictRoom: "room", VerdictGone: "gone",
 	VerdictUnhealthy: "unhealthy", VerdictInvalid: "invalid", VerdictOvertaken: "overtaken",
-	VerdictTicket: "ticket",
+	VerdictTicket: "ticket", VerdictBroken: "broken",
 }
 
 // String names the verdict in logs and metrics.
