--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -26,6 +26,8 @@
 	stalled bool
 	// budget is how many copies may be sent: each answer adds one, up to maxBudget.
 	budget int
+	// sent counts the copies.
+	sent int
 	// look is how long a look waits while answers get lost.
 	look time.Duration
 }
@@ -134,12 +136,17 @@
 	c.waiting++
 }
 
+func (r *resending) spend() {
+	r.budget--
+	r.sent++
+}
+
 // due reports whether the next copy is to be sent, and spends what it costs.
 func (r *resending) due(now time.Duration, c *copies, wait time.Duration) bool {
 	if c.count >= maxCopies || now-c.sent < wait+r.pause() || !r.spare() || r.budget == 0 {
 		return false
 	}
-	r.budget--
+	r.spend()
 	return true
 }
 
@@ -159,7 +166,7 @@
 	if r.state != ordered || r.stop != nil || r.copies.count >= maxCopies || s.resend.budget == 0 || now-r.ordered >= answerTime {
 		return false
 	}
-	s.resend.budget--
+	s.resend.spend()
 	s.sendStart(now, r)
 	return true
 }
