Measure what a VM has of its processor, and own targets by that

Cause: who claims, succeeds and yields went by the share of a core that the settings declare. A strong owner that is slowed down to a fifth kept its 220 targets while another strong VM of its failure domain was idle. Ruled out: lateness of timers as the measure (an idle slow VM shows none). Change: a sample of 50 microseconds of work each 100 ms; the fastest of the last five against the best ever seen tells the present speed; pings carry the declared share times it, and the patience before a claim follows it. Tests: estimator, ownership.

--- a/heartbeat/book.go
+++ b/heartbeat/book.go
@@ -59,10 +59,11 @@
 
 // Pinger is an entry VM as its pings tell.
 type Pinger struct {
-	VM                   string
-	Life                 uint64
-	FailureDomain        string
-	Control, Heartbeat   string
+	VM                 string
+	Life               uint64
+	FailureDomain      string
+	Control, Heartbeat string
+	// CPUShare is what it has of a core, in thousandths.
 	CPUShare             int32
 	Leaving              bool
 	ConfigurationVersion int64
--- a/heartbeat/book_test.go
+++ b/heartbeat/book_test.go
@@ -134,6 +134,7 @@
 func (silentListener) Pending() map[string]int32               { return nil }
 
 func (silentListener) Leaving() bool                { return false }
+func (silentListener) CPUShare() int32              { return 0 }
 func (silentListener) Owned() *linkpb.Owned         { return nil }
 func (silentListener) Heard(uint64, []*linkpb.Load) {}
 func (silentListener) Learned(*linkpb.Owned)        {}
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -24,7 +24,6 @@
 	VM                 string
 	Life               uint64
 	FailureDomain      string
-	CPUShare           int32
 	Control, Heartbeat string
 }
 
@@ -39,6 +38,8 @@
 	Pending() map[string]int32
 	ConfigurationVersion() int64
 	Leaving() bool
+	// CPUShare is what this VM has of a core now, in thousandths.
+	CPUShare() int32
 	// Owned is the claim of this VM's group; nil before the first.
 	Owned() *linkpb.Owned
 	// Heard takes the loads that an owner tells of.
@@ -170,7 +171,7 @@
 }
 
 func (s *Service) pings() []outgoing {
-	version, leaving := s.listener.ConfigurationVersion(), s.listener.Leaving()
+	version, leaving, share := s.listener.ConfigurationVersion(), s.listener.Leaving(), s.listener.CPUShare()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var givenUp []string
@@ -185,7 +186,7 @@
 		pings = append(pings, outgoing{address: v.Heartbeat, ping: &linkpb.Ping{
 			Vm: s.self.VM, Life: s.self.Life, FailureDomain: s.self.FailureDomain,
 			Stamp: v.Stamp, OwnerLife: life, GivenUp: givenUp, ConfigurationVersion: version,
-			CpuShare: s.self.CPUShare, Leaving: leaving, Control: s.self.Control, Heartbeat: s.self.Heartbeat,
+			CpuShare: share, Leaving: leaving, Control: s.self.Control, Heartbeat: s.self.Heartbeat,
 		}})
 	}
 	return pings
--- a/node/leave.go
+++ b/node/leave.go
@@ -82,8 +82,8 @@
 	yieldPause = 3 * time.Second
 )
 
-// yield hands the group to a much stronger VM of the failure domain, if there is one:
-// a weak VM may have claimed it while the others were away.
+// yield hands the group to a VM of the failure domain with much more processor, if there is
+// one: a weak VM may have claimed it while the others were away, or this one was slowed down.
 func (n *Node) yield(ctx context.Context) {
 	ticker := time.NewTicker(yieldInterval)
 	defer ticker.Stop()
@@ -96,10 +96,11 @@
 		}
 		now, pingers := bootclock.Now(), n.beats.Pingers()
 		if n.Leaving() || n.owned() == nil || now-tried < yieldPause ||
-			!ownership.Stronger(n.self.FailureDomain, n.self.CPUShare, pingers, now) {
+			!ownership.Stronger(n.self.FailureDomain, n.processor.PerMille(), pingers, now) {
 			continue
 		}
 		tried = now
+		n.log.Info("handing over to a VM with more processor", "group", n.group, "cpu_per_mille", n.processor.PerMille())
 		if err := n.keeper.HandOver(ctx, pingers, n.calls); err != nil {
 			n.log.Warn("not handed over to a stronger VM", "group", n.group, "error", err)
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/burdockward/burdockward/owner"
 	"github.com/burdockward/burdockward/ownership"
 	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/processor"
 	"github.com/burdockward/burdockward/scheduler"
 	"github.com/burdockward/burdockward/work"
 )
@@ -73,6 +74,8 @@
 
 	// settings are the newest that were read; only followSettings uses them.
 	settings platform.Settings
+	// processor is what this VM has of a core.
+	processor *processor.Meter
 	// seed is the seed that was asked last.
 	seed int
 
@@ -103,13 +106,14 @@
 		settings: s,
 		log:      o.Log,
 		self: heartbeat.Self{
-			VM: s.VM, Life: rand.Uint64(), FailureDomain: s.FailureDomain, CPUShare: int32(s.CPUShare * 1000),
+			VM: s.VM, Life: rand.Uint64(), FailureDomain: s.FailureDomain,
 			Control: s.Control, Heartbeat: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
 		},
-		group:   s.FailureDomain,
-		targets: platform.NewTargets(),
-		calls:   link.NewClient(),
-		config:  configuration{log: o.Log},
+		group:     s.FailureDomain,
+		processor: processor.NewMeter(s.CPUShare),
+		targets:   platform.NewTargets(),
+		calls:     link.NewClient(),
+		config:    configuration{log: o.Log},
 	}
 	n.store = platform.NewStore(s.Store, platform.StoreEvents{Called: o.storeCall, Clock: n.clock.read, Unreadable: o.unreadable})
 	if s.Advisor != "" {
@@ -121,7 +125,7 @@
 	}
 	n.beats = beats
 	n.keeper = ownership.New(ownership.Options{
-		Self: n.self, Group: n.group, Patience: ownership.PatienceOf(s.VM, s.CPUShare), Log: o.Log, Changed: n.claimed,
+		Self: n.self, Group: n.group, Patience: n.patience, Log: o.Log, Changed: n.claimed,
 		Heard: n.ages.heard(&n.ages.claims), Count: o.Count,
 	}, n.store, beats)
 	n.entry = entry.New(entry.Options{
@@ -166,6 +170,7 @@
 		}, n.tookConfiguration)
 	})
 	g.Go(func() error { n.askPeers(duties); return nil })
+	g.Go(func() error { n.processor.Run(duties); return nil })
 	g.Go(func() error { n.yield(duties); return nil })
 	g.Go(func() error { n.gauge(duties); return nil })
 	g.Go(func() error { n.followSettings(duties); return nil })
@@ -370,6 +375,14 @@
 // Leaving implements heartbeat.Listener and platform.Dispatcher.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
 
+// CPUShare implements heartbeat.Listener.
+func (n *Node) CPUShare() int32 { return n.processor.PerMille() }
+
+// patience is what this VM waits before it claims, which the processor that it has decides.
+func (n *Node) patience() time.Duration {
+	return ownership.PatienceOf(n.self.VM, n.processor.Share())
+}
+
 // Configuration implements platform.Dispatcher.
 func (n *Node) Configuration() (work.Configuration, bool) {
 	held := n.config.held.Load()
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -47,9 +47,10 @@
 
 // Options of a Keeper.
 type Options struct {
-	Self     heartbeat.Self
-	Group    string
-	Patience time.Duration
+	Self  heartbeat.Self
+	Group string
+	// Patience is what this VM waits beyond the usual; nil for nothing.
+	Patience func() time.Duration
 	Log      *slog.Logger
 	// Changed is told of all claims after each change; it must not block.
 	Changed func([]Held)
@@ -81,6 +82,9 @@
 
 // New makes a keeper that claims nothing before it has read the claims.
 func New(o Options, store Store, peers Peers) *Keeper {
+	if o.Patience == nil {
+		o.Patience = func() time.Duration { return 0 }
+	}
 	return &Keeper{
 		options: o, store: store, peers: peers,
 		claims: map[string]Held{}, known: map[string]time.Duration{}, dead: map[uint64]bool{}, started: bootclock.Now(),
@@ -230,7 +234,7 @@
 }
 
 func (k *Keeper) belief(now time.Duration) Belief {
-	b := Belief{VM: k.options.Self.VM, Life: k.options.Self.Life, Patience: k.options.Patience, Waited: now - k.started}
+	b := Belief{VM: k.options.Self.VM, Life: k.options.Self.Life, Patience: k.options.Patience(), Waited: now - k.started}
 	held, ok := k.claims[k.options.Group]
 	if !ok {
 		return b
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -55,6 +55,11 @@
 	must.True(t, Stronger("d", 192, pingers, time.Second))
 	must.False(t, Stronger("d", 500, pingers, time.Second))
 	must.False(t, Stronger("e", 192, pingers, time.Second))
+	// A strong one that was slowed down to a fifth is weak, and so is its like.
+	must.True(t, Stronger("d", 160, pingers, time.Second))
+	pingers[0].CPUShare = 160
+	must.False(t, Stronger("d", 160, pingers, time.Second))
+	pingers[0].CPUShare = 800
 	// One that has just started may not know the claims yet.
 	must.False(t, Stronger("d", 192, pingers, settledTime-ms))
 }
--- /dev/null
+++ b/processor/processor_test.go
@@ -0,0 +1,54 @@
+package processor
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const us = time.Microsecond
+
+func TestSpeed(t *testing.T) {
+	for name, test := range map[string]struct {
+		samples []time.Duration
+		want    float64
+	}{
+		"too few to tell":               {[]time.Duration{50 * us, 500 * us}, 1},
+		"steady":                        {[]time.Duration{50 * us, 50 * us, 50 * us, 50 * us, 50 * us, 50 * us}, 1},
+		"interrupted samples":           {[]time.Duration{50 * us, 900 * us, 400 * us, 50 * us, 700 * us, 800 * us}, 1},
+		"slowed down":                   {[]time.Duration{50 * us, 200 * us, 250 * us, 210 * us, 900 * us, 200 * us}, 0.25},
+		"a little slower":               {[]time.Duration{50 * us, 60 * us, 65 * us, 60 * us, 70 * us, 60 * us}, 1},
+		"fast again":                    {[]time.Duration{50 * us, 200 * us, 200 * us, 200 * us, 200 * us, 200 * us, 50 * us}, 1},
+		"slowed down from the start":    {[]time.Duration{200 * us, 200 * us, 200 * us, 200 * us, 200 * us}, 1},
+		"faster than at the start":      {[]time.Duration{200 * us, 50 * us, 50 * us, 50 * us, 50 * us, 50 * us}, 1},
+		"a clock that stands still":     {[]time.Duration{0, 0, 0, 0, 0, 0, 0}, 1},
+		"one sample of a fast interval": {[]time.Duration{50 * us, 200 * us, 200 * us, 50 * us, 200 * us, 200 * us}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s Speed
+			for _, took := range test.samples {
+				s.Add(took)
+			}
+			must.Eq(t, test.want, s.Share())
+		})
+	}
+}
+
+// A meter tells the declared share until it has measured less, and ends with its context.
+func TestMeter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := NewMeter(0.192)
+		must.Eq(t, 192, m.PerMille())
+		must.Eq(t, 0.192, m.Share())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		// The bubble's clock stands still while a sample is taken.
+		m.Run(ctx)
+		must.Eq(t, 192, m.PerMille())
+		m.set(0.25)
+		must.Eq(t, 48, m.PerMille())
+	})
+}
