Bound what slow and many callers hold of a VM

Cause: a caller that sent its headers and no body held a connection and a goroutine for ever, and callers' connections were bounded only by the descriptors, of which an owner's targets and other VMs need most. Ruled out: a read timeout for the whole connection (it would end those that wait for their answers).

--- a/node/servers.go
+++ b/node/servers.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockward/burdockward/platform"
@@ -24,6 +25,11 @@
 // maxHeaderBytes is enough for callers, whose headers are few.
 const maxHeaderBytes = 16 << 10
 
+// callerShare is the part of a process's sockets that callers may have open: each request
+// may need another one to an owner, and an owner has its targets' as well. Callers beyond it
+// wait until others end or are closed, three seconds for those that send nothing.
+const callerShare = 3
+
 // servers are the HTTP servers of a node with their listeners.
 type servers struct{ control, ready, frontend *openServer }
 
@@ -48,6 +54,9 @@
 			open.close()
 			return servers{}, err
 		}
+		if h.place == &open.frontend {
+			listener = netutil.LimitListener(listener, max(s.MaxSockets/callerShare, 1))
+		}
 		*h.place = &openServer{listener: listener, http: &http.Server{
 			Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}}
--- /dev/null
+++ b/node/servers_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/burdockward/burdockward/platform"
+)
+
+// Callers beyond their part of the sockets wait until one is free, and the calls of other
+// VMs are taken meanwhile.
+func TestCallersHaveTheirPartOfTheSockets(t *testing.T) {
+	n := &Node{options: Options{Count: func(string, string) {}}}
+	open, err := listen(platform.Settings{
+		Frontend: "127.0.0.1:0", Ready: "127.0.0.1:0", Control: "127.0.0.1:0", MaxSockets: 2 * callerShare,
+	}, n)
+	must.NoError(t, err)
+	var serving errgroup.Group
+	open.serve(&serving)
+	t.Cleanup(func() { open.close(); must.NoError(t, serving.Wait()) })
+	dial := func(server *openServer) net.Conn {
+		conn, err := net.Dial("tcp4", server.listener.Addr().String())
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	ask := func(conn net.Conn) int {
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		must.NoError(t, err)
+		answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		must.NoError(t, err)
+		return answer.StatusCode
+	}
+	first, second := dial(open.frontend), dial(open.frontend)
+	must.Eq(t, http.StatusServiceUnavailable, ask(first))
+	must.Eq(t, http.StatusServiceUnavailable, ask(second))
+	third := dial(open.frontend)
+	must.Eq(t, http.StatusNotFound, ask(dial(open.control)))
+	must.NoError(t, first.Close())
+	must.Eq(t, http.StatusServiceUnavailable, ask(third))
+}
--- a/scripts/scripts_test.go
+++ b/scripts/scripts_test.go
@@ -155,7 +155,7 @@
 		stdout string
 		want   string
 	}{
-		"none":       {"# comment\n\n", 0, "\n", ""},
+		"none": {"# comment\n\n", 0, "\n", ""},
 		"one": {
 			"TestA | go test -run TestA, seed 7 | a race | 12\n", 0, "^TestA$\n",
 			"passed over: TestA | go test -run TestA, seed 7 | a race | 12",
