Take silence for no evidence against targets while answers get lost

Ticks came 0.1 to 1 ms late, so there was processor to spare, but the mean of the last eight answers rose over 8 ms with each burst of a wide job, and copies and short looks were held back for it. 73 of 220 targets were suspected for good, 25 % being slow: ends whose look was lost counted as runs that take too long, 876 good runs were moved, and the learned speeds and run times rose. Ruled out: want of processor (ticks); a shortage of places (no job waited). Change: promptness is a mean over 64 answers. While answers get lost a run counts as going on until its target last listed it, for strikes, moves and what is learned from its end.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -258,6 +258,7 @@
 			delete(t.guests, run)
 		}
 	}
+	t.heard = now
 	s.use(t)
 	s.touch(t)
 }
--- a/scheduler/guards_test.go
+++ b/scheduler/guards_test.go
@@ -407,3 +407,31 @@
 		})
 	}
 }
+
+// While answers get lost a run that should have ended speaks against its target only where
+// that has listed it since; nor is its time taken from when its end was told.
+func TestSilenceIsNoEvidenceWhileAnswersGetLost(t *testing.T) {
+	for name, lost := range map[string]bool{"answers are lost": true, "all is well": false} {
+		b := newBench(t, Options{})
+		b.usable("a", 1)
+		b.submit("j", 1, 1, "")
+		start := pickEffects[StartRun](b.do())[0]
+		b.s.Started(b.now, "a", start.Run, done(5000))
+		if lost {
+			b.s.disturbed = b.now
+		}
+		b.pass(300 * ms)
+		struck := len(b.s.targets["a"].health.strikes) > 0
+		must.Eq(t, !lost, struck, must.Sprint(name))
+		if !lost {
+			continue
+		}
+		b.s.disturbed = b.now
+		b.looked("a", work.Held{Clock: 5300, Running: listing(start.Run)}, work.VerdictDone)
+		b.pass(20 * ms)
+		must.MapLen(t, 1, b.s.targets["a"].health.strikes)
+		b.s.disturbed = b.now
+		b.look("a", work.Held{Clock: 5400, Ended: []work.End{{Number: 1, Run: start.Run, Kind: work.EndDone}}})
+		must.Eq(t, 1+speedWeight*2, b.s.targets["a"].health.speed)
+	}
+}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -113,6 +113,10 @@
 		return
 	}
 	took := now - r.ordered
+	if s.unsettled(now) {
+		// It may have ended at any time since it was last listed: in doubt as expected.
+		took = min(took, max(t.heard-r.ordered, r.expected))
+	}
 	speed := float64(took) / float64(r.expected)
 	h.speed += speedWeight * (min(speed, maxSpeed) - h.speed)
 	if !h.suspected && !t.slow() {
@@ -153,17 +157,18 @@
 
 // judge looks at the runs of a target that should have ended.
 func (s *State) judge(now time.Duration, t *target) {
+	seen := s.listedUntil(now, t)
 	for _, r := range t.sortedRuns() {
-		if r.state != running || r.stop != nil || r.task.job.dropped || !r.overdue(now) {
+		if r.state != running || r.stop != nil || r.task.job.dropped || !r.overdue(seen) {
 			continue
 		}
 		s.strike(now, t, r.task.job)
-		if r.hopeless(now) && !t.health.suspected && s.maySuspect(t.pool) {
+		if r.hopeless(seen) && !t.health.suspected && s.maySuspect(t.pool) {
 			s.emit(Note{What: "target suspected", Target: t.ID, Task: r.Task, Detail: "a run does not end", Age: now - r.ordered})
 			t.health.suspend(now)
 			s.touch(t)
 		}
-		if r.stuck(now) {
+		if r.stuck(seen) {
 			s.emit(Note{What: "run takes too long", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered})
 			r.task.restarts++
 			s.stop(now, r)
@@ -173,13 +178,24 @@
 		return
 	}
 	for _, r := range t.sortedRuns() {
-		if r.state == running && r.stop == nil && s.worthMoving(now, t, r) {
+		if r.state == running && r.stop == nil && s.worthMoving(now, seen, t, r) {
 			s.emit(Note{What: "run moved", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered})
 			s.stop(now, r)
 		}
 	}
 }
 
+// listedUntil is until when runs of a target are known to go on: a target that is asked
+// tells of an end at once, but while answers get lost silence tells nothing. Where a fifth of
+// them gets lost, a third of the targets came under suspicion for ends that were told and
+// lost.
+func (s *State) listedUntil(now time.Duration, t *target) time.Duration {
+	if s.unsettled(now) {
+		return t.heard
+	}
+	return now
+}
+
 // overdue reports whether a run should have ended; one that lasts never should, and one
 // that fills has no time of its own.
 func (r *run) overdue(now time.Duration) bool {
@@ -213,7 +229,7 @@
 
 // worthMoving reports whether a run on a suspected target would end earlier
 // elsewhere, while its job is of use.
-func (s *State) worthMoving(now time.Duration, t *target, r *run) bool {
+func (s *State) worthMoving(now, seen time.Duration, t *target, r *run) bool {
 	if r.task.step.Lasting || r.task.step.Gang || r.task.step.Fills || r.task.job.dropped {
 		return false
 	}
@@ -223,9 +239,9 @@
 	}
 	if r.ordered > t.health.since {
 		// It finds out whether the target is well again.
-		return r.overdue(now)
+		return r.overdue(seen)
 	}
-	speed := max(t.health.speed, float64(now-r.ordered)/float64(r.expected))
+	speed := max(t.health.speed, float64(seen-r.ordered)/float64(r.expected))
 	here := r.ordered + time.Duration(speed*float64(r.expected))
-	return r.overdue(now) || speed > slowSpeed && here > elsewhere+r.expected/2
+	return r.overdue(seen) || speed > slowSpeed && here > elsewhere+r.expected/2
 }
--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -20,6 +20,8 @@
 type resending struct {
 	// mean and deviation are moving averages of how long answers take.
 	mean, deviation time.Duration
+	// usual is a moving average over so many answers that those of one burst don't show.
+	usual time.Duration
 	// late is a moving average of how late ticks come.
 	late time.Duration
 	// stalled says that the last tick came so late that answers may wait to be read.
@@ -45,6 +47,9 @@
 	// to send again.
 	meanWeight, deviationWeight = 0.125, 0.25
 	deviationFactor             = 4
+	// usualAnswerWeight averages over some 60 answers: a job of eight tasks makes a burst of
+	// that many, of which the last is read after the others.
+	usualAnswerWeight = 1.0 / 64
 	// stallGap is twice the time between two ticks, less what timers vary by.
 	stallGap = 2*TickInterval - 5*time.Millisecond
 	// lateWeight averages the lateness of ticks over a sixth of a second.
@@ -80,7 +85,7 @@
 // spare reports whether this process has processor to spare: its ticks come in time, and
 // answers don't wait to be read.
 func (r *resending) spare() bool {
-	return !r.stalled && r.late <= spareLate && r.mean <= promptAnswer
+	return !r.stalled && r.late <= spareLate && r.usual <= promptAnswer
 }
 
 // pace sets how long looks wait while answers get lost: as short as the processor allows.
@@ -110,9 +115,10 @@
 
 func (r *resending) learn(took time.Duration) {
 	if r.mean == 0 {
-		r.mean, r.deviation = took, took/2
+		r.mean, r.deviation, r.usual = took, took/2, took
 		return
 	}
+	r.usual += time.Duration(usualAnswerWeight * float64(took-r.usual))
 	r.deviation += time.Duration(deviationWeight * float64((took-r.mean).Abs()-r.deviation))
 	r.mean += time.Duration(meanWeight * float64(took-r.mean))
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -453,7 +453,7 @@
 func (s *State) Summary() Summary {
 	sum := Summary{
 		Jobs: len(s.jobs), Waiting: len(s.waiting), Targets: len(s.targets),
-		TickLate: s.resend.late, AnswerTime: s.resend.mean, LookWait: s.lookWait(s.ticked), Copies: s.resend.sent,
+		TickLate: s.resend.late, AnswerTime: s.resend.usual, LookWait: s.lookWait(s.ticked), Copies: s.resend.sent,
 	}
 	for _, t := range s.targets {
 		sum.Runs += len(t.runs)
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -75,6 +75,8 @@
 	lookAt   time.Duration
 	// answered is when the newest look that was answered was sent.
 	answered time.Duration
+	// heard is when the newest look was answered: what it listed as running ran then.
+	heard time.Duration
 	// failedLooks counts the looks without an answer since the last good one.
 	failedLooks int
 	// blocked bars starts for a while after a refused one.
