Break connections in the stateful fuzz of ownership

Cause: the fuzz lost and delayed orders, but no connection broke: neither between an entry VM and an owner with a job in hand, nor between an owner and a target. Change: broken orders, half of them carried out; connections that break with a job in hand, its answer lost and asked for 0 to 120 ms later, also after the owner has given the job up. What had begun may not be said never to have come; no task runs twice; nothing that began is refused.

--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -19,6 +19,7 @@
 		share := func(name string) float64 { return float64(rapid.IntRange(0, 25).Draw(rt, name)) / 100 }
 		w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
 			lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: share("failing"),
+			broken: share("broken"),
 		})
 		w.longest = rapid.SampledFrom([]int{100, 800, 2500}).Draw(rt, "longest")
 		if rapid.Bool().Draw(rt, "lending") {
@@ -46,6 +47,7 @@
 	target := w.targets[rapid.SampledFrom(ids).Draw(rt, "target")]
 	switch rapid.SampledFrom([]string{
 		"call", "call", "call", "call", "leave", "crash", "hang", "silent", "die", "freeze", "cut", "depose", "link", "raise",
+		"reset", "reset",
 	}).Draw(rt, "action") {
 	case "call":
 		w.call(rapid.IntRange(1, 6).Draw(rt, "tasks"))
@@ -53,6 +55,11 @@
 		if refs := sortedRefs(o.refs); len(refs) > 0 {
 			w.leave(o, refs[0])
 		}
+	case "reset":
+		if refs := sortedRefs(o.refs); len(refs) > 0 {
+			at := rapid.IntRange(0, len(refs)-1).Draw(rt, "connection")
+			w.reset(o, refs[at], time.Duration(rapid.IntRange(0, 120).Draw(rt, "rejoin"))*ms)
+		}
 	case "crash":
 		target.crash()
 	case "hang":
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -62,7 +62,10 @@
 // worldFaults are shares of orders.
 type worldFaults struct {
 	lostOrders, lateOrders, lostAnswers float64
-	failing                             float64
+	// broken orders have no answer, and are known to have none at once; half of them are
+	// carried out.
+	broken  float64
+	failing float64
 }
 
 type pendingEvent struct {
@@ -123,6 +126,8 @@
 	ref      Ref
 	answered bool
 	tries    int
+	// given is when its owner was given the job.
+	given    time.Duration
 	outcomes []work.Result
 }
 
@@ -287,14 +292,52 @@
 	w.refs++
 	c.owner, c.ref = o, w.refs
 	o.refs[c.ref] = c
-	o.state.Submit(w.now, Submission{
+	c.given = w.now
+	o.state.Submit(w.now, w.submission(c))
+	w.carryOut(o)
+}
+
+// submission is a caller's job as its owner is given it.
+func (w *world) submission(c *caller) Submission {
+	return Submission{
 		Ref: c.ref, Entry: "e", Wait: 5 * time.Second,
 		Job: work.Job{ID: c.id, Steps: []work.Step{{
 			Tasks: c.tasks, Each: work.Resources{CPU: 1}, Estimate: time.Duration(w.longest/2) * ms,
 		}}},
 		Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 10, Allowance: 500 * ms},
+	}
+}
+
+// reset breaks the connection over which an owner was given a job: an answer to it is lost,
+// and after a while the entry VM asks for another one. The owner gives up what nobody has
+// asked for in time.
+func (w *world) reset(o *fakeOwner, ref Ref, pause time.Duration) {
+	c := o.refs[ref]
+	delete(o.refs, ref)
+	w.after(80*ms, func() {
+		w.hear(o, func() { o.state.Cancel(w.now, ref) })
+	})
+	w.after(pause, func() {
+		if o.dead || o.frozen || o.cut {
+			w.again(c)
+			return
+		}
+		w.refs++
+		c.ref = w.refs
+		o.refs[c.ref] = c
+		switch o.state.Rejoin(w.now, w.submission(c), w.now-c.given) {
+		case Present:
+		case Forgotten:
+			delete(o.refs, c.ref)
+			w.again(c)
+		case Absent:
+			if w.started[c.id] {
+				w.violations = append(w.violations, c.id+" is said never to have come, though it had begun")
+			}
+			o.state.Submit(w.now, w.submission(c))
+		}
+		w.carryOut(o)
 	})
-	w.carryOut(o)
 }
 
 // call makes a caller with a job.
@@ -416,6 +459,11 @@
 	case draw < w.faults.lostOrders+w.faults.lateOrders:
 		w.after(time.Duration(w.random.IntN(4000))*ms, func() { do() })
 		reply(unknown, unansweredTime)
+	case draw > 1-w.faults.broken:
+		if w.random.IntN(2) == 0 {
+			w.after(ms, func() { do() })
+		}
+		reply(work.OrderAnswer{Verdict: work.VerdictBroken}, ms+time.Duration(w.random.IntN(4))*ms)
 	case draw < w.faults.lostOrders+w.faults.lateOrders+w.faults.lostAnswers:
 		w.after(ms, func() { do() })
 		reply(unknown, unansweredTime)
