Log who asks for a job again, and what was found

Cause: a job whose connection broke left no line that told so. Change: one line at the owner, an entry of the job's trail, a count by what was found.

--- a/node/calls.go
+++ b/node/calls.go
@@ -39,24 +39,24 @@
 // rejoin answers a job that an owner in this process was given before; false means that it
 // never came here, so that nothing of it was begun.
 func (n *Node) rejoin(ctx context.Context, order link.Order) (work.Outcome, bool) {
-	unknown := work.Outcome{Result: work.Unknown, Reason: "the connection broke, and who owned the targets then has ended"}
-	certain := n.owned() != nil && order.Given.Life == n.self.Life
+	outcome := work.Outcome{Result: work.Unknown, Reason: "the connection broke, and who owned the targets then has ended"}
+	presence := scheduler.Forgotten
+	if n.owned() != nil && order.Given.Life == n.self.Life {
+		presence = scheduler.Absent
+	}
 	for _, o := range n.owners() {
-		outcome, presence := o.Rejoin(ctx, submissionOf(order), order.Given.Ago)
-		switch presence {
-		case scheduler.Present:
-			n.options.Count("rejoins", outcome.Result.String())
-			return outcome, true
-		case scheduler.Forgotten:
-			certain, unknown = false, outcome
+		answer, here := o.Rejoin(ctx, submissionOf(order), order.Given.Ago)
+		if here == scheduler.Absent {
+			continue
+		}
+		outcome, presence = answer, here
+		if here == scheduler.Present {
+			break
 		}
 	}
-	if certain {
-		n.options.Count("rejoins", "absent")
-		return work.Outcome{}, false
-	}
-	n.options.Count("rejoins", "forgotten")
-	return unknown, true
+	n.options.Count("rejoins", presence.String())
+	n.log.Info("job asked for again", "job", order.Job.ID, "entry", order.Entry, "given", order.Given.Ago, "found", presence.String())
+	return outcome, presence != scheduler.Absent
 }
 
 // owners are the owner in this process and the one that hands over, as far as there
--- a/node/rejoin_test.go
+++ b/node/rejoin_test.go
@@ -186,7 +186,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	go func() { defer close(ended); _ = o.Run(ctx) }()
-	f.node = &Node{own: &ownedGroup{Owner: o, end: func() {}}, self: heartbeat.Self{Life: 7}, options: Options{Count: ignore}}
+	f.node = &Node{own: &ownedGroup{Owner: o, end: func() {}}, self: heartbeat.Self{Life: 7}, log: slog.New(slog.DiscardHandler), options: Options{Count: ignore}}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.node.handler().ServeHTTP(w, r)
 	}))
--- a/scheduler/rejoin.go
+++ b/scheduler/rejoin.go
@@ -40,6 +40,9 @@
 	Forgotten
 )
 
+// String implements fmt.Stringer.
+func (p Presence) String() string { return [...]string{"absent", "present", "forgotten"}[p] }
+
 // remember keeps the outcome of a job of another VM for a while.
 func (s *State) remember(now time.Duration, sub Submission, outcome work.Outcome) {
 	switch {
@@ -64,6 +67,7 @@
 // is one. It answers only where the job is Present.
 func (s *State) Rejoin(now time.Duration, sub Submission, ago time.Duration) Presence {
 	if j := s.byID[sub.key()]; j != nil && !j.kept() && j.sub.Entry == sub.Entry {
+		j.mark(now, "asked again", "", "", "its connection broke")
 		s.attach(now, j, sub)
 		return Present
 	}
