Tell of faulty rows of one reading in eight lines

Cause: each faulty row wrote a line: of 1,100 targets with a third by other writers 367 lines, more than the 200 a second that are written, so that what else happened in the second of a takeover was left out. Change: eight lines and one with the number of the others; each row is counted as before. Test: a registry of 1,100 rows of which a third is faulty.

--- a/owner/registry.go
+++ b/owner/registry.go
@@ -30,9 +30,14 @@
 	return registry{domain: domain, listed: map[string]work.Target{}, handover: handover, taken: map[string]bool{}}
 }
 
+// maxFaultyLines bounds the lines on faulty rows of one reading: hundreds of them would take
+// the place of all else that is logged in that second.
+const maxFaultyLines = 8
+
 // listed takes news of the registry.
 func (o *Owner) listed(now time.Duration, update mirror.Update) {
 	seen := map[string]bool{}
+	faulty := 0
 	for _, row := range update.Rows.Rows {
 		if row.Deleted {
 			o.unlist(now, row.Key)
@@ -42,7 +47,9 @@
 		switch {
 		case err != nil:
 			o.options.Count("rows_unreadable", string(platform.TargetsTable))
-			o.options.Log.Warn("row not understood", "table", platform.TargetsTable, "key", row.Key, "version", row.Version, "error", err)
+			if faulty++; faulty <= maxFaultyLines {
+				o.options.Log.Warn("row not understood", "table", platform.TargetsTable, "key", row.Key, "version", row.Version, "error", err)
+			}
 			o.unlist(now, row.Key)
 		case target.FailureDomain != o.registry.domain:
 			o.unlist(now, row.Key)
@@ -52,6 +59,9 @@
 			o.offer(now, target)
 		}
 	}
+	if faulty > maxFaultyLines {
+		o.options.Log.Warn("more rows not understood", "table", platform.TargetsTable, "rows", faulty-maxFaultyLines)
+	}
 	if !update.Whole {
 		return
 	}
--- a/owner/registry_test.go
+++ b/owner/registry_test.go
@@ -1,7 +1,11 @@
 package owner
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,3 +80,31 @@
 	o.listed(time.Second, update(false, targetID, entryOf(t, "domain", wire.Draining)))
 	must.Eq(t, 1, o.state.Summary().Draining)
 }
+
+// A registry of which a third of the rows is another writer's: each of the others is used, and
+// a few lines tell of the faulty ones, all of which are counted.
+func TestAThirdOfTheRegistryIsFaulty(t *testing.T) {
+	const rows = 1100
+	lines := &bytes.Buffer{}
+	o, unreadable := idle(t)
+	o.options.Log = slog.New(slog.NewJSONHandler(lines, nil))
+	faulty := [][]byte{[]byte("\xff\x00"), nil, []byte("null"), []byte("[]"), []byte(`{"address":7}`), entryOf(t, "domain", "resting")}
+	var read platform.Rows
+	for i := range rows {
+		value := entryOf(t, "domain", wire.Ready)
+		if i%3 == 0 {
+			value = faulty[i/3%len(faulty)]
+		}
+		read.Rows = append(read.Rows, platform.Row{Key: fmt.Sprintf("i-%04d", i), Value: value, Version: int64(i + 1)})
+	}
+	o.listed(time.Second, mirror.Update{Whole: true, Rows: read})
+	const good = rows - (rows+2)/3
+	must.MapLen(t, good, o.registry.listed)
+	must.Eq(t, good, o.state.Summary().Targets)
+	must.Eq(t, rows-good, *unreadable)
+	must.Eq(t, maxFaultyLines+1, strings.Count(lines.String(), "\n"))
+	must.StrContains(t, lines.String(), fmt.Sprintf(`"rows":%d`, rows-good-maxFaultyLines))
+	// They come right one after the other.
+	o.listed(2*time.Second, update(false, "i-0000", entryOf(t, "domain", wire.Ready)))
+	must.Eq(t, good+1, o.state.Summary().Targets)
+}
