Send new jobs past owners whose answers stay out

Ruled out: a shorter silence (a pause of a healthy owner would cost its jobs); sending what was sent already to another owner (it may have begun). Change: an owner that hasn't answered for 125 ms, two lost heartbeats and more, gets new jobs only where no other answers; what it has goes on until its silence is certain, as before. Tests: the choice, and a job that goes to the owner that answers.

--- a/entry/choose.go
+++ b/entry/choose.go
@@ -23,7 +23,9 @@
 	Free float64
 	// Full says that the owner has refused this job already.
 	Full bool
-	View heartbeat.View
+	// Doubted says that the owner's answers have stayed out, though it isn't given up yet.
+	Doubted bool
+	View    heartbeat.View
 }
 
 // Figures of the choice.
@@ -33,15 +35,27 @@
 	farPenalty = 25 * time.Millisecond
 	// farFree is the free share at which a far owner counts as having room.
 	farFree = 0.1
+	// doubtTime is how long an owner may be silent and get new jobs: two heartbeats in a row
+	// may be lost. What is sent to one that has died is lost with it, and it takes
+	// heartbeat.Silence to be sure of that.
+	doubtTime = 125 * time.Millisecond
 )
 
 // Choose returns the index of the owner to ask, or -1. Draw is a random number
 // from 0 to 1: when owners elsewhere have room, only some of the VMs turn to them
-// at a time.
+// at a time. Doubted owners are asked where there are no others.
 func Choose(candidates []Candidate, draw float64) int {
+	if trusted := choose(candidates, draw, false); trusted >= 0 {
+		return trusted
+	}
+	return choose(candidates, draw, true)
+}
+
+// choose chooses among those that are doubted, or are not.
+func choose(candidates []Candidate, draw float64, doubted bool) int {
 	best := -1
 	for i, c := range candidates {
-		if c.Full {
+		if c.Full || c.Doubted != doubted {
 			continue
 		}
 		if best < 0 || c.cost() < candidates[best].cost() {
@@ -52,7 +66,7 @@
 		return best
 	}
 	for i, c := range candidates {
-		if c.Near && !c.Full && (candidates[best].Free < farFree || draw < stayShare) {
+		if c.Near && !c.Full && c.Doubted == doubted && (candidates[best].Free < farFree || draw < stayShare) {
 			return i
 		}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -209,6 +209,7 @@
 		return false
 	}
 	c.View, c.Owner = view, view.Owner
+	c.Doubted = bootclock.Now()-view.Heard > doubtTime
 	c.measure(view.Loads, r.queue.Service, r.queue.Priority)
 	return true
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/burdockward/burdockward/bootclock"
 	"github.com/burdockward/burdockward/heartbeat"
 	"github.com/burdockward/burdockward/link"
 	"github.com/burdockward/burdockward/link/linkpb"
@@ -30,6 +31,9 @@
 		"some stay":             {[]Candidate{{Free: 0.5}, {Near: true, Wait: 200 * ms}}, 0.1, 1},
 		"no room far":           {[]Candidate{{Free: 0.01}, {Near: true, Wait: 200 * ms}}, 0.9, 1},
 		"near is full":          {[]Candidate{{Free: 0.01, Wait: time.Second}, {Near: true, Full: true}}, 0.9, 0},
+		"near is doubted":       {[]Candidate{{Free: 0.01, Wait: time.Second}, {Near: true, Doubted: true}}, 0.1, 0},
+		"all are doubted":       {[]Candidate{{Doubted: true}, {Near: true, Doubted: true}}, 0.1, 1},
+		"the others are full":   {[]Candidate{{Full: true}, {Near: true, Doubted: true}}, 0.1, 1},
 		"all full":              {[]Candidate{{Full: true}, {Near: true, Full: true}}, 0.9, -1},
 		"least wait far":        {[]Candidate{{Free: 1, Wait: 50 * ms}, {Free: 1, Wait: 10 * ms}}, 0.9, 1},
 	} {
@@ -141,6 +145,22 @@
 	must.Positive(t, outcome.RetryAfter)
 }
 
+// An owner whose answers stay out gets no new job while another one answers: it may have
+// died, and the job would be lost with it.
+func TestOwnersThatMayHaveDiedGetNoNewJobs(t *testing.T) {
+	f := peers([]work.Outcome{{Result: work.Unknown}}, []work.Outcome{{Result: work.Completed}})
+	for life, ago := range map[uint64]time.Duration{1: doubtTime + 10*ms, 2: 0} {
+		view := f.views[life]
+		view.Heard = bootclock.Now() + time.Hour
+		if ago > 0 {
+			view.Heard = bootclock.Now() - ago
+		}
+		f.views[life] = view
+	}
+	must.Eq(t, work.Completed, newEntry(f).Dispatch(t.Context(), job, queue, 0).Result)
+	must.Eq(t, []string{"far"}, f.asked)
+}
+
 func TestSilentOwnersAreNotAsked(t *testing.T) {
 	f := peers([]work.Outcome{{Result: work.Completed}}, []work.Outcome{{Result: work.Completed}})
 	silent, end := context.WithCancel(t.Context())
