Ask before a target is blamed, and measure what this process makes answers wait

Change: what counts is how long answers that have come wait to be read (4 ms in the mean of 64), beside the lateness of ticks; a target with an overdue run is asked at once while answers get lost, and blamed when it lists the run; the end of a run is in doubt only where the look that told it was answered at once.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -113,8 +113,9 @@
 		return
 	}
 	took := now - r.ordered
-	if s.unsettled(now) {
-		// It may have ended at any time since it was last listed: in doubt as expected.
+	if s.unsettled(now) && now-t.lookCopies.sent < atOnce {
+		// It had ended before that was asked, at any time since it was last listed: in doubt as
+		// expected.
 		took = min(took, max(t.heard-r.ordered, r.expected))
 	}
 	speed := float64(took) / float64(r.expected)
@@ -155,11 +156,19 @@
 // maxSpeed bounds what one end can add to the moving average.
 const maxSpeed = 10.0
 
-// judge looks at the runs of a target that should have ended.
+// atOnce is the time within which a look is answered that needn't wait.
+const atOnce = 10 * time.Millisecond
+
+// judge looks at the runs of a target that should have ended. While answers get lost its
+// target is asked first.
 func (s *State) judge(now time.Duration, t *target) {
 	seen := s.listedUntil(now, t)
 	for _, r := range t.sortedRuns() {
-		if r.state != running || r.stop != nil || r.task.job.dropped || !r.overdue(seen) {
+		if r.state != running || r.stop != nil || r.task.job.dropped || !r.overdue(now) {
+			continue
+		}
+		if !r.overdue(seen) {
+			s.askAtOnce(now, t)
 			continue
 		}
 		s.strike(now, t, r.task.job)
--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -20,8 +20,9 @@
 type resending struct {
 	// mean and deviation are moving averages of how long answers take.
 	mean, deviation time.Duration
-	// usual is a moving average over so many answers that those of one burst don't show.
-	usual time.Duration
+	// unread is a moving average of how long answers that have come wait to be read, over so
+	// many of them that those of one burst don't show.
+	unread time.Duration
 	// late is a moving average of how late ticks come.
 	late time.Duration
 	// stalled says that the last tick came so late that answers may wait to be read.
@@ -47,9 +48,9 @@
 	// to send again.
 	meanWeight, deviationWeight = 0.125, 0.25
 	deviationFactor             = 4
-	// usualAnswerWeight averages over some 60 answers: a job of eight tasks makes a burst of
-	// that many, of which the last is read after the others.
-	usualAnswerWeight = 1.0 / 64
+	// unreadWeight averages over some 60 answers: a job of eight tasks makes a burst of that
+	// many, of which the last is read after the others.
+	unreadWeight = 1.0 / 64
 	// stallGap is twice the time between two ticks, less what timers vary by.
 	stallGap = 2*TickInterval - 5*time.Millisecond
 	// lateWeight averages the lateness of ticks over a sixth of a second.
@@ -58,9 +59,9 @@
 	// single server that has work for half of its time makes what comes wait for about as
 	// long as a batch of messages takes, some milliseconds.
 	spareLate = 6 * time.Millisecond
-	// promptAnswer is the mean time of answers up to which the process isn't short of
-	// processor: two or three times the usual one.
-	promptAnswer = 8 * time.Millisecond
+	// promptReading is the mean time until answers are read up to which the process isn't
+	// short of processor: some twenty times what reading one takes.
+	promptReading = 4 * time.Millisecond
 	// maxBudget is the most copies in a row without an answer to anything: those of the
 	// orders that a few targets lose, not of all first looks of a takeover.
 	maxBudget = 64
@@ -85,7 +86,7 @@
 // spare reports whether this process has processor to spare: its ticks come in time, and
 // answers don't wait to be read.
 func (r *resending) spare() bool {
-	return !r.stalled && r.late <= spareLate && r.usual <= promptAnswer
+	return !r.stalled && r.late <= spareLate && r.unread <= promptReading
 }
 
 // pace sets how long looks wait while answers get lost: as short as the processor allows.
@@ -110,15 +111,18 @@
 	}
 }
 
-// Answered says how long the answer to one copy of an order took, until it was read.
-func (s *State) Answered(took time.Duration) { s.resend.learn(took) }
+// Answered says how long the answer to one copy of an order took, until it was read, and for
+// how long it had waited then.
+func (s *State) Answered(took, unread time.Duration) {
+	s.resend.learn(took)
+	s.resend.unread += time.Duration(unreadWeight * float64(unread-s.resend.unread))
+}
 
 func (r *resending) learn(took time.Duration) {
 	if r.mean == 0 {
-		r.mean, r.deviation, r.usual = took, took/2, took
+		r.mean, r.deviation = took, took/2
 		return
 	}
-	r.usual += time.Duration(usualAnswerWeight * float64(took-r.usual))
 	r.deviation += time.Duration(deviationWeight * float64((took-r.mean).Abs()-r.deviation))
 	r.mean += time.Duration(meanWeight * float64(took-r.mean))
 }
@@ -177,6 +181,17 @@
 	return true
 }
 
+// askAtOnce sends a copy of a look that waits, which asks for an answer at once.
+func (s *State) askAtOnce(now time.Duration, t *target) {
+	if !t.looking || !s.resend.due(now, &t.lookCopies, 0) {
+		return
+	}
+	t.lookCopies.add(now)
+	look := t.look
+	look.Wait = 0
+	s.emit(look)
+}
+
 // lookAgain sends a look again that should have been answered; it asks for an answer at
 // once. While answers get lost a second look waits beside each one from early on: an end
 // that only a lost look would have told costs a short task its slack.
