Let looks take only ample processor, and ask for ends that are due

The stand-in of the store of kept jobs kept a newer note of failed runs without an older one, which the keeper's whole rows can't: found by the fuzz (a task started after three failed runs), which stays a part of its histories; the stand-in writes whole rows now.

--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -20,6 +20,8 @@
 	Alone bool
 	// Clairvoyant lets the scheduler know run times, and takes all latency away.
 	Clairvoyant bool
+	// SendOnce keeps owners from sending orders again.
+	SendOnce bool
 	// Policy places tasks in place of the owners' decisions.
 	Policy Policy
 }
@@ -171,7 +173,7 @@
 	}
 	for i := range count {
 		o := &ownerSim{
-			index: i, state: scheduler.New(scheduler.Options{}), callers: map[scheduler.Ref]*arrival{},
+			index: i, state: scheduler.New(scheduler.Options{SendOnce: w.options.SendOnce}), callers: map[scheduler.Ref]*arrival{},
 			lenders: map[scheduler.Ref]func(work.Outcome){}, lent: map[scheduler.Part]func(){},
 		}
 		o.state.Listed()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -309,10 +309,9 @@
 	answer := o.targets.Start(ctx, e.To, e.Order, token)
 	answer.Verdict = scheduler.Settle(answer.Verdict, token, o.token.Load())
 	o.options.Count("starts", answer.Verdict.String())
-	came := bootclock.Now()
-	o.options.Observe("start_answer", came-began)
+	o.options.Observe("start_answer", bootclock.Now()-began)
 	o.post(ctx, func(now time.Duration) {
-		o.answered(answer.Verdict, now-sent, now-came)
+		o.answered(answer.Verdict, now-sent)
 		o.state.Started(now, e.To.ID, e.Run, answer)
 	})
 }
@@ -322,9 +321,8 @@
 	answer := o.targets.Stop(ctx, e.To, e.Run, token)
 	answer.Verdict = scheduler.Settle(answer.Verdict, token, o.token.Load())
 	o.options.Count("stops", answer.Verdict.String())
-	came := bootclock.Now()
 	o.post(ctx, func(now time.Duration) {
-		o.answered(answer.Verdict, now-sent, now-came)
+		o.answered(answer.Verdict, now-sent)
 		o.state.Stopped(now, e.To.ID, e.Run, answer)
 	})
 }
@@ -334,22 +332,21 @@
 	held, verdict := o.targets.Look(ctx, e.To, token, e.Until, e.Seen, e.Wait)
 	verdict = scheduler.Settle(verdict, token, o.token.Load())
 	o.options.Count("looks", verdict.String())
-	came := bootclock.Now()
 	o.post(ctx, func(now time.Duration) {
 		if e.Wait == 0 {
-			o.answered(verdict, now-sent, now-came)
+			o.answered(verdict, now-sent)
 		}
 		o.state.Looked(now, e.To.ID, e.At, held, verdict)
 	})
 }
 
 // answered tells how long a target's answer took, from the order's leaving the decisions to
-// its being read, and what of it this process made it wait.
-func (o *Owner) answered(verdict work.Verdict, took, unread time.Duration) {
+// its being read, so that it shows what this process makes it wait.
+func (o *Owner) answered(verdict work.Verdict, took time.Duration) {
 	switch verdict {
 	case work.VerdictUnknown, work.VerdictBroken, work.VerdictUnsent:
 	default:
-		o.state.Answered(took, unread)
+		o.state.Answered(took)
 	}
 }
 
--- a/owner/status.go
+++ b/owner/status.go
@@ -21,12 +21,12 @@
 		"jobs", summary.Jobs, "waiting_jobs", summary.Waiting, "runs", summary.Runs,
 		"targets", summary.Targets, "usable", summary.Usable, "suspected", summary.Suspected, "draining", summary.Draining,
 		"cpu", summary.CPU, "free_cpu", summary.FreeCPU,
-		"tick_late", summary.TickLate, "unread", summary.Unread, "look_wait", summary.LookWait, "copies", summary.Copies)
+		"tick_late", summary.TickLate, "answer_time", summary.AnswerTime, "look_wait", summary.LookWait, "copies", summary.Copies)
 	for what, value := range map[string]int{
 		"jobs_present": summary.Jobs, "jobs_waiting": summary.Waiting, "runs": summary.Runs, "unnoted": o.state.Unnoted(),
 		"targets": summary.Targets, "targets_usable": summary.Usable, "targets_suspected": summary.Suspected,
 		"targets_draining": summary.Draining, "free_cpu": int(summary.FreeCPU), "copies": summary.Copies,
-		"tick_late_us": int(summary.TickLate.Microseconds()), "unread_us": int(summary.Unread.Microseconds()),
+		"tick_late_us": int(summary.TickLate.Microseconds()), "answer_time_us": int(summary.AnswerTime.Microseconds()),
 	} {
 		o.options.Gauge(what, float64(value))
 	}
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -123,7 +123,7 @@
 		return
 	}
 	r.state = doubtful
-	s.disturbed = now
+	s.missAnswer(now, t)
 	r.task.job.mark(now, "start unanswered", r.Task, t.ID, "")
 	s.emit(Note{What: "start unanswered", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered})
 	s.stop(now, r)
@@ -219,7 +219,7 @@
 		s.answeredElsewhere(now, t, verdict)
 	case work.VerdictOvertaken:
 	default:
-		s.disturbed = now
+		s.missAnswer(now, t)
 		if t.failedLooks++; t.failedLooks >= silentLooks {
 			s.silence(now, t, "looks failed: "+verdict.String())
 		}
@@ -436,15 +436,16 @@
 // lookWait is short while answers get lost, as far as there is the processor for more looks:
 // a lost look shows only after its wait.
 func (s *State) lookWait(now time.Duration) time.Duration {
-	if s.unsettled(now) {
+	if s.unsettled(now) && !s.resend.once {
 		return s.resend.look
 	}
 	return s.options.LookWait
 }
 
-// unsettled reports whether answers were lost lately.
+// unsettled reports whether so many answers were lost lately that others are expected to be.
 func (s *State) unsettled(now time.Duration) bool {
-	return s.disturbed > 0 && now-s.disturbed < disturbedTime
+	r := &s.resend
+	return s.disturbed > 0 && now-s.disturbed < disturbedTime && r.missed >= doubtShare*(r.missed+r.heardOf)
 }
 
 // lookPause paces the looks at a target that doesn't answer.
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -159,8 +159,7 @@
 // atOnce is the time within which a look is answered that needn't wait.
 const atOnce = 10 * time.Millisecond
 
-// judge looks at the runs of a target that should have ended. While answers get lost its
-// target is asked first.
+// judge looks at the runs of a target that should have ended.
 func (s *State) judge(now time.Duration, t *target) {
 	seen := s.listedUntil(now, t)
 	for _, r := range t.sortedRuns() {
@@ -168,7 +167,6 @@
 			continue
 		}
 		if !r.overdue(seen) {
-			s.askAtOnce(now, t)
 			continue
 		}
 		s.strike(now, t, r.task.job)
--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -20,13 +20,18 @@
 type resending struct {
 	// mean and deviation are moving averages of how long answers take.
 	mean, deviation time.Duration
-	// unread is a moving average of how long answers that have come wait to be read, over so
-	// many of them that those of one burst don't show.
-	unread time.Duration
+	// usual is a moving average of how long answers take, over so many of them that those of
+	// one burst don't show, least the least that it was lately.
+	usual, least time.Duration
 	// late is a moving average of how late ticks come.
 	late time.Duration
 	// stalled says that the last tick came so late that answers may wait to be read.
 	stalled bool
+	// missed and heardOf count the answers that were missed and that came lately: both fade
+	// by missFading at each tick.
+	missed, heardOf float64
+	// once sends no copies.
+	once bool
 	// budget is how many copies may be sent: each answer adds one, up to maxBudget.
 	budget int
 	// sent counts the copies.
@@ -48,9 +53,18 @@
 	// to send again.
 	meanWeight, deviationWeight = 0.125, 0.25
 	deviationFactor             = 4
-	// unreadWeight averages over some 60 answers: a job of eight tasks makes a burst of that
+	// answerWeight averages over some 60 answers: a job of eight tasks makes a burst of that
 	// many, of which the last is read after the others.
-	unreadWeight = 1.0 / 64
+	answerWeight = 1.0 / 64
+	// leastWeight lets the least time rise within some thousand answers, a few seconds.
+	leastWeight = 1.0 / 4096
+	// ampleLate and ampleFactor with ampleSlack are the lateness of ticks, and the time of
+	// answers against the least one, up to which there is processor for more looks. With
+	// 220 targets, looks up to the bounds of copies had half of the first starts wait for
+	// 8 ms instead of 6, and one in twenty for 49 instead of 17.
+	ampleLate   = 1500 * time.Microsecond
+	ampleFactor = 1.5
+	ampleSlack  = time.Millisecond
 	// stallGap is twice the time between two ticks, less what timers vary by.
 	stallGap = 2*TickInterval - 5*time.Millisecond
 	// lateWeight averages the lateness of ticks over a sixth of a second.
@@ -59,9 +73,17 @@
 	// single server that has work for half of its time makes what comes wait for about as
 	// long as a batch of messages takes, some milliseconds.
 	spareLate = 6 * time.Millisecond
-	// promptReading is the mean time until answers are read up to which the process isn't
-	// short of processor: some twenty times what reading one takes.
-	promptReading = 4 * time.Millisecond
+	// promptAnswer is the mean time of answers up to which the process isn't short of
+	// processor: three times the usual one. Ticks alone don't tell: they come in time while
+	// hundreds of answers wait for their turn, and looks that only they bounded took all of
+	// an owner's processor once.
+	promptAnswer = 8 * time.Millisecond
+	// missFading leaves a third of what was counted a second ago.
+	missFading = 0.98
+	// doubtShare is the share of answers that must be missed for others to be expected to
+	// get lost too. One target that is gone misses one in two hundred of an owner's with 220
+	// targets, which would have all of them looked at five times as often.
+	doubtShare = 0.01
 	// maxBudget is the most copies in a row without an answer to anything: those of the
 	// orders that a few targets lose, not of all first looks of a takeover.
 	maxBudget = 64
@@ -74,10 +96,14 @@
 )
 
 // newResending has what a process needs to settle doubt about its first orders.
-func newResending() resending { return resending{budget: maxBudget, look: disturbedWait} }
+func newResending(once bool) resending {
+	return resending{once: once, budget: maxBudget, look: disturbedWait}
+}
 
 // tick takes the time since the last tick.
 func (r *resending) tick(gap time.Duration) {
+	r.missed *= missFading
+	r.heardOf *= missFading
 	late := max(gap-TickInterval, 0)
 	r.late += time.Duration(lateWeight * float64(late-r.late))
 	r.stalled = gap > stallGap
@@ -86,13 +112,18 @@
 // spare reports whether this process has processor to spare: its ticks come in time, and
 // answers don't wait to be read.
 func (r *resending) spare() bool {
-	return !r.stalled && r.late <= spareLate && r.unread <= promptReading
+	return !r.stalled && r.late <= spareLate && r.usual <= promptAnswer
+}
+
+// ample reports whether there is so much of it that more looks make no answer later.
+func (r *resending) ample() bool {
+	return r.spare() && r.late <= ampleLate && r.usual <= time.Duration(ampleFactor*float64(r.least))+ampleSlack
 }
 
 // pace sets how long looks wait while answers get lost: as short as the processor allows.
 func (r *resending) pace(longest time.Duration) {
 	factor := lookDecline
-	if !r.spare() {
+	if !r.ample() {
 		factor = lookGrowth
 	}
 	r.look = min(max(time.Duration(factor*float64(r.look)), disturbedWait), longest)
@@ -101,28 +132,28 @@
 // looksTwice reports whether a second look waits beside each one: answers get lost, and
 // there is the processor for more than short looks.
 func (s *State) looksTwice(now time.Duration) bool {
-	return s.unsettled(now) && s.resend.spare() && s.resend.look == disturbedWait
+	return s.unsettled(now) && s.resend.ample() && s.resend.look == disturbedWait
 }
 
 // heard counts an answer of a target towards what copies may cost.
 func (r *resending) heard(verdict work.Verdict) {
 	if !unanswered(verdict) && verdict != work.VerdictUnsent {
+		r.heardOf++
 		r.budget = min(r.budget+1, maxBudget)
 	}
 }
 
-// Answered says how long the answer to one copy of an order took, until it was read, and for
-// how long it had waited then.
-func (s *State) Answered(took, unread time.Duration) {
-	s.resend.learn(took)
-	s.resend.unread += time.Duration(unreadWeight * float64(unread-s.resend.unread))
-}
+// Answered says how long the answer to one copy of an order took, until it was read.
+func (s *State) Answered(took time.Duration) { s.resend.learn(took) }
 
 func (r *resending) learn(took time.Duration) {
 	if r.mean == 0 {
 		r.mean, r.deviation = took, took/2
+		r.usual, r.least = took, took
 		return
 	}
+	r.usual += time.Duration(answerWeight * float64(took-r.usual))
+	r.least = min(r.least+time.Duration(leastWeight*float64(r.usual-r.least)), r.usual)
 	r.deviation += time.Duration(deviationWeight * float64((took-r.mean).Abs()-r.deviation))
 	r.mean += time.Duration(meanWeight * float64(took-r.mean))
 }
@@ -153,19 +184,28 @@
 
 // due reports whether the next copy is to be sent, and spends what it costs.
 func (r *resending) due(now time.Duration, c *copies, wait time.Duration) bool {
-	if c.count >= maxCopies || now-c.sent < wait+r.pause() || !r.spare() || r.budget == 0 {
+	if r.once || c.count >= maxCopies || now-c.sent < wait+r.pause() || !r.spare() || r.budget == 0 {
 		return false
 	}
 	r.spend()
 	return true
 }
 
+// missAnswer counts an answer that should have come. What a silent target doesn't answer
+// says nothing of the others'.
+func (s *State) missAnswer(now time.Duration, t *target) {
+	if t.state == usable {
+		s.disturbed = now
+		s.resend.missed++
+	}
+}
+
 // startAgain sends a start without an answer again.
 func (s *State) startAgain(now time.Duration, r *run) {
 	if r.state == ordered && r.stop == nil && s.resend.due(now, &r.copies, 0) {
 		s.sendStart(now, r)
 		if r.copies.count > 2 {
-			s.disturbed = now
+			s.missAnswer(now, r.target)
 		}
 	}
 }
@@ -173,7 +213,7 @@
 // startAtOnce sends a start again whose connection broke: no answer will come to that copy,
 // and to ask for it costs less than to stop the run and to start its task elsewhere.
 func (s *State) startAtOnce(now time.Duration, r *run) bool {
-	if r.state != ordered || r.stop != nil || r.copies.count >= maxCopies || s.resend.budget == 0 || now-r.ordered >= answerTime {
+	if s.resend.once || r.state != ordered || r.stop != nil || r.copies.count >= maxCopies || s.resend.budget == 0 || now-r.ordered >= answerTime {
 		return false
 	}
 	s.resend.spend()
@@ -181,6 +221,31 @@
 	return true
 }
 
+// askForDue asks a target at once whether a run has ended that should have, while answers get
+// lost: the end of a short task is told in tens of milliseconds, also where looks are long.
+func (s *State) askForDue(now time.Duration, t *target) {
+	if !s.unsettled(now) {
+		return
+	}
+	for _, r := range t.runs {
+		if r.state == running && r.stop == nil && r.due(now) {
+			s.askAtOnce(now, t)
+			return
+		}
+	}
+}
+
+// dueFactor and dueSlack are when most runs have ended, and their ends been told.
+const (
+	dueFactor = 1.25
+	dueSlack  = 10 * time.Millisecond
+)
+
+// due reports whether a run should have ended by now.
+func (r *run) due(now time.Duration) bool {
+	return !r.task.step.Lasting && !r.task.step.Fills && now-r.ordered > time.Duration(dueFactor*float64(r.expected))+dueSlack
+}
+
 // askAtOnce sends a copy of a look that waits, which asks for an answer at once.
 func (s *State) askAtOnce(now time.Duration, t *target) {
 	if !t.looking || !s.resend.due(now, &t.lookCopies, 0) {
@@ -202,7 +267,7 @@
 		return
 	case c.count == 1 && s.looksTwice(now) && s.resend.due(now, c, 0):
 	case s.resend.due(now, c, t.look.Wait):
-		s.disturbed = now
+		s.missAnswer(now, t)
 		t.look.Wait = 0
 	default:
 		return
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -112,6 +112,9 @@
 	StopTime time.Duration
 	// Pause is the gap between two ticks that shows that this process stood still.
 	Pause time.Duration
+	// SendOnce sends each order once and leaves looks as long as they are while all is well;
+	// what sending again is worth shows against it.
+	SendOnce bool
 }
 
 // Defaults of Options.
@@ -225,7 +228,7 @@
 		left:     map[string]leftover{},
 		repeated: map[*job]bool{},
 		asked:    map[string]*step{},
-		resend:   newResending(),
+		resend:   newResending(o.SendOnce),
 
 		unclaimed: map[jobRef]unclaimed{},
 	}
@@ -441,9 +444,9 @@
 	Targets, Usable, Suspected, Draining int
 	// CPU and FreeCPU are the processor of usable targets, in thousandths of a core.
 	CPU, FreeCPU int64
-	// TickLate is by how much ticks come late, Unread how long answers wait to be read, in the
-	// mean of the last ones: both grow for want of this process's processor.
-	TickLate, Unread time.Duration
+	// TickLate is by how much ticks come late, AnswerTime how long answers take until they
+	// are read, in the mean of the last ones: both grow for want of this process's processor.
+	TickLate, AnswerTime time.Duration
 	// LookWait is how long looks wait now, Copies counts the orders that were sent again.
 	LookWait time.Duration
 	Copies   int
@@ -453,7 +456,7 @@
 func (s *State) Summary() Summary {
 	sum := Summary{
 		Jobs: len(s.jobs), Waiting: len(s.waiting), Targets: len(s.targets),
-		TickLate: s.resend.late, Unread: s.resend.unread, LookWait: s.lookWait(s.ticked), Copies: s.resend.sent,
+		TickLate: s.resend.late, AnswerTime: s.resend.usual, LookWait: s.lookWait(s.ticked), Copies: s.resend.sent,
 	}
 	for _, t := range s.targets {
 		sum.Runs += len(t.runs)
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -389,6 +389,7 @@
 		}
 	}
 	s.lookAgain(now, t)
+	s.askForDue(now, t)
 	s.judge(now, t)
 	s.touch(t)
 	s.unlisted(now, t)
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -110,6 +110,8 @@
 	lent    map[Part]*lentPart
 	// accepting owners have taken over the kept jobs.
 	accepting bool
+	// fails is what it knows of the failed runs of kept jobs, by job and task.
+	fails map[string]map[int]int
 }
 
 // lentPart is a part on its way or at the other owner.
@@ -218,6 +220,7 @@
 func (w *world) takeOver() *fakeOwner {
 	w.token++
 	o := &fakeOwner{
+		fails: map[string]map[int]int{},
 		state: New(Options{}), token: w.token, refs: map[Ref]*caller{},
 		name: fmt.Sprintf("o%d", w.token), lent: map[Part]*lentPart{},
 	}
