Bound copies by the longest pause, not by the usual answer

Change: copies need answers within 20 ms in the mean, two thirds of the longest pause; looks keep their own, stricter bound.

--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -73,11 +73,11 @@
 	// single server that has work for half of its time makes what comes wait for about as
 	// long as a batch of messages takes, some milliseconds.
 	spareLate = 6 * time.Millisecond
-	// promptAnswer is the mean time of answers up to which the process isn't short of
-	// processor: three times the usual one. Ticks alone don't tell: they come in time while
-	// hundreds of answers wait for their turn, and looks that only they bounded took all of
-	// an owner's processor once.
-	promptAnswer = 8 * time.Millisecond
+	// promptAnswer is the mean time of answers up to which copies are sent: two thirds of the
+	// longest pause, beyond which the answer would often come after the copy was sent. Ticks
+	// alone don't tell: they come in time while hundreds of answers wait for their turn, and
+	// looks that only they bounded took all of an owner's processor once.
+	promptAnswer = 20 * time.Millisecond
 	// missFading leaves a third of what was counted a second ago.
 	missFading = 0.98
 	// doubtShare is the share of answers that must be missed for others to be expected to
