--- a/scheduler/rejoin_test.go
+++ b/scheduler/rejoin_test.go
@@ -101,3 +101,15 @@
 	whole.Part = nil
 	must.Eq(t, Absent, b.s.Rejoin(b.now, whole, ms))
 }
+
+// A job that runs is its entry VM's alone: another one that asks for it is told nothing of it.
+func TestARunningJobIsItsEntryVMsAlone(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 1)
+	sub := b.remote("j", "e")
+	b.do()
+	other := b.asked(sub)
+	other.Entry = "other"
+	must.Eq(t, Absent, b.s.Rejoin(b.now, other, ms))
+	must.SliceEmpty(t, pickEffects[Answer](b.do()))
+}
