--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -445,7 +445,7 @@
 // unsettled reports whether so many answers were lost lately that others are expected to be.
 func (s *State) unsettled(now time.Duration) bool {
 	r := &s.resend
-	return s.disturbed > 0 && now-s.disturbed < disturbedTime && r.missed >= doubtShare*(r.missed+r.heardOf)
+	return s.disturbed > 0 && now-s.disturbed < disturbedTime && r.missed >= doubtShare*(r.missed+r.answered)
 }
 
 // lookPause paces the looks at a target that doesn't answer.
--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -27,9 +27,9 @@
 	late time.Duration
 	// stalled says that the last tick came so late that answers may wait to be read.
 	stalled bool
-	// missed and heardOf count the answers that were missed and that came lately: both fade
+	// missed and answered count the answers that were missed and that came lately: both fade
 	// by missFading at each tick.
-	missed, heardOf float64
+	missed, answered float64
 	// once sends no copies.
 	once bool
 	// budget is how many copies may be sent: each answer adds one, up to maxBudget.
@@ -103,7 +103,7 @@
 // tick takes the time since the last tick.
 func (r *resending) tick(gap time.Duration) {
 	r.missed *= missFading
-	r.heardOf *= missFading
+	r.answered *= missFading
 	late := max(gap-TickInterval, 0)
 	r.late += time.Duration(lateWeight * float64(late-r.late))
 	r.stalled = gap > stallGap
@@ -138,7 +138,7 @@
 // heard counts an answer of a target towards what copies may cost.
 func (r *resending) heard(verdict work.Verdict) {
 	if !unanswered(verdict) && verdict != work.VerdictUnsent {
-		r.heardOf++
+		r.answered++
 		r.budget = min(r.budget+1, maxBudget)
 	}
 }
