Drop a time of looks that stood twice

Cause: the newest look's time was kept beside the look, which has it. Ruled out: a difference of the two before the first look: both are 0. Change: one of them. Measured: the scheduler's tests, fuzz and replay pass. Conclusion: no behaviour changes.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -234,7 +234,7 @@
 	t.failedLooks = 0
 	t.barred = true
 	t.told = t.asked
-	t.answered = t.lookAt
+	t.answered = t.look.At
 	t.lease.read(held.Clock, now)
 	for _, end := range held.Ended {
 		if end.Number > t.seen {
@@ -307,9 +307,9 @@
 			continue
 		}
 		switch {
-		case r.state == running && r.ordered+lookAfterStart < t.lookAt:
+		case r.state == running && r.ordered+lookAfterStart < t.look.At:
 			s.lost(now, r, "its target doesn't list it")
-		case r.state == doubtful && t.lease.lapsed(t.lookAt, r.until):
+		case r.state == doubtful && t.lease.lapsed(t.look.At, r.until):
 			s.lost(now, r, "it can't begin any more")
 		}
 	}
@@ -381,11 +381,11 @@
 
 // pump sends a target the look that it needs, if any.
 func (s *State) pump(now time.Duration, t *target) {
-	if t.looking || t.failedLooks >= silentLooks && now < t.lookAt+lookPause {
+	if t.looking || t.failedLooks >= silentLooks && now < t.look.At+lookPause {
 		return
 	}
 	waits := len(t.unnoted) > 0
-	if waits && now < t.lookAt+unnotedPause {
+	if waits && now < t.look.At+unnotedPause {
 		return
 	}
 	look := Look{To: t.address(), At: now, Seen: t.ackable()}
@@ -411,7 +411,6 @@
 	}
 	t.looking = true
 	t.asked = look.Seen
-	t.lookAt = now
 	t.look, t.lookTime = look, look.Wait
 	t.lookCopies = copies{}
 	t.lookCopies.add(now)
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -66,13 +66,12 @@
 	// acknowledged by the look on its way.
 	unnoted map[int64]bool
 	asked   int64
-	// look is the last one, sent at lookAt, looking is set while it has no answer.
+	// look is the last one, looking is set while it has no answer.
 	look       Look
 	lookCopies copies
 	// lookTime is the wait of its first copy.
 	lookTime time.Duration
 	looking  bool
-	lookAt   time.Duration
 	// answered is when the newest look that was answered was sent.
 	answered time.Duration
 	// heard is when the newest look was answered: what it listed as running ran then.
