--- a/node/configuration_test.go
+++ b/node/configuration_test.go
@@ -1,10 +1,17 @@
 package node
 
 import (
+	"encoding/json"
+	"fmt"
 	"log/slog"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/link/linkpb"
+	"github.com/burdockward/burdockward/ownership"
+	"github.com/burdockward/burdockward/platform/wire"
 )
 
 // The configuration in force is never an older one, wherever it comes from.
@@ -19,3 +26,38 @@
 	must.True(t, c.offer([]byte(`{"version":8}`), "peer"))
 	must.Eq(t, 8, c.version())
 }
+
+// A configuration of a quarter of a megabyte reaches a VM that the store turns away whole,
+// over a real socket, and each of its routes is found.
+func TestALargeConfigurationReachesPeersWhole(t *testing.T) {
+	const size = 256 << 10
+	sent := wire.Configuration{Version: 9}
+	var raw []byte
+	for i := 0; len(raw) < size; i++ {
+		for range 100 {
+			at := len(sent.Routes)
+			sent.Routes = append(sent.Routes, wire.Route{
+				Name: fmt.Sprint("queue-", at), Host: fmt.Sprintf("h%d.example", at%7), PathPrefix: fmt.Sprintf("/a%d/", at), Service: "s",
+			})
+		}
+		var err error
+		raw, err = json.Marshal(sent)
+		must.NoError(t, err)
+	}
+	log := slog.New(slog.DiscardHandler)
+	from := &Node{config: configuration{log: log}, keeper: ownership.New(ownership.Options{}, nil, nil)}
+	must.True(t, from.config.offer(raw, "store"))
+	server := httptest.NewServer(from.handler())
+	t.Cleanup(server.Close)
+	tables, err := linkpb.NewFleetProtobufClient(server.URL, server.Client()).Tables(t.Context(), &linkpb.TablesRequest{})
+	must.NoError(t, err)
+	to := configuration{log: log}
+	must.True(t, to.offer(tables.GetConfiguration(), "peer"))
+	held := to.held.Load()
+	must.SliceLen(t, len(sent.Routes), held.Routes)
+	for _, want := range sent.Routes {
+		route, found := held.Find(want.Host, want.PathPrefix+"5c0e7a21d94b36f8")
+		must.True(t, found)
+		must.Eq(t, want.Name, route.Queue.Name)
+	}
+}
