Start nothing in failure domains that the operator has cordoned

Ruled out: a word of its own table by row versions alone (a VM that missed the dropping of a row would hold it for ever); asking peers as for the configuration (versions of whole readings differ from VM to VM, so that all would ask all the time). Change: package cordon holds the set of cordoned failure domains as of one version of the store; the newest holds, whether from the store's feed or from another VM's heartbeat. The scheduler starts nothing before it was told, none of waiting, repeated, lent, gang or kept work nor a copy of an order while it is cordoned, gives back what has not begun and lends what is left; a process that stood still asks again first. Entry VMs turn to other owners, and refuse at once where all are cordoned. The stand-in's operator cordons too, in the demo and in the soak, which judges it.

--- /dev/null
+++ b/cordon/cordon_test.go
@@ -0,0 +1,152 @@
+package cordon
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/burdockward/burdockward/mirror"
+	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/platform/wire"
+)
+
+func row(domain string, version int64, deleted bool) platform.Row {
+	return platform.Row{Key: wire.CordonPrefix + domain, Version: version, Deleted: deleted, Value: []byte("{}")}
+}
+
+func news(version int64, whole bool, rows ...platform.Row) mirror.Update {
+	return mirror.Update{Whole: whole, Rows: platform.Rows{Version: version, Rows: rows}}
+}
+
+func TestReaderFollowsTheTable(t *testing.T) {
+	r := Reader{}
+	must.Eq(t, View{Version: 3}, r.Take(news(3, true, platform.Row{Key: platform.ConfigurationKey, Version: 2})))
+	must.Eq(t, View{Version: 5, Domains: []string{"a", "b"}}, r.Take(news(5, false, row("b", 4, false), row("a", 5, false))))
+	must.Eq(t, View{Version: 7, Domains: []string{"b"}}, r.Take(news(7, false, row("a", 7, true))))
+	// History was lost: what is not read any more was taken back.
+	must.Eq(t, View{Version: 9, Domains: []string{"c"}}, r.Take(news(9, true, row("c", 8, false))))
+}
+
+// A row that names no failure domain closes none, and is told of.
+func TestARowWithoutADomainClosesNothing(t *testing.T) {
+	ignored := 0
+	r := Reader{Ignored: func(_ platform.Row, err error) {
+		must.ErrorIs(t, err, platform.ErrNoCordon)
+		ignored++
+	}}
+	view := r.Take(news(4, true, row("", 2, false), platform.Row{Key: "evacuation/a", Version: 3}, row("a", 4, false)))
+	must.Eq(t, []string{"a"}, view.Domains)
+	must.Eq(t, 1, ignored)
+}
+
+// What a row says besides its key doesn't matter: it is there until it is taken back.
+func TestACordonWithAnyValueHolds(t *testing.T) {
+	r := Reader{}
+	for i, value := range [][]byte{nil, []byte("\xff"), []byte(`["x"]`)} {
+		domain := fmt.Sprint("d", i)
+		cordoned := row(domain, int64(i+1), false)
+		cordoned.Value = value
+		must.True(t, r.Take(news(int64(i+1), false, cordoned)).Has(domain))
+	}
+}
+
+func TestBoardTellsOfChangesOnly(t *testing.T) {
+	var told []string
+	b := Board{Changed: func(from string, _, after View) { told = append(told, fmt.Sprint(from, after.Domains)) }}
+	must.False(t, b.View().Known())
+	must.Nil(t, b.View().Wire())
+	b.Offer(View{}, "nobody")
+	b.Offer(View{Version: 3}, "store")
+	b.Offer(View{Version: 4}, "store")
+	b.Offer(View{Version: 6, Domains: []string{"a"}}, "peer")
+	b.Offer(View{Version: 5}, "late peer")
+	b.Offer(FromWire(View{Version: 8, Domains: []string{"a"}}.Wire()), "store")
+	b.Offer(View{Version: 9}, "store")
+	must.Eq(t, []string{"store[]", "peer[a]", "store[]"}, told)
+}
+
+// Words of several VMs that follow the table through lost history and stale readings arrive
+// late, twice and in any order: none of them ever goes back, and with the newest word all
+// agree with the table.
+func TestFuzzBoards(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		table := map[int64][]string{1: nil}
+		version := int64(1)
+		var words []View
+		boards := []*Board{{}, {}, {}}
+		for _, b := range boards {
+			held := int64(0)
+			b.Changed = func(_ string, _, after View) {
+				if after.Version < held {
+					rt.Fatalf("went back from %d to %d", held, after.Version)
+				}
+				held = after.Version
+			}
+		}
+		readers := []*Reader{{}, {}, {}}
+		at := []int64{0, 0, 0}
+		for range rapid.IntRange(5, 60).Draw(rt, "steps") {
+			i := rapid.IntRange(0, 2).Draw(rt, "vm")
+			switch rapid.SampledFrom([]string{"change", "feed", "whole", "stale", "gossip"}).Draw(rt, "action") {
+			case "change":
+				version++
+				domain := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "domain")
+				now := slices.Clone(table[version-1])
+				if at := slices.Index(now, domain); at >= 0 {
+					now = slices.Delete(now, at, at+1)
+				} else {
+					now = append(now, domain)
+					slices.Sort(now)
+				}
+				table[version] = now
+			case "feed":
+				if at[i] == 0 {
+					continue
+				}
+				var rows []platform.Row
+				for v := at[i] + 1; v <= version; v++ {
+					rows = append(rows, changed(table, v))
+				}
+				words = append(words, readers[i].Take(news(version, false, rows...)))
+				at[i] = version
+				boards[i].Offer(words[len(words)-1], "store")
+			case "whole", "stale":
+				v := max(version-int64(rapid.IntRange(0, 3).Draw(rt, "behind")), 1)
+				var rows []platform.Row
+				for _, domain := range table[v] {
+					rows = append(rows, row(domain, v, false))
+				}
+				words = append(words, readers[i].Take(news(v, true, rows...)))
+				at[i] = v
+				boards[i].Offer(words[len(words)-1], "store")
+			case "gossip":
+				if len(words) > 0 {
+					boards[i].Offer(rapid.SampledFrom(words).Draw(rt, "word"), "peer")
+				}
+			}
+			for _, b := range boards {
+				if view := b.View(); view.Known() && !slices.Equal(view.Domains, table[view.Version]) {
+					rt.Fatalf("version %d has %v, held is %v", view.Version, table[view.Version], view.Domains)
+				}
+			}
+		}
+	})
+}
+
+// changed is the row that a version of the table wrote or dropped.
+func changed(table map[int64][]string, version int64) platform.Row {
+	for _, domain := range table[version] {
+		if !slices.Contains(table[version-1], domain) {
+			return row(domain, version, false)
+		}
+	}
+	for _, domain := range table[version-1] {
+		if !slices.Contains(table[version], domain) {
+			return row(domain, version, true)
+		}
+	}
+	return platform.Row{}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,6 +54,9 @@
 	Local func(group string) (Local, bool)
 	// DomainOf gives the failure domain of a group.
 	DomainOf func(group string) string
+	// Cordoned reports whether nothing may be started in a failure domain; nil says that
+	// there are no cordons.
+	Cordoned func(domain string) bool
 	// Lost is told of owners whose connection broke; it must not block.
 	Lost func(owner heartbeat.Owner)
 	// Find reads from the store how a kept job stands.
@@ -71,6 +74,9 @@
 
 // New makes an Entry.
 func New(o Options, peers Peers, remote Remote) *Entry {
+	if o.Cordoned == nil {
+		o.Cordoned = func(string) bool { return false }
+	}
 	e := &Entry{options: o, peers: peers, remote: remote}
 	e.found.Store(int64(bootclock.Now()))
 	return e
@@ -86,6 +92,9 @@
 	// refusedRetry is told when no owner can be reached: about the time that
 	// another VM takes to claim its place.
 	refusedRetry = time.Second
+	// cordonedRetry is told while every failure domain is cordoned: the operator decides
+	// when one may be used again.
+	cordonedRetry = 2 * time.Second
 	// hopeTime is how long jobs wait for an owner after the last one was seen: a
 	// silence, a claim and the first looks. A VM that has none for longer is cut
 	// off, and says so at once.
@@ -137,6 +146,9 @@
 		if at < 0 && len(r.full) > 0 {
 			return refusal
 		}
+		if at < 0 && e.allCordoned() {
+			return work.Outcome{Result: work.Refused, Reason: "every failure domain is cordoned", RetryAfter: cordonedRetry}
+		}
 		if at >= 0 {
 			outcome := e.run(ctx, r, candidates[at])
 			switch outcome.Result {
@@ -178,6 +190,9 @@
 func (e *Entry) candidates(r *request) []Candidate {
 	var list []Candidate
 	for _, held := range e.options.Claims() {
+		if e.options.Cordoned(e.options.DomainOf(held.Group)) {
+			continue
+		}
 		c := Candidate{
 			Group: held.Group,
 			Near:  e.options.DomainOf(held.Group) == e.options.FailureDomain,
@@ -192,6 +207,17 @@
 	return list
 }
 
+// allCordoned reports whether there are owners, and none of them may start anything.
+func (e *Entry) allCordoned() bool {
+	claims := e.options.Claims()
+	for _, held := range claims {
+		if !e.options.Cordoned(e.options.DomainOf(held.Group)) {
+			return false
+		}
+	}
+	return len(claims) > 0
+}
+
 func (e *Entry) fill(c *Candidate, held ownership.Held, r *request) bool {
 	if c.Self {
 		local, ok := e.options.Local(c.Group)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -171,3 +172,34 @@
 	must.Eq(t, work.Completed, newEntry(f).Dispatch(t.Context(), job, queue, 0).Result)
 	must.Eq(t, []string{"far"}, f.asked)
 }
+
+// Owners of cordoned failure domains are not asked; where all are cordoned the caller is told
+// at once when to come back, and where an owner knows of its cordon first, another is asked
+// at once.
+func TestCordonedDomainsAreNotAsked(t *testing.T) {
+	done, cordoned := work.Outcome{Result: work.Completed}, work.Outcome{Result: work.Refused, RetryAfter: time.Second}
+	for name, test := range map[string]struct {
+		cordoned []string
+		near     work.Outcome
+		asked    []string
+		result   work.Result
+	}{
+		"none":                    {nil, done, []string{"near"}, work.Completed},
+		"near":                    {[]string{"near"}, done, []string{"far"}, work.Completed},
+		"all":                     {[]string{"near", "far"}, done, nil, work.Refused},
+		"the owner knew it first": {nil, cordoned, []string{"near", "far"}, work.Completed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := peers([]work.Outcome{test.near}, []work.Outcome{done})
+			e := newEntry(f)
+			e.options.Cordoned = func(domain string) bool { return slices.Contains(test.cordoned, domain) }
+			outcome := e.Dispatch(t.Context(), job, queue, 0)
+			must.Eq(t, test.result, outcome.Result)
+			must.Eq(t, test.asked, f.asked)
+			if outcome.Result == work.Refused {
+				must.Eq(t, cordonedRetry, outcome.RetryAfter)
+				must.Eq(t, "every failure domain is cordoned", outcome.Reason)
+			}
+		})
+	}
+}
--- a/heartbeat/book_test.go
+++ b/heartbeat/book_test.go
@@ -133,9 +133,11 @@
 func (silentListener) ConfigurationVersion() int64             { return 0 }
 func (silentListener) Pending() map[string]int32               { return nil }
 
-func (silentListener) Leaving() bool                { return false }
-func (silentListener) CPUShare() int32              { return 0 }
-func (silentListener) Owned() *linkpb.Owned         { return nil }
-func (silentListener) Heard(uint64, []*linkpb.Load) {}
-func (silentListener) Learned(*linkpb.Owned)        {}
-func (silentListener) Late(string, time.Duration)   {}
+func (silentListener) Leaving() bool                    { return false }
+func (silentListener) CPUShare() int32                  { return 0 }
+func (silentListener) Owned() *linkpb.Owned             { return nil }
+func (silentListener) Heard(uint64, []*linkpb.Load)     {}
+func (silentListener) Learned(*linkpb.Owned)            {}
+func (silentListener) Cordons() *linkpb.Cordons         { return nil }
+func (silentListener) Cordoned(string, *linkpb.Cordons) {}
+func (silentListener) Late(string, time.Duration)       {}
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -46,6 +46,10 @@
 	Heard(owner uint64, loads []*linkpb.Load)
 	// Late hears of a gap between two heartbeats of a VM that is longer than usual.
 	Late(vm string, gap time.Duration)
+	// Cordons is what this VM knows of cordoned failure domains; nil before the first word.
+	Cordons() *linkpb.Cordons
+	// Cordoned takes what another VM knows of them.
+	Cordoned(from string, cordons *linkpb.Cordons)
 	// Learned takes the claim that an owner knows of its group.
 	Learned(owned *linkpb.Owned)
 }
@@ -172,6 +176,7 @@
 
 func (s *Service) pings(wanted func(life uint64) bool) []outgoing {
 	version, leaving, share := s.listener.ConfigurationVersion(), s.listener.Leaving(), s.listener.CPUShare()
+	cordons := s.listener.Cordons()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var givenUp []string
@@ -187,6 +192,7 @@
 			Vm: s.self.VM, Life: s.self.Life, FailureDomain: s.self.FailureDomain,
 			Stamp: v.Stamp, OwnerLife: life, GivenUp: givenUp, ConfigurationVersion: version,
 			CpuShare: share, Leaving: leaving, Control: s.self.Control, Heartbeat: s.self.Heartbeat,
+			Cordons: cordons,
 		}})
 	}
 	return pings
@@ -246,6 +252,9 @@
 			gap := s.book.answered(bootclock.Now(), &pong)
 			s.mu.Unlock()
 			s.late(pong.GetVm(), gap)
+			if pong.GetCordons() != nil {
+				s.listener.Cordoned(pong.GetVm(), pong.GetCordons())
+			}
 			s.listener.Heard(pong.GetLife(), pong.GetLoads())
 			if pong.GetOwned() != nil {
 				s.listener.Learned(pong.GetOwned())
@@ -269,6 +278,9 @@
 	gap := s.book.pinged(now, ping)
 	s.mu.Unlock()
 	s.late(ping.GetVm(), gap)
+	if ping.GetCordons() != nil {
+		s.listener.Cordoned(ping.GetVm(), ping.GetCordons())
+	}
 	if ping.GetOwnerLife() == s.self.Life && ping.GetStamp() > 0 {
 		s.listener.Vouched(EntryID(ping.GetVm(), ping.GetLife()), time.Duration(ping.GetStamp())+Vouch, ping.GetGivenUp())
 	}
@@ -276,5 +288,6 @@
 		Vm: s.self.VM, Life: s.self.Life, Stamp: int64(bootclock.Now()), Control: s.self.Control,
 		ConfigurationVersion: s.listener.ConfigurationVersion(), Loads: s.listener.Loads(),
 		Owned: s.listener.Owned(), Pending: s.listener.Pending(),
+		Cordons: s.listener.Cordons(),
 	})
 }
--- a/lab/prepared/command.go
+++ b/lab/prepared/command.go
@@ -77,6 +77,11 @@
 		_ = owner.Start()
 	}
 	pause(ctx, demoStep)
+	fmt.Println("cordon of", domainName(2))
+	d.Cordon(domainName(2), true)
+	pause(ctx, demoStep)
+	d.Cordon(domainName(2), false)
+	pause(ctx, demoStep)
 	fmt.Println("the store is away")
 	d.Store.Away("", true)
 	pause(ctx, demoStep)
--- a/lab/prepared/deployment.go
+++ b/lab/prepared/deployment.go
@@ -61,6 +61,7 @@
 	VMs     []*VM
 	servers []*http.Server
 	version int64
+	cordons cordons
 	// lasting counts the jobs that were drawn to last.
 	lasting atomic.Int64
 	stopped chan struct{}
@@ -75,6 +76,7 @@
 	store       string
 	adviser     string
 	seeds       string
+	domains     int
 	inRotation  atomic.Bool
 
 	mu      sync.Mutex
@@ -88,6 +90,7 @@
 // Start begins a deployment with all its processes.
 func Start(o Options) (*Deployment, error) {
 	d := &Deployment{options: o, Store: NewStore(), Recorder: NewRecorder(), Adviser: NewAdviser(), stopped: make(chan struct{})}
+	d.cordons.since = map[string]time.Time{}
 	adviser, err := d.listen("127.0.7.1:0", d.Adviser)
 	if err != nil {
 		return nil, err
@@ -118,6 +121,7 @@
 	}
 	for _, vm := range d.VMs {
 		vm.seeds = strings.Join(seeds[:min(3, len(seeds))], ",")
+		vm.domains = o.Domains
 		if err := vm.Start(); err != nil {
 			return nil, err
 		}
@@ -211,6 +215,7 @@
 		Service: "service", Address: address, Zone: domainName(domain), State: wire.Ready,
 		Capacity: wire.Resources{CPU: targetCPU, MemoryMB: 1 << 10},
 	}
+	t.started = func(task string) { d.started(t.entry.Zone, task) }
 	d.Targets = append(d.Targets, t)
 	d.list(t)
 	return nil
@@ -268,6 +273,9 @@
 		"seeds=" + v.seeds, "platform.address=" + v.store, "advice=" + v.adviser,
 		"limits.cpu_share=0.4", "limits.memory_mb=284", "bounds.grace_s=6", "unknown.key=ignored",
 	}
+	for i := range v.domains {
+		lines = append(lines, "zones."+domainName(i)+"=region")
+	}
 	return strings.Join(lines, "\n") + "\n"
 }
 
--- a/lab/prepared/soak.go
+++ b/lab/prepared/soak.go
@@ -192,6 +192,14 @@
 		return func() { s.Disturb(0, 0) }
 	}},
 	{"rows of another writer", func(s *soaker) func() { return s.foreignRows() }},
+	{"failure domain cordoned", func(s *soaker) func() {
+		domain := domainName(s.random.IntN(s.options.Domains))
+		s.Cordon(domain, true)
+		return func() {
+			time.Sleep(cordonedTime)
+			s.Cordon(domain, false)
+		}
+	}},
 	{"new configuration", func(s *soaker) func() {
 		s.Configure()
 		return nothing
--- a/lab/prepared/store.go
+++ b/lab/prepared/store.go
@@ -31,6 +31,8 @@
 	began   time.Time
 	// away turns away those who call these of its addresses; "" stands for all.
 	away map[string]bool
+	// wentBack is when it last began to answer all again.
+	wentBack time.Time
 	// lost is the number of writes to come that are done and not answered.
 	lost int
 }
@@ -49,10 +51,25 @@
 func (s *Store) Away(host string, away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away[host] && !away {
+		s.wentBack = time.Now()
+	}
 	s.away[host] = away
 	s.wake()
 }
 
+// lastAway is when the store last turned somebody away.
+func (s *Store) lastAway() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, away := range s.away {
+		if away {
+			return time.Now()
+		}
+	}
+	return s.wentBack
+}
+
 // LoseAnswers has the next writes be done and not answered.
 func (s *Store) LoseAnswers(count int) {
 	s.mu.Lock()
--- a/lab/prepared/target.go
+++ b/lab/prepared/target.go
@@ -23,7 +23,9 @@
 	entry    wire.Target
 	capacity int64
 	recorder *Recorder
-	adviser  *Adviser
+	// started is told of each start.
+	started func(task string)
+	adviser *Adviser
 
 	mu      sync.Mutex
 	free    int64
@@ -243,6 +245,7 @@
 		}
 	}
 	t.recorder.began(in.Task)
+	t.started(in.Task)
 	if !own {
 		t.recorder.wrong(in.Task + " was told to go on from " + in.Checkpoint)
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/burdockward/burdockward/cordon"
 	"github.com/burdockward/burdockward/heartbeat"
 	"github.com/burdockward/burdockward/link/linkpb"
 	"github.com/burdockward/burdockward/owner"
@@ -47,6 +48,7 @@
 	Claims        []ownership.Held
 	// StoreClock is the store's clock; 0 while the VM doesn't know it.
 	StoreClock time.Duration
+	Cordons    cordon.View
 }
 
 // Handler serves the calls of other VMs.
@@ -107,7 +109,7 @@
 // Tables implements linkpb.Fleet.
 func (s server) Tables(context.Context, *linkpb.TablesRequest) (*linkpb.TablesReply, error) {
 	tables := s.handler.Tables()
-	reply := &linkpb.TablesReply{Configuration: tables.Configuration, StoreClockUs: micros(tables.StoreClock)}
+	reply := &linkpb.TablesReply{Configuration: tables.Configuration, StoreClockUs: micros(tables.StoreClock), Cordons: tables.Cordons.Wire()}
 	for _, held := range tables.Claims {
 		reply.Owners = append(reply.Owners, held.Wire())
 	}
@@ -240,7 +242,7 @@
 	if err != nil {
 		return Tables{}, err
 	}
-	tables := Tables{Configuration: reply.GetConfiguration(), StoreClock: duration(reply.GetStoreClockUs())}
+	tables := Tables{Configuration: reply.GetConfiguration(), StoreClock: duration(reply.GetStoreClockUs()), Cordons: cordon.FromWire(reply.GetCordons())}
 	for _, owned := range reply.GetOwners() {
 		tables.Claims = append(tables.Claims, ownership.FromWire(owned))
 	}
--- a/node/calls.go
+++ b/node/calls.go
@@ -115,7 +115,7 @@
 }
 
 func (p peerCalls) Tables() link.Tables {
-	tables := link.Tables{Claims: p.node.keeper.Claims()}
+	tables := link.Tables{Claims: p.node.keeper.Claims(), Cordons: p.node.cordons.board.View()}
 	if clock, known := p.node.clock.told(); known {
 		tables.StoreClock = clock
 	}
--- /dev/null
+++ b/node/cordons.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"slices"
+
+	"github.com/burdockward/burdockward/cordon"
+	"github.com/burdockward/burdockward/link/linkpb"
+	"github.com/burdockward/burdockward/mirror"
+	"github.com/burdockward/burdockward/platform"
+)
+
+// cordons follow the operator's word on failure domains in which nothing is to be started.
+type cordons struct {
+	reader cordon.Reader
+	board  cordon.Board
+}
+
+func (c *cordons) init(n *Node) {
+	c.reader.Ignored = n.cordonIgnored
+	c.board.Changed = n.cordonsChanged
+}
+
+// take passes on what the store tells.
+func (c *cordons) take(update mirror.Update) { c.board.Offer(c.reader.Take(update), "store") }
+
+func (n *Node) cordonIgnored(row platform.Row, err error) {
+	n.options.Count("rows_unreadable", string(platform.OperatorTable))
+	n.log.Warn("row not understood", "table", platform.OperatorTable, "key", row.Key, "version", row.Version, "error", err)
+}
+
+// cordonsChanged tells the owners in this process of a new view.
+func (n *Node) cordonsChanged(from string, before, after cordon.View) {
+	for _, domain := range after.Domains {
+		if known := slices.Contains(n.options.Settings.FailureDomains, domain); !before.Has(domain) {
+			n.log.Info("failure domain cordoned", "domain", domain, "known", known, "version", after.Version, "from", from)
+		}
+	}
+	for _, domain := range before.Domains {
+		if !after.Has(domain) {
+			n.log.Info("failure domain usable again", "domain", domain, "version", after.Version, "from", from)
+		}
+	}
+	n.options.Gauge("cordoned_failure_domains", float64(len(after.Domains)))
+	for _, o := range n.owners() {
+		go o.TakeCordons(n.ctx, after)
+	}
+}
+
+// confirmCordons reads the cordons anew, past what this process has heard before.
+func (n *Node) confirmCordons(ctx context.Context) (cordon.View, error) {
+	rows, err := n.store.Read(ctx, platform.OperatorTable)
+	if err != nil {
+		return cordon.View{}, err
+	}
+	reader := cordon.Reader{Ignored: n.cordonIgnored}
+	view := reader.Take(mirror.Update{Rows: rows, Whole: true})
+	n.cordons.board.Offer(view, "store, asked again")
+	return view, nil
+}
+
+// Cordons implements heartbeat.Listener.
+func (n *Node) Cordons() *linkpb.Cordons { return n.cordons.board.View().Wire() }
+
+// Cordoned implements heartbeat.Listener.
+func (n *Node) Cordoned(from string, cordons *linkpb.Cordons) {
+	n.cordons.board.Offer(cordon.FromWire(cordons), from)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -62,6 +62,7 @@
 	keeper   *ownership.Keeper
 	entry    *entry.Entry
 	config   configuration
+	cordons  cordons
 	servers  servers
 	ages     ages
 	leaving  atomic.Bool
@@ -115,6 +116,7 @@
 		calls:     link.NewClient(),
 		config:    configuration{log: o.Log},
 	}
+	n.cordons.init(n)
 	n.store = platform.NewStore(s.Store, platform.StoreEvents{Called: o.storeCall, Clock: n.clock.read, Unreadable: o.unreadable})
 	if s.Advisor != "" {
 		n.adviser = platform.NewAdvisor(s.Advisor)
@@ -131,8 +133,9 @@
 	n.entry = entry.New(entry.Options{
 		VM: s.VM, Life: n.self.Life, FailureDomain: s.FailureDomain, Log: o.Log, Count: o.Count,
 		Claims: n.keeper.Claims, Local: n.local, DomainOf: func(group string) string { return group },
-		Lost: n.suspectOwner,
-		Find: func(ctx context.Context, id string) (work.State, error) { return jobstore.Find(ctx, n.store, id) },
+		Cordoned: func(domain string) bool { return n.cordons.board.View().Has(domain) },
+		Lost:     n.suspectOwner,
+		Find:     func(ctx context.Context, id string) (work.State, error) { return jobstore.Find(ctx, n.store, id) },
 	}, beats, n.calls)
 	n.servers, err = listen(s, n)
 	return n, err
@@ -167,7 +170,7 @@
 	g.Go(func() error {
 		return mirror.Follow(duties, n.store, mirror.Options{
 			Table: platform.OperatorTable, Wait: configurationWait, Log: n.log, Heard: n.ages.heard(&n.ages.configuration),
-		}, n.tookConfiguration)
+		}, n.tookOperatorRows)
 	})
 	g.Go(func() error { n.askPeers(duties); return nil })
 	g.Go(func() error { n.processor.Run(duties); return nil })
@@ -189,7 +192,9 @@
 	return err
 }
 
-func (n *Node) tookConfiguration(update mirror.Update) {
+func (n *Node) tookOperatorRows(update mirror.Update) {
+	// The cordons go first: whoever has a configuration knows of them.
+	n.cordons.take(update)
 	n.config.take(update)
 }
 
@@ -247,6 +252,7 @@
 		},
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, Heard: n.ages.heard(&n.ages.registry),
 		Lend: n.lend, Hungry: n.beats.Hurry, StoreClock: n.clock.told,
+		Cordons: n.cordons.board.View, ConfirmCordons: n.confirmCordons,
 		Jobs: jobstore.New(jobstore.Options{
 			Group: held.Group, Life: n.self.Life, Retention: n.options.Settings.JobRetention, Log: n.log, Count: n.options.Count, Clock: n.clock.now,
 		}, n.store),
--- /dev/null
+++ b/owner/cordon_test.go
@@ -0,0 +1,64 @@
+package owner
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/cordon"
+	"github.com/burdockward/burdockward/work"
+)
+
+// runCordoned has an owner run that knows of cordons what view says at its start.
+func runCordoned(t *testing.T, target *fencingTarget, view cordon.View) *Owner {
+	t.Helper()
+	options := testOptions()
+	options.Cordons = func() cordon.View { return view }
+	options.ConfirmCordons = func(context.Context) (cordon.View, error) { return view, nil }
+	o := New(options, target, oneTarget{})
+	ctx, end := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- o.Run(ctx) }()
+	t.Cleanup(func() {
+		end()
+		must.NoError(t, <-done)
+	})
+	return o
+}
+
+var closed = cordon.View{Version: 5, Domains: []string{"domain"}}
+
+// An owner that begins in a cordoned failure domain starts nothing; old words, and words of
+// other failure domains, don't change that, and the newest one does at once.
+func TestAnOwnerGoesByTheNewestWord(t *testing.T) {
+	target := newFencingTarget()
+	o := runCordoned(t, target, closed)
+	must.True(t, eventually(func() bool { return o.Loads()["service"].Cordoned }))
+	must.Eq(t, work.Refused, (<-submit(t, o, "1")).Result)
+	o.TakeCordons(t.Context(), cordon.View{Version: 4})
+	o.TakeCordons(t.Context(), cordon.View{Version: 6, Domains: []string{"domain", "other"}})
+	must.Eq(t, work.Refused, (<-submit(t, o, "2")).Result)
+	o.TakeCordons(t.Context(), cordon.View{Version: 7, Domains: []string{"other"}})
+	must.Eq(t, work.Completed, (<-submit(t, o, "3")).Result)
+	o.TakeCordons(t.Context(), closed)
+	must.Eq(t, work.Completed, (<-submit(t, o, "4")).Result)
+}
+
+// An owner that knows nothing yet keeps jobs until it does.
+func TestAnOwnerWaitsForTheFirstWord(t *testing.T) {
+	target := newFencingTarget()
+	o := runCordoned(t, target, cordon.View{})
+	waiting := submit(t, o, "1")
+	must.True(t, eventually(func() bool { return o.Jobs() == 1 }))
+	must.SliceEmpty(t, target.begun())
+	o.TakeCordons(t.Context(), cordon.View{Version: 3})
+	must.Eq(t, work.Completed, (<-waiting).Result)
+	must.SliceLen(t, 1, target.begun())
+}
+
+func (f *fencingTarget) begun() []work.Run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/burdockward/burdockward/bootclock"
+	"github.com/burdockward/burdockward/cordon"
 	"github.com/burdockward/burdockward/jobstore"
 	"github.com/burdockward/burdockward/mirror"
 	"github.com/burdockward/burdockward/platform"
@@ -71,6 +72,10 @@
 	Heard func(now time.Duration)
 	// StoreClock is the store's clock, if it is known.
 	StoreClock func() (clock time.Duration, known bool)
+	// Cordons is what is known of cordoned failure domains, ConfirmCordons asks the store
+	// anew, whose answer comes by CordonsChanged; nil where there are no cordons.
+	Cordons        func() cordon.View
+	ConfirmCordons func(ctx context.Context) (cordon.View, error)
 	// Advise asks the adviser which targets may run a step; nil where there is none.
 	Advise func(ctx context.Context, step string, targets []string) (tickets map[string]string, valid time.Duration, err error)
 	// Hungry says that tasks wait for a place, so that the room of other owners
@@ -101,6 +106,8 @@
 	token   atomic.Int64
 	jobs    atomic.Int64
 	kept    keptJobs
+	// cordoned is the version of the view of cordons that was taken last.
+	cordoned int64
 	// loadsAt is when the loads were published.
 	loadsAt time.Duration
 	// statusAt is when the last status was logged.
@@ -116,6 +123,7 @@
 	if o.RejoinTime == 0 {
 		o.RejoinTime = DefaultRejoinTime
 	}
+	o.Schedule.AwaitCordon = o.Cordons != nil
 	owner := &Owner{
 		options: o, targets: targets, store: store,
 		submissions: ring.New[message](submissionsRoom),
@@ -162,6 +170,9 @@
 		g.Go(func() error { return o.options.Jobs.Run(ctx) })
 		g.Go(func() error { o.openJobs(ctx); return nil })
 	}
+	if o.options.Cordons != nil {
+		o.TakeCordons(ctx, o.options.Cordons())
+	}
 	if o.options.Former != nil {
 		g.Go(func() error { o.takeOver(ctx); return nil })
 	}
@@ -300,6 +311,8 @@
 			o.tell(e)
 		case scheduler.Deposed:
 			o.fenced(e)
+		case scheduler.ConfirmCordon:
+			go o.confirmCordon(ctx)
 		}
 	}
 }
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -31,6 +31,10 @@
 		}
 		return
 	}
+	if s.cordon.closes() {
+		s.answer(sub, work.Outcome{Result: work.Refused, Reason: cordonedReason, RetryAfter: cordonedRetry})
+		return
+	}
 	j := s.newJob(now, sub)
 	if why := s.unservable(j); why != "" {
 		s.answer(sub, work.Outcome{Result: work.Refused, Reason: why, RetryAfter: unservableRetry})
@@ -145,7 +149,7 @@
 	wait := time.Duration(math.MaxInt64)
 	if flow > 0 {
 		wait = time.Duration(short / flow * float64(time.Millisecond))
-	} else if !s.listed || j.pool.adopting() {
+	} else if !s.listed || !s.cordon.known || j.pool.adopting() {
 		wait = 0
 	}
 	slack := j.latest - now - time.Duration(marginShare*float64(j.objective-j.arrived))
@@ -165,7 +169,7 @@
 	flow *= j.pool.left(now, Priorities)
 	wait := maxForecast
 	// The job itself is among those that wait.
-	if short := s.ahead(j) - room; short <= 0 || flow == 0 && (!s.listed || j.pool.adopting()) {
+	if short := s.ahead(j) - room; short <= 0 || flow == 0 && (!s.listed || !s.cordon.known || j.pool.adopting()) {
 		wait = 0
 	} else if flow > 0 {
 		wait = min(time.Duration(float64(short)/flow*float64(time.Millisecond)), maxForecast)
@@ -273,7 +277,7 @@
 // Load tells other VMs how busy the targets of a service are.
 func (s *State) Load(now time.Duration, service string) Load {
 	p := s.poolOf(service)
-	var load Load
+	load := Load{Cordoned: s.cordon.closes()}
 	load.CPU = p.cpu
 	load.FreeCPU = p.free(0)
 	load.Room.Places = s.places(now, p)
@@ -289,6 +293,10 @@
 	}
 	before := int64(0)
 	for priority := range load.Wait {
+		if load.Cordoned {
+			load.Wait[priority] = maxForecast
+			continue
+		}
 		before += waits[priority]
 		if short := before - load.FreeCPU; short > 0 && flow > 0 {
 			load.Wait[priority] = time.Duration(float64(short) / flow * float64(time.Millisecond))
--- /dev/null
+++ b/scheduler/cordon_world_test.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// fakeCordons are the operator's word on the owners' failure domain.
+type fakeCordons struct {
+	closed bool
+	// steps counts the changes, barred the owners that were asked to start while one held.
+	steps int
+}
+
+// toldCordon is what an owner was told of it.
+type toldCordon struct {
+	known, closed bool
+	// doubted is when it last asked whether that still holds; 0 before the first time.
+	doubted time.Duration
+}
+
+// maxCordonDelay bounds how long the word is on its way, longer than an owner's patience.
+const maxCordonDelay = 1500
+
+// tellCordon brings the word as it is then to an owner, after a while.
+func (w *world) tellCordon(o *fakeOwner) {
+	if w.cordons == nil {
+		return
+	}
+	w.after(time.Duration(w.random.IntN(maxCordonDelay))*ms, func() {
+		w.hear(o, func() {
+			o.cordon = toldCordon{known: true, closed: w.cordons.closed}
+			o.state.Cordoned(w.now, w.cordons.closed)
+		})
+	})
+}
+
+// cordon changes the operator's word.
+func (w *world) cordon() {
+	w.cordons.closed = !w.cordons.closed
+	w.cordons.steps++
+	for _, o := range w.owners {
+		w.tellCordon(o)
+	}
+}
+
+// checkCordon sees to it that an owner starts nothing against its word, nor without one. A
+// word that it has asked about in vain for long may be trusted again.
+func (w *world) checkCordon(o *fakeOwner, e StartRun) {
+	c := o.cordon
+	trusted := c.known || c.doubted > 0 && w.now-c.doubted > cordonPatience
+	if w.cordons != nil && (c.closed || !trusted) {
+		w.violations = append(w.violations, fmt.Sprintf("%v: %s starts, told %+v", w.now, e.Run.Task, c))
+	}
+}
+
+// TestFuzzCordons plays cordons and their end beside all other faults: takeovers, frozen and
+// deposed owners, lost orders, lost targets, parts of other owners. No owner starts anything
+// that it was told not to, nor before it was told, nor after it stood still before it was told
+// again; and all else holds as without cordons.
+func TestFuzzCordons(t *testing.T) {
+	steps := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		share := func(name string) float64 { return float64(rapid.IntRange(0, 20).Draw(rt, name)) / 100 }
+		w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
+			lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: share("failing"),
+			broken: share("broken"),
+		})
+		w.cordons = &fakeCordons{closed: rapid.Bool().Draw(rt, "closed")}
+		w.longest = rapid.SampledFrom([]int{100, 800}).Draw(rt, "longest")
+		if rapid.Bool().Draw(rt, "lending") {
+			w.addOther(rapid.IntRange(1, 3).Draw(rt, "others"))
+		}
+		w.takeOver()
+		for range rapid.IntRange(5, 60).Draw(rt, "steps") {
+			if rapid.IntRange(0, 4).Draw(rt, "cordon") == 0 {
+				w.cordon()
+			}
+			strike(rt, w)
+			w.run(time.Duration(rapid.IntRange(0, 400).Draw(rt, "pause")) * ms)
+			if len(w.violations) > 0 {
+				rt.Fatalf("broken: %v", w.violations)
+			}
+		}
+		w.run(5 * time.Second)
+		if len(w.violations) > 0 {
+			rt.Fatalf("broken: %v", w.violations)
+		}
+		steps += w.cordons.steps
+	})
+	must.Greater(t, 100, steps)
+}
+
+// While a failure domain is cordoned its callers' jobs go to the other owner whole, and once
+// it is given back all are served here again.
+func TestServesThroughACordon(t *testing.T) {
+	w := newWorld(3, 4, worldFaults{})
+	w.cordons = &fakeCordons{}
+	w.addOther(4)
+	w.takeOver()
+	w.run(2 * time.Second)
+	count := func(result work.Result) (n int) {
+		for _, c := range w.callers {
+			for _, outcome := range c.outcomes {
+				if outcome == result {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	for range 20 {
+		w.call(3)
+		w.run(30 * ms)
+	}
+	w.cordon()
+	w.run(2 * time.Second)
+	must.Eq(t, 20, count(work.Completed)+count(work.Moved))
+	must.Zero(t, count(work.Unknown))
+	before := count(work.Completed)
+	w.call(1)
+	w.run(100 * ms)
+	must.Eq(t, 1, count(work.Refused))
+	w.cordon()
+	w.run(2 * time.Second)
+	w.call(1)
+	w.run(500 * ms)
+	must.Eq(t, before+1, count(work.Completed))
+	must.SliceEmpty(t, w.violations)
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -12,6 +12,10 @@
 	if len(s.waiting) == 0 {
 		return
 	}
+	if s.stoodStill(now) {
+		// What is believed may have changed meanwhile: the next tick sees to it.
+		s.doubtCordon(now)
+	}
 	full := misses{}
 	rest := s.waiting[:0]
 	moved := false
@@ -112,7 +116,7 @@
 
 // may reports whether a task may start on a target now.
 func (s *State) may(now time.Duration, t *target, j *job, st *step, tk *task) bool {
-	if t.state != usable || t.Draining || t.gone || now < t.blocked || !st.Each.Fits(t.free) {
+	if !t.takes() || now < t.blocked || !st.Each.Fits(t.free) {
 		return false
 	}
 	if st.Label != "" && !slices.Contains(t.Labels, st.Label) || !st.advice.allows(now, t.ID) {
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -12,6 +12,8 @@
 // known, without looking at each target.
 type pool struct {
 	targets []*target
+	// barred says that nothing may be started on the targets.
+	barred bool
 	// suspects are the targets under suspicion.
 	suspects []*target
 	buckets  [bucketCount][]*target
@@ -55,7 +57,12 @@
 
 // open reports whether a target takes new tasks like any other.
 func (t *target) open() bool {
-	return t.state == usable && !t.Draining && !t.gone && !t.health.suspected && t.reserved == nil
+	return t.takes() && !t.health.suspected && t.reserved == nil
+}
+
+// takes reports whether a target takes new tasks at all.
+func (t *target) takes() bool {
+	return t.state == usable && !t.Draining && !t.gone && !t.pool.barred
 }
 
 // touch files a target anew after a change, and has it looked at if it needs to.
@@ -177,7 +184,7 @@
 func (p *pool) supply(now time.Duration, each int64) (room int64, flow float64) {
 	room = p.free(each)
 	for _, t := range p.suspects {
-		if t.state == usable && !t.Draining && !t.gone && t.health.probed(now, t) {
+		if t.takes() && t.health.probed(now, t) {
 			room += min(t.free.CPU, each)
 		}
 	}
--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -203,7 +203,7 @@
 
 // startAgain sends a start without an answer again.
 func (s *State) startAgain(now time.Duration, r *run) {
-	if r.state == ordered && r.stop == nil && s.resend.due(now, &r.copies, 0) {
+	if r.state == ordered && r.stop == nil && !s.startsBarred(now) && s.resend.due(now, &r.copies, 0) {
 		s.sendStart(now, r)
 		if r.copies.count > 2 {
 			s.missAnswer(now, r.target)
@@ -214,7 +214,7 @@
 // startAtOnce sends a start again whose connection broke: no answer will come to that copy,
 // and to ask for it costs less than to stop the run and to start its task elsewhere.
 func (s *State) startAtOnce(now time.Duration, r *run) bool {
-	if r.state != ordered || r.stop != nil || r.copies.count >= maxCopies || now-r.ordered >= answerTime || !s.resend.affords() {
+	if r.state != ordered || r.stop != nil || s.startsBarred(now) || r.copies.count >= maxCopies || now-r.ordered >= answerTime || !s.resend.affords() {
 		return false
 	}
 	s.sendStart(now, r)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -115,6 +115,9 @@
 	// SendOnce sends each order once and leaves looks as long as they are while all is well;
 	// what sending again is worth shows against it.
 	SendOnce bool
+	// AwaitCordon has nothing start before Cordoned has told whether it may, nor after this
+	// process stood still before it was told again.
+	AwaitCordon bool
 }
 
 // Defaults of Options.
@@ -179,6 +182,7 @@
 	// unnoted counts what is not yet noted in the store.
 	unnoted int
 	resend  resending
+	cordon  cordon
 	// ending holds, for each kept job whose end is being noted, the ends of runs that
 	// came after it.
 	ending map[string][]EndRef
@@ -231,6 +235,7 @@
 		repeated: map[*job]bool{},
 		asked:    map[string]*step{},
 		resend:   newResending(o.SendOnce),
+		cordon:   cordon{known: !o.AwaitCordon},
 
 		unclaimed: map[jobRef]unclaimed{},
 		barred:    map[jobRef]time.Duration{},
@@ -299,7 +304,7 @@
 
 // Tick looks at all that time alone changes. It is to be called every TickInterval.
 func (s *State) Tick(now time.Duration) {
-	if s.ticked != 0 && now-s.ticked > s.options.Pause {
+	if s.stoodStill(now) {
 		s.resume(now, now-s.ticked)
 	}
 	if s.ticked != 0 {
@@ -309,6 +314,7 @@
 		s.resend.pace(s.options.LookWait)
 	}
 	s.ticked = now
+	s.trustCordon(now)
 	s.callDue(now)
 	for _, j := range s.sortedJobs() {
 		s.expire(now, j)
@@ -328,6 +334,11 @@
 	}
 }
 
+// stoodStill reports whether this process has stood still and didn't tick since.
+func (s *State) stoodStill(now time.Duration) bool {
+	return s.ticked != 0 && now-s.ticked > s.options.Pause
+}
+
 // entryMemory keeps the last word of an entry VM while a job of it may arrive.
 const entryMemory = 10 * time.Second
 
@@ -335,6 +346,7 @@
 // may have been sent again to others meanwhile.
 func (s *State) resume(now, gap time.Duration) {
 	s.emit(Note{Failure: true, What: "process stood still", Age: gap})
+	s.doubtCordon(now)
 	for _, j := range s.sortedJobs() {
 		if !j.kept() {
 			s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "the VM stood still"})
@@ -401,6 +413,8 @@
 	CPU int64
 	// Room is what other owners may hand over.
 	Room Room
+	// Cordoned says that nothing may be started on the targets.
+	Cordoned bool
 }
 
 // Priorities is the number of priorities told apart in a Load.
@@ -453,6 +467,8 @@
 	// LookWait is how long looks wait now, Copies counts the orders that were sent again.
 	LookWait time.Duration
 	Copies   int
+	// Cordoned says that nothing may be started on the targets.
+	Cordoned bool
 }
 
 // Summary counts what the State holds.
@@ -460,6 +476,7 @@
 	sum := Summary{
 		Jobs: len(s.jobs), Waiting: len(s.waiting), Targets: len(s.targets),
 		TickLate: s.resend.late, AnswerTime: s.resend.usual, LookWait: s.lookWait(s.ticked), Copies: s.resend.sent,
+		Cordoned: s.cordon.bars(),
 	}
 	for _, t := range s.targets {
 		sum.Runs += len(t.runs)
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -24,7 +24,7 @@
 func (s *State) poolOf(service string) *pool {
 	p := s.pools[service]
 	if p == nil {
-		p = &pool{}
+		p = &pool{barred: s.cordon.bars()}
 		s.pools[service] = p
 	}
 	return p
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -55,6 +55,8 @@
 	// of one.
 	tickets    map[string]time.Duration
 	unticketed int
+	// cordons are those of the owners' failure domain; nil where there are none.
+	cordons *fakeCordons
 	// lasting is set once a job that lasts was handed in.
 	lasting bool
 }
@@ -112,6 +114,8 @@
 	accepting bool
 	// fails is what it knows of the failed runs of kept jobs, by job and task.
 	fails map[string]map[int]int
+	// cordon is what it was told.
+	cordon toldCordon
 }
 
 // lentPart is a part on its way or at the other owner.
@@ -208,7 +212,7 @@
 	w.token++
 	o := &fakeOwner{
 		fails: map[string]map[int]int{},
-		state: New(Options{}), token: w.token, refs: map[Ref]*caller{},
+		state: New(Options{AwaitCordon: w.cordons != nil}), token: w.token, refs: map[Ref]*caller{},
 		name: fmt.Sprintf("o%d", w.token), lent: map[Part]*lentPart{},
 	}
 	for _, id := range w.targetIDs() {
@@ -221,6 +225,7 @@
 	w.tick(o)
 	w.vouch(o)
 	w.takeOverJobs(o, w.now)
+	w.tellCordon(o)
 	return o
 }
 
@@ -301,7 +306,11 @@
 			w.lend(o, e)
 		case Withdraw:
 			w.withdraw(o, e)
+		case ConfirmCordon:
+			o.cordon.known, o.cordon.doubted = false, w.now
+			w.tellCordon(o)
 		case StartRun:
+			w.checkCordon(o, e)
 			w.order(o, func(token int64) work.OrderAnswer { return w.targets[e.To.ID].start(token, e) },
 				func(a work.OrderAnswer) { o.state.Started(w.now, e.To.ID, e.Run, a) })
 		case StopRun:
--- a/work/work.go
+++ b/work/work.go
@@ -157,6 +157,8 @@
 	Rack string
 	// Draining targets take no new tasks.
 	Draining bool
+	// WarmIn is how much longer the target is slow after its start.
+	WarmIn time.Duration
 }
 
 // Result is how a submission ended.
