--- a/lab/cmd/lab/main.go
+++ b/lab/cmd/lab/main.go
@@ -47,6 +47,7 @@
 			prepared.RecoverCommand(),
 			experiment.LoadCommand(),
 			replay.Command(),
+			replay.RoundsCommand(),
 			losses.Command(),
 		},
 	}
--- a/lab/replay/choose.go
+++ b/lab/replay/choose.go
@@ -14,7 +14,7 @@
 			Near: w.options.OneOwner || i == a.domain,
 			Wait: o.loads.Wait[w.options.Site.Kinds[a.kind].Priority],
 			Free: float64(o.loads.FreeCPU) / float64(max(o.loads.CPU, 1)),
-			Full: full[i],
+			Full: full[i] || o.cordoned,
 		}
 	}
 	return max(entry.Choose(candidates, w.random.Float64()), 0)
--- a/lab/replay/lend.go
+++ b/lab/replay/lend.go
@@ -24,6 +24,9 @@
 		w.after(w.options.Site.Far+hop, func() {
 			load := other.state.Load(w.now, "service")
 			w.after(w.options.Site.Far+hop, func() {
+				if o.lost {
+					return
+				}
 				o.state.RoomAt(w.now, strconv.Itoa(other.index), "service", load.Room)
 				w.carryOut(o)
 			})
@@ -36,13 +39,20 @@
 	index, _ := strconv.Atoi(e.Owner)
 	other := w.owners[index]
 	way := w.options.Site.Far + hop
+	life := o.life
 	w.after(way, func() {
+		if o.life != life || other.lost {
+			return
+		}
 		other.refs++
 		ref := other.refs
 		sub := e.Submission
 		sub.Ref = ref
 		other.lenders[ref] = func(outcome work.Outcome) {
 			w.after(way, func() {
+				if o.life != life {
+					return
+				}
 				delete(o.lent, e.Part)
 				o.state.Returned(w.now, e.Part, outcome)
 				w.carryOut(o)
@@ -50,6 +60,9 @@
 		}
 		o.lent[e.Part] = func() {
 			w.after(way, func() {
+				if o.life != life {
+					return
+				}
 				other.state.Cancel(w.now, ref)
 				w.carryOut(other)
 			})
--- a/lab/replay/replay_test.go
+++ b/lab/replay/replay_test.go
@@ -2,37 +2,10 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/shoenig/test/must"
 )
 
-func second(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-// faulty is a day on which a tenth of the targets hang and a sixth turn slow.
-func faulty(site Site) Site {
-	site.Faults = []Fault{
-		{From: second(4), To: second(8.2), Share: 0.11, Hang: true},
-		{From: second(10), To: second(17), Share: 0.17, Slower: 7.7},
-	}
-	site.Bursts = []Burst{{From: second(1), To: second(5), Times: 1.3}}
-	return site
-}
-
-// crowded is a day on which the load is at the brink and for a while beyond it.
-func crowded(site Site) Site {
-	site.Load *= 1.2
-	site.Bursts = []Burst{{From: second(10), To: second(14), Times: 1.3}}
-	return site
-}
-
-// flooded is a day on which three times the callers come for a while.
-func flooded(site Site) Site {
-	site.Load *= 0.85
-	site.Bursts = []Burst{{From: second(8), To: second(11), Times: 3}}
-	return site
-}
-
 // seeds of the days that a test plays.
 const seeds = 2
 
--- /dev/null
+++ b/lab/replay/rounds.go
@@ -0,0 +1,190 @@
+package replay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+)
+
+// played is what a day earned.
+type played struct {
+	site, day string
+	seed      uint64
+	// worth is less what was refused late, which callers would rather have known at once.
+	worth, kind, late float64
+}
+
+// key tells days apart.
+func (p played) key() string { return fmt.Sprintf("%s %s %d", p.site, p.day, p.seed) }
+
+// maxPlays bounds the days played side by side.
+const maxPlays = 4
+
+// RoundsCommand compares this build's decisions with another one's.
+func RoundsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "rounds",
+		Usage: "play days of all sites in simulated time, and compare them with what another build of this program earns on the same days",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "other", Usage: "the other build; none prints a row a day"},
+			&cli.IntFlag{Name: "seeds", Usage: "days of each kind and site", Value: 4},
+			&cli.StringFlag{Name: "sites", Usage: "names joined by commas; all if empty"},
+			&cli.StringFlag{Name: "days", Usage: "names joined by commas; all if empty"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			rows, err := playAll(ctx, cmd.Int("seeds"), named(cmd.String("sites")), named(cmd.String("days")))
+			if err != nil {
+				return err
+			}
+			if cmd.String("other") == "" {
+				return writeRows(os.Stdout, rows)
+			}
+			other := exec.CommandContext(ctx, cmd.String("other"), "rounds", "--seeds", fmt.Sprint(cmd.Int("seeds")),
+				"--sites", cmd.String("sites"), "--days", cmd.String("days"))
+			other.Stderr = os.Stderr
+			out, err := other.Output()
+			if err != nil {
+				return fmt.Errorf("the other build doesn't play rounds: %w", err)
+			}
+			theirs, err := readRows(bytes.NewReader(out))
+			if err != nil {
+				return err
+			}
+			return writeRounds(os.Stdout, rows, theirs)
+		},
+	}
+}
+
+// named reports whether a name is in a list; an empty list has all.
+func named(list string) func(name string) bool {
+	names := strings.Split(list, ",")
+	return func(name string) bool { return list == "" || slices.Contains(names, name) }
+}
+
+// playAll plays each day of each site with each seed.
+func playAll(ctx context.Context, seeds int, site, day func(string) bool) ([]played, error) {
+	var rows []played
+	for _, sheet := range Sheets {
+		for _, d := range Days {
+			for seed := range seeds {
+				if site(sheet.Name) && day(d.Name) {
+					rows = append(rows, played{site: sheet.Name, day: d.Name, seed: uint64(seed)})
+				}
+			}
+		}
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(maxPlays)
+	for i := range rows {
+		g.Go(func() error {
+			if ctx.Err() == nil {
+				rows[i].play()
+			}
+			return ctx.Err()
+		})
+	}
+	return rows, g.Wait()
+}
+
+func (p *played) play() {
+	sheet := Sheets[slices.IndexFunc(Sheets, func(s Sheet) bool { return s.Name == p.site })]
+	day := Days[slices.IndexFunc(Days, func(d Day) bool { return d.Name == p.day })]
+	r := Play(Options{Site: day.of(sheet.site()), Seed: p.seed})
+	p.worth, p.kind, p.late = r.Worth, slices.Min(r.Kinds), r.LateRefusals
+}
+
+func writeRows(to io.Writer, rows []played) error {
+	out := bufio.NewWriter(to)
+	for _, p := range rows {
+		fmt.Fprintf(out, "%s %.5f %.5f %.5f\n", p.key(), p.worth, p.kind, p.late)
+	}
+	return out.Flush()
+}
+
+func readRows(from io.Reader) ([]played, error) {
+	var rows []played
+	scanner := bufio.NewScanner(from)
+	for scanner.Scan() {
+		var p played
+		if _, err := fmt.Sscan(scanner.Text(), &p.site, &p.day, &p.seed, &p.worth, &p.kind, &p.late); err != nil {
+			return nil, fmt.Errorf("a row of the other build is %q: %w", scanner.Text(), err)
+		}
+		rows = append(rows, p)
+	}
+	return rows, scanner.Err()
+}
+
+// writeRounds writes what this build earns more than the other one, by site and day, with the
+// spread of the difference over the seeds.
+func writeRounds(to io.Writer, rows, theirs []played) error {
+	others := map[string]played{}
+	for _, p := range theirs {
+		others[p.key()] = p
+	}
+	groups := map[string][]played{}
+	var order []string
+	for _, p := range rows {
+		for _, group := range []string{p.site + "\t" + p.day, "all\t" + p.day, "all\tall"} {
+			if groups[group] == nil {
+				order = append(order, group)
+			}
+			groups[group] = append(groups[group], p)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b string) int {
+		return strings.Compare(rank(a), rank(b))
+	})
+	out := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "site\tday\tseeds\tworth\tworst kind\trefused late\tother's\tdifference\tspread\tof the kind\tof the late")
+	for _, group := range order {
+		var mine, theirWorth, kind, late, difference, kinds, lates []float64
+		for _, p := range groups[group] {
+			o, ok := others[p.key()]
+			if !ok {
+				return fmt.Errorf("the other build did not play %s", p.key())
+			}
+			mine, kind, late = append(mine, p.worth), append(kind, p.kind), append(late, p.late)
+			theirWorth = append(theirWorth, o.worth)
+			difference, kinds, lates = append(difference, p.worth-o.worth), append(kinds, p.kind-o.kind), append(lates, p.late-o.late)
+		}
+		fmt.Fprintf(out, "%s\t%d\t%.4f\t%.4f\t%.4f\t%.4f\t%+.4f\t%.4f\t%+.4f\t%+.4f\n",
+			group, len(mine), mean(mine), mean(kind), mean(late), mean(theirWorth), mean(difference), deviation(difference), mean(kinds), mean(lates))
+	}
+	return out.Flush()
+}
+
+// rank puts the groups of all sites last.
+func rank(group string) string {
+	if strings.HasPrefix(group, "all\t") {
+		return "~" + strings.Replace(group, "\tall", "\t~", 1)
+	}
+	return ""
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(max(len(values), 1))
+}
+
+// deviation is the standard deviation.
+func deviation(values []float64) float64 {
+	m, sum := mean(values), 0.0
+	for _, v := range values {
+		sum += (v - m) * (v - m)
+	}
+	return math.Sqrt(sum / float64(max(len(values)-1, 1)))
+}
--- /dev/null
+++ b/lab/replay/sheets.go
@@ -0,0 +1,41 @@
+package replay
+
+import "time"
+
+// Sheet is what the sites differ in.
+type Sheet struct {
+	Name             string
+	Domains, Targets int
+	// CPU is a target's, TaskCPU a task's mean need, in thousandths of a core.
+	CPU, TaskCPU int64
+	// Short, Long and Middle are the rates of the kinds of request, a second.
+	Short, Long, Middle float64
+	// Swing is the share by which the load goes up and down.
+	Swing float64
+	Far   time.Duration
+}
+
+// site is the deployment of a sheet on a usual day.
+func (s Sheet) site() Site {
+	kinds := kinds(float64(s.TaskCPU))
+	for i, rate := range []float64{s.Short, s.Long, s.Middle} {
+		// The worth of a day doesn't grow with its size.
+		kinds[i].Worth *= kinds[i].PerS / rate
+		kinds[i].PerS = rate
+	}
+	return Site{
+		Name: s.Name, Domains: s.Domains, Targets: s.Targets, CPU: s.CPU, Kinds: kinds, Load: 1, Swing: s.Swing,
+		Length: 30 * time.Second, Far: s.Far, Near: 100 * time.Microsecond,
+	}
+}
+
+// Sheets are all deployments whose numbers differ: small ones, grown ones, one of hundreds of
+// VMs, and one whose work has shifted to wide targets' halves.
+var Sheets = []Sheet{
+	{Name: "kasa", Domains: 3, Targets: 16, CPU: 32000, TaskCPU: 14000, Short: 37.8, Long: 6.87, Middle: 110, Swing: 0.15, Far: 900 * time.Microsecond},
+	{Name: "thapa", Domains: 3, Targets: 16, CPU: 64000, TaskCPU: 27000, Short: 37.8, Long: 6.87, Middle: 110, Swing: 0.15, Far: 500 * time.Microsecond},
+	{Name: "kasa-grown", Domains: 3, Targets: 117, CPU: 32000, TaskCPU: 16000, Short: 206, Long: 37.5, Middle: 600, Swing: 0.15, Far: 900 * time.Microsecond},
+	{Name: "thapa-grown", Domains: 4, Targets: 88, CPU: 64000, TaskCPU: 32000, Short: 206, Long: 37.5, Middle: 600, Swing: 0.15, Far: 500 * time.Microsecond},
+	{Name: "large", Domains: 5, Targets: 220, CPU: 32000, TaskCPU: 16000, Short: 309, Long: 56.2, Middle: 900, Swing: 0.15, Far: 500 * time.Microsecond},
+	{Name: "shifted", Domains: 3, Targets: 117, CPU: 16000, TaskCPU: 8000, Short: 154, Long: 48.9, Middle: 451, Swing: 0.27, Far: 900 * time.Microsecond},
+}
--- a/lab/replay/site.go
+++ b/lab/replay/site.go
@@ -48,8 +48,23 @@
 	// CallTime is how long an owner's processor works for sending a call, and for reading
 	// an answer, one after the other; 0 takes no time.
 	CallTime time.Duration
+	// Swing is the share by which the load of each failure domain goes up and down.
+	Swing float64
+	// Cordons are those of failure domains, Losses those of all owners at once.
+	Cordons []Cordon
+	Losses  []Loss
 }
 
+// Cordon bars a failure domain for a while.
+type Cordon struct {
+	Domain   int
+	From, To time.Duration
+}
+
+// Loss has all owners end, and new ones begin after a time. Callers whose jobs were lost, and
+// those who come meanwhile, come back to the new ones.
+type Loss struct{ At, For time.Duration }
+
 // Burst multiplies the load for a while.
 type Burst struct {
 	From, To time.Duration
@@ -73,9 +88,9 @@
 	cpuSpread   = 0.2
 	uneven      = 0.15
 	estimateOff = 0.4
-	// waveSwing and wavePeriod are the slow change of the load of each failure
+	// usualSwing and wavePeriod are the slow change of the load of each failure
 	// domain.
-	waveSwing  = 0.15
+	usualSwing = 0.15
 	wavePeriod = 11 * time.Second
 	// most bounds sizes and run times, as a multiple of the mean.
 	most = 4
@@ -88,7 +103,7 @@
 func Kasa() Site {
 	return Site{
 		Name: "kasa", Domains: 3, Targets: 16, CPU: 32000, Kinds: kinds(14000), Load: 154.6 / 140.65,
-		Length: 30 * time.Second, Far: 900 * time.Microsecond, Near: 100 * time.Microsecond,
+		Length: 30 * time.Second, Far: 900 * time.Microsecond, Near: 100 * time.Microsecond, Swing: usualSwing,
 	}
 }
 
@@ -96,7 +111,7 @@
 func Thapa() Site {
 	return Site{
 		Name: "thapa", Domains: 3, Targets: 16, CPU: 64000, Kinds: kinds(27000), Load: 154.7 / 140.65,
-		Length: 30 * time.Second, Far: 500 * time.Microsecond, Near: 100 * time.Microsecond,
+		Length: 30 * time.Second, Far: 500 * time.Microsecond, Near: 100 * time.Microsecond, Swing: usualSwing,
 	}
 }
 
@@ -106,7 +121,7 @@
 func Large(targets int, busy float64) Site {
 	site := Site{
 		Name: "large", Domains: 1, Targets: targets, CPU: 32000, Kinds: kinds(16000),
-		Load: float64(targets) * largeLoad, Length: 10 * time.Second, Far: 500 * time.Microsecond, Near: 100 * time.Microsecond,
+		Load: float64(targets) * largeLoad, Length: 10 * time.Second, Far: 500 * time.Microsecond, Near: 100 * time.Microsecond, Swing: usualSwing,
 	}
 	calls := 0.0
 	for _, k := range site.Kinds {
@@ -138,6 +153,8 @@
 	runs      []time.Duration
 	objective time.Duration
 	worth     float64
+	// handed is when its caller last handed it in.
+	handed time.Duration
 }
 
 // arrivals draws the callers of a day.
@@ -156,13 +173,13 @@
 func (s Site) stream(r *rand.Rand, domain, kind int, phase float64) []arrival {
 	var stream []arrival
 	rate := s.Kinds[kind].PerS * s.Load / float64(s.Domains)
-	peak := rate * (1 + waveSwing) * s.peakBurst()
+	peak := rate * (1 + s.Swing) * s.peakBurst()
 	for at := time.Duration(0); ; {
 		at += time.Duration(r.ExpFloat64() / peak * float64(time.Second))
 		if at >= s.Length {
 			return stream
 		}
-		wave := 1 + waveSwing*math.Sin(2*math.Pi*(at.Seconds()/wavePeriod.Seconds()+phase))
+		wave := 1 + s.Swing*math.Sin(2*math.Pi*(at.Seconds()/wavePeriod.Seconds()+phase))
 		if r.Float64()*peak > rate*wave*s.burstAt(at) {
 			continue
 		}
--- a/lab/replay/target.go
+++ b/lab/replay/target.go
@@ -15,6 +15,7 @@
 type targetSim struct {
 	world *world
 	work.Target
+	domain  int
 	free    work.Resources
 	running map[work.Run]*runSim
 	ended   []work.End
@@ -42,7 +43,7 @@
 		capacity += capacity / 2
 	}
 	t := &targetSim{
-		world: w,
+		world: w, domain: domain,
 		Target: work.Target{
 			ID: fmt.Sprintf("t-%d-%02d", domain, index), Service: "service",
 			Capacity: work.Resources{CPU: capacity, MemoryMB: 65536},
@@ -71,8 +72,12 @@
 
 // reply sends an answer on its way to the owner, which reads it when it has the processor.
 func (t *targetSim) reply(o *ownerSim, do func(now time.Duration)) {
+	life := o.life
 	t.world.after(t.world.hop(), func() {
 		t.world.work(o, t.world.options.Site.CallTime, func() {
+			if o.life != life {
+				return
+			}
 			do(t.world.now)
 			t.world.carryOut(o)
 		})
@@ -81,8 +86,12 @@
 
 // unanswered tells the owner after a while that a call has no answer.
 func (t *targetSim) unanswered(o *ownerSim, after time.Duration, do func()) {
+	life := o.life
 	t.world.after(after, func() {
 		t.world.work(o, 0, func() {
+			if o.life != life {
+				return
+			}
 			do()
 			t.world.carryOut(o)
 		})
--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -120,6 +120,11 @@
 	asked   time.Duration
 	// busy is until when its processor has work.
 	busy time.Duration
+	// life counts the lives of its process, lost says that it has none now.
+	life int
+	lost bool
+	// cordoned says that its failure domain is.
+	cordoned bool
 }
 
 // Figures of the simulated runtime.
@@ -145,6 +150,7 @@
 	w.report.ByKind = make([]Counts, len(o.Site.Kinds))
 	w.report.ByDomain = make([]Counts, o.Site.Domains)
 	w.build()
+	w.plan()
 	arrivals := o.Site.arrivals(o.Seed)
 	for i := range arrivals {
 		w.at(arrivals[i].at+time.Second, func() { w.arrive(&arrivals[i]) })
@@ -173,7 +179,7 @@
 	}
 	for i := range count {
 		o := &ownerSim{
-			index: i, state: scheduler.New(scheduler.Options{SendOnce: w.options.SendOnce}), callers: map[scheduler.Ref]*arrival{},
+			index: i, state: w.newState(), callers: map[scheduler.Ref]*arrival{},
 			lenders: map[scheduler.Ref]func(work.Outcome){}, lent: map[scheduler.Part]func(){},
 		}
 		o.state.Listed()
@@ -195,10 +201,12 @@
 }
 
 func (w *world) tick(o *ownerSim) {
-	w.work(o, 0, func() {
-		o.state.Tick(w.now)
-		w.carryOut(o)
-	})
+	if !o.lost {
+		w.work(o, 0, func() {
+			o.state.Tick(w.now)
+			w.carryOut(o)
+		})
+	}
 	w.after(tick, func() { w.tick(o) })
 }
 
@@ -254,10 +262,17 @@
 }
 
 func (w *world) submit(a *arrival, full map[int]bool) {
+	if len(full) == 0 {
+		a.handed = w.now
+	}
 	at := w.choose(a, full)
 	o := w.owners[at]
 	delay := w.far(at, a.domain)
 	w.after(delay, func() {
+		if o.lost {
+			w.comeBack(a)
+			return
+		}
 		o.refs++
 		ref := o.refs
 		o.callers[ref] = a
@@ -308,6 +323,9 @@
 
 // carryOutFor lets the caller keep an answer for itself.
 func (w *world) carryOutFor(o *ownerSim, keep func(scheduler.Answer) bool) {
+	if o.lost {
+		return
+	}
 	for _, effect := range o.state.Effects(w.now) {
 		switch e := effect.(type) {
 		case scheduler.Answer:
@@ -364,9 +382,11 @@
 	switch e.Outcome.Result {
 	case work.Completed:
 		w.completed(a, took)
+	case work.Moved:
+		w.after(movedPause, func() { w.submit(a, map[int]bool{}) })
 	case work.Refused:
 		w.count(a, func(c *Counts) { c.Refused++ })
-		if took > promptTime {
+		if w.now-a.handed > promptTime {
 			w.late += a.worth
 		}
 	default:
