Put callers that have come back behind those that come for the first time

Cause: after a loss of all VMs the callers of the outage come back all at once and look like new ones. Most have waited for longer than their answer is of use; they took the places of callers that could be in time, and both were late. Ruled out: guessing first times from the usual wait of a queue (it varies by a fifth from job to job, and what is learned dies with the owner). Change: one that gives less time than its queue's timeout has used the rest before; its job counts as that much older. Its deadline stays.

--- a/lab/replay/site.go
+++ b/lab/replay/site.go
@@ -97,6 +97,10 @@
 	// stretch and allowance make the objective.
 	stretch   = 1.6
 	allowance = 60 * time.Millisecond
+	// usefulFactor times the objective is until when an answer is worth anything; callers
+	// wait for a queue's timeout beyond.
+	usefulFactor = 3
+	timeout      = 1500 * time.Millisecond
 )
 
 // Kasa and Thapa are the two sites on a day of high load.
--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -277,7 +277,8 @@
 		ref := o.refs
 		o.callers[ref] = a
 		o.state.Submit(w.now, scheduler.Submission{
-			Ref: ref, Job: a.job, Queue: w.queueOf(a.kind), Age: w.now - a.at - time.Second,
+			Ref: ref, Job: a.job, Queue: w.queueOf(a.kind), Age: w.now - a.handed,
+			Wait: max(timeout+usefulFactor*a.objective-(a.handed-a.at-time.Second), time.Millisecond),
 		})
 		w.carryOutFor(o, func(answer scheduler.Answer) bool {
 			if answer.Ref != ref || answer.Outcome.Result != work.Refused {
@@ -299,7 +300,7 @@
 	k := w.options.Site.Kinds[kind]
 	return work.Queue{
 		Name: k.Name, Service: "service", Priority: k.Priority, MaxAttempts: k.Attempts,
-		Stretch: stretch, Allowance: allowance,
+		Stretch: stretch, Allowance: allowance, Timeout: timeout,
 	}
 }
 
@@ -410,7 +411,7 @@
 	case took <= a.objective:
 		w.count(a, func(c *Counts) { c.OnTime++ })
 		got = a.worth
-	case took <= 3*a.objective:
+	case took <= usefulFactor*a.objective:
 		w.count(a, func(c *Counts) { c.Late++ })
 		got = lateWorth * a.worth
 	default:
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -153,6 +153,11 @@
 )
 
 func (s *State) newJob(now time.Duration, sub Submission) *job {
+	before := sub.waitedBefore()
+	sub.Age += before
+	if sub.Wait > 0 {
+		sub.Wait += before
+	}
 	j := &job{
 		sub:     sub,
 		kind:    s.kindOf(sub.Queue.Name),
@@ -179,6 +184,17 @@
 	return j
 }
 
+// waitedBefore is the least that a caller has waited before it handed the job in: one that
+// comes for the first time waits for the queue's timeout at least, and one that has come back
+// says what is left. When callers whose time is over come back all at once, after a loss of
+// all VMs, they go behind those whose jobs can be in time.
+func (sub Submission) waitedBefore() time.Duration {
+	if sub.Wait <= 0 || sub.Part != nil || sub.Job.Kept {
+		return 0
+	}
+	return max(sub.Queue.Timeout-sub.Wait, 0)
+}
+
 func (j *job) addStep(occurrence, index int, declared work.Step) {
 	st := &step{
 		Step: declared, job: j, place: len(j.steps), open: declared.Tasks, expected: j.kind.expect(declared.Estimate),
