Count targets that are being taken over as room to come

Cause: a new owner has its targets within some round trips. Ruled out: waiting for all targets before the first answer (a target that is gone would hold it up). Change: the forecast and the telling of late jobs count the capacity of targets that are being taken over, as long as they haven't missed a look. Measured: a new owner of ten targets, of which one has answered, takes 10 to 15 of 30 jobs at once.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -123,15 +123,12 @@
 
 // marginShare of the objective is by how much a forecast start must be earlier than
 // needed: work that turns out late takes the places of work that would be in time.
-// In the replays of crowded days it halves the refusals that come late, at the same
-// worth.
 const marginShare = 0.1
 
 // forecast estimates the wait of a job for its places, and reports whether it
 // should be taken.
 func (s *State) forecast(now time.Duration, j *job) (time.Duration, bool) {
 	need := j.firstNeed()
-	ahead := s.ahead(j)
 	room, flow := j.pool.supply(now, need.each)
 	if j.lendable() {
 		_, elsewhere := s.roomiest(now, j.sub.Queue)
@@ -139,41 +136,49 @@
 	}
 	// What is free now was of no use to those who wait: it doesn't fit them.
 	rest := need.total - room
-	if rest <= 0 {
+	arriving := j.pool.arriving(need.each)
+	if rest <= 0 || arriving+room == 0 && flow == 0 && s.unsure(j.pool) {
 		return 0, true
 	}
-	short := float64(ahead + rest)
 	// What begins at once gives its places back in turn.
-	flow += float64(room) / max(float64(j.chain())/float64(time.Millisecond), 1)
+	flow += float64(room+arriving) / max(float64(j.chain())/float64(time.Millisecond), 1)
 	flow *= j.pool.left(now, priorityOf(j.sub.Queue))
-	wait := time.Duration(math.MaxInt64)
-	if flow > 0 {
-		wait = time.Duration(short / flow * float64(time.Millisecond))
-	} else if !s.listed || !s.cordon.known || j.pool.adopting() {
-		wait = 0
-	}
+	wait := waitFor(s.ahead(j)+rest-arriving, flow)
 	slack := j.latest - now - time.Duration(marginShare*float64(j.objective-j.arrived))
-	return min(wait, maxForecast), wait <= slack
+	return wait, wait <= slack
+}
+
+// waitFor is how long it takes until an amount of processor is given back at a rate a
+// millisecond.
+func waitFor(amount int64, flow float64) time.Duration {
+	switch {
+	case amount <= 0:
+		return 0
+	case flow <= 0:
+		return maxForecast
+	}
+	return min(time.Duration(float64(amount)/flow*float64(time.Millisecond)), maxForecast)
+}
+
+// unsure reports whether it isn't known yet what the targets can take.
+func (s *State) unsure(p *pool) bool {
+	return !s.listed || !s.cordon.known || p.unready()
 }
 
 // turnAway refuses a job that has become late and, behind all work that can be in time,
 // won't find its places while its end is of any use: its caller is told now instead of at
-// the end of that time. While bursts meet slow targets this halves the worth of requests
-// that are held in vain, at no other loss.
+// the end of that time.
 func (s *State) turnAway(now time.Duration, j *job) {
 	if j.kept() || j.sub.Part != nil {
 		return
 	}
 	need := j.firstNeed()
 	room, flow := j.pool.supply(now, need.each)
-	flow *= j.pool.left(now, Priorities)
-	wait := maxForecast
-	// The job itself is among those that wait.
-	if short := s.ahead(j) - room; short <= 0 || flow == 0 && (!s.listed || !s.cordon.known || j.pool.adopting()) {
-		wait = 0
-	} else if flow > 0 {
-		wait = min(time.Duration(float64(short)/flow*float64(time.Millisecond)), maxForecast)
+	if flow == 0 && s.unsure(j.pool) {
+		return
 	}
+	// The job itself is among those that wait.
+	wait := waitFor(s.ahead(j)-room-j.pool.arriving(need.each), flow*j.pool.left(now, Priorities))
 	if wait <= j.useful-j.chain()-now {
 		return
 	}
@@ -193,9 +198,7 @@
 const demandTime = 400 * time.Millisecond
 
 // overtaking is how much of the more urgent demand counts: most of it goes first, as
-// waiting jobs gain urgency only slowly. In the replays three quarters of it cut the
-// refusals that come late by a third at the same worth; all of it refuses long jobs
-// needlessly.
+// waiting jobs gain urgency only slowly.
 const overtaking = 0.75
 
 // leastLeft is what a priority counts on however much goes before it: its jobs gain
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -12,6 +12,8 @@
 // known, without looking at each target.
 type pool struct {
 	targets []*target
+	// adopting counts those that are being taken over.
+	adopting int
 	// barred says that nothing may be started on the targets.
 	barred bool
 	// suspects are the targets under suspicion.
@@ -48,6 +50,7 @@
 // filing is where a target stands in its pool's file.
 type filing struct {
 	open      bool
+	adopting  bool
 	suspected bool
 	bucket    int
 	at        int
@@ -82,6 +85,10 @@
 		t.filed.suspected = true
 		p.suspects = append(p.suspects, t)
 	}
+	if t.adopts() {
+		t.filed.adopting = true
+		p.adopting++
+	}
 	if !t.open() {
 		return
 	}
@@ -96,6 +103,9 @@
 	if t.filed.suspected {
 		p.suspects = slices.DeleteFunc(p.suspects, func(other *target) bool { return other == t })
 	}
+	if t.filed.adopting {
+		p.adopting--
+	}
 	if t.filed.open {
 		list := p.buckets[t.filed.bucket]
 		last := len(list) - 1
@@ -175,10 +185,32 @@
 	})
 }
 
-func (p *pool) adopting() bool {
+// unready reports whether a target isn't usable yet, or isn't any more.
+func (p *pool) unready() bool {
 	return slices.ContainsFunc(p.targets, func(t *target) bool { return t.state != usable })
 }
 
+// arriving is the processor that tasks of a size will have on targets that are being taken
+// over: a new owner has all of them within some round trips, and callers that are refused
+// meanwhile would be refused beside free targets.
+func (p *pool) arriving(each int64) int64 {
+	if p.adopting == 0 {
+		return 0
+	}
+	total := int64(0)
+	for _, t := range p.targets {
+		if t.adopts() {
+			total += roomFor(t.Capacity.CPU, each)
+		}
+	}
+	return total
+}
+
+// adopts reports whether a target is being taken over and will take tasks.
+func (t *target) adopts() bool {
+	return t.state == adopting && t.failedLooks == 0 && !t.Draining && !t.gone && !t.pool.barred
+}
+
 // supply is the processor that tasks of a size can have now, and the processor that
 // running tasks give back each millisecond.
 func (p *pool) supply(now time.Duration, each int64) (room int64, flow float64) {
--- a/scheduler/return_test.go
+++ b/scheduler/return_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -66,3 +67,25 @@
 	must.SliceEmpty(t, pickEffects[Answer](b.pass(280*ms)))
 	must.SliceLen(t, 1, pickEffects[Answer](b.pass(40*ms)))
 }
+
+// A new owner counts on the targets that it takes over, as many as there are: callers aren't
+// refused beside places that come in a moment, and not more are taken than these can serve
+// while the answers are of use, which is half a turn of their tasks.
+func TestNewOwnersCountOnTheTargetsTheyTakeOver(t *testing.T) {
+	b := newBench(t, Options{})
+	for i := range 10 {
+		b.target(fmt.Sprint("t", i), 1000)
+	}
+	b.do()
+	taken := 0
+	for i := range 30 {
+		if len(b.hurried(fmt.Sprint("j", i), 50*ms)) == 0 {
+			taken++
+		}
+		if i == 3 {
+			b.look("t0", work.Held{Clock: 5000})
+			b.do()
+		}
+	}
+	must.Between(t, 10, taken, 15)
+}
