Expect targets to be slow while they say that they are cold

Need: targets of a failure domain that was cordoned may be cold when it is given back; what that means for run times was read nowhere, and a slow run counted against its target and against what is learned of its queue. Change: the time that a target stays cold is read from its entry; runs that begin there meanwhile teach nothing, may take three times as long before they count against it, and go to warm targets first. That a target gets warm is no news of the registry, that it is cold again is.

--- a/owner/reader.go
+++ b/owner/reader.go
@@ -83,10 +83,10 @@
 		n.present[target.ID] = true
 	}
 	last, known := r.last[target.ID]
+	r.last[target.ID] = target
 	if known && sameTarget(last, target) {
 		return
 	}
-	r.last[target.ID] = target
 	n.changes = append(n.changes, change{id: target.ID, target: &target})
 }
 
--- a/owner/reader_test.go
+++ b/owner/reader_test.go
@@ -1,9 +1,11 @@
 package owner
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -63,3 +65,22 @@
 		must.Eq(t, test.want, is, must.Sprint(name))
 	}
 }
+
+// That a target gets warm is no news, and that it is cold again is.
+func TestWarmingUpIsNoNews(t *testing.T) {
+	cold := func(ms float64) mirror.Update {
+		value, err := json.Marshal(wire.Target{
+			Service: "service", Address: "127.0.0.1:1", Zone: "domain", State: wire.Ready, Capacity: wire.Resources{CPU: 4000}, ColdLeftMS: ms,
+		})
+		must.NoError(t, err)
+		return mirror.Update{Rows: platform.Rows{Rows: []platform.Row{{Key: "i", Value: value}}}}
+	}
+	r := newReader()
+	r.read(mirror.Update{Whole: true})
+	changes := r.read(cold(4500)).changes
+	must.SliceLen(t, 1, changes)
+	must.Eq(t, 4500*time.Millisecond, changes[0].target.WarmIn)
+	must.True(t, r.read(cold(3000)).empty())
+	must.True(t, r.read(cold(0)).empty())
+	must.SliceLen(t, 1, r.read(cold(4000)).changes)
+}
--- /dev/null
+++ b/scheduler/cold_test.go
@@ -0,0 +1,36 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// A target that is slow after its start, as those of a failure domain that was cordoned are,
+// is used where no warm one has room, isn't blamed for its run times, and leaves what was
+// learned of the queue and of itself as it was.
+func TestColdTargetsAreExpectedToBeSlow(t *testing.T) {
+	b := newBench(t, Options{})
+	b.usable("a", 2000)
+	b.usable("b", 1000)
+	b.listed(work.Target{ID: "a", Capacity: work.Resources{CPU: 2000}, WarmIn: 10 * time.Second})
+	b.submit("warm", 1, 1000, "")
+	first := pickEffects[StartRun](b.do())
+	must.Eq(t, "b", first[0].To.ID)
+	b.submit("cold", 1, 1000, "")
+	second := pickEffects[StartRun](b.do())
+	must.Eq(t, "a", second[0].To.ID)
+	b.begun(second)
+	ratio := b.s.kindOf("q").ratio
+	b.pass(700 * ms)
+	must.False(t, b.s.targets["a"].health.suspected)
+	must.MapEmpty(t, b.s.targets["a"].health.strikes)
+	b.look("a", ended(1, second[0].Run, work.EndDone))
+	must.Eq(t, 1, b.s.targets["a"].health.speed)
+	must.Eq(t, ratio, b.s.kindOf("q").ratio)
+	b.now += 10 * time.Second
+	must.False(t, b.s.targets["a"].cold(b.now))
+}
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -92,15 +92,15 @@
 		if t.health.suspected || !st.fitsBeside(t, t.free, taken[t]) || !s.may(now, t, j, st, tk) {
 			continue
 		}
-		if best == nil || better(t, best, st, tk) {
+		if best == nil || better(now, t, best, st, tk) {
 			best = t
 		}
 	}
 	return best
 }
 
-func better(t, than *target, st *step, tk *task) bool {
-	if a, b := t.rank(st, tk), than.rank(st, tk); a != b {
+func better(now time.Duration, t, than *target, st *step, tk *task) bool {
+	if a, b := t.rank(now, st, tk), than.rank(now, st, tk); a != b {
 		return a < b
 	}
 	return t.free.CPU < than.free.CPU
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -108,8 +108,9 @@
 // praise learns from a good end.
 func (s *State) praise(now time.Duration, t *target, r *run) {
 	h := &t.health
-	if st := r.task.step; r.adopted || st.Lasting || st.Fills {
-		// When it began isn't known, it was no good end, or others had the processor.
+	if st := r.task.step; r.adopted || r.cold || st.Lasting || st.Fills {
+		// When it began isn't known, its target was cold, it was no good end, or others had the
+		// processor.
 		return
 	}
 	took := now - r.ordered
@@ -140,6 +141,10 @@
 // do, it is the declared run times that are off.
 func (t *target) slow() bool { return t.health.speed > slowSpeed*max(t.pool.usual, 1) }
 
+// cold reports whether a target is still slow after its start, which is no sickness: nothing
+// is learned from what it runs, and others go first where they have room.
+func (t *target) cold(now time.Duration) bool { return now < t.warm }
+
 // usualSpeed is the median speed of a pool's targets.
 func (p *pool) usualSpeed() float64 {
 	if len(p.targets) == 0 {
@@ -206,7 +211,18 @@
 // overdue reports whether a run should have ended; one that lasts never should, and one
 // that fills has no time of its own.
 func (r *run) overdue(now time.Duration) bool {
-	return !r.task.step.Lasting && !r.task.step.Fills && now-r.ordered > time.Duration(overdueFactor*float64(r.expected))+overdueSlack
+	return !r.task.step.Lasting && !r.task.step.Fills && now-r.ordered > time.Duration(overdueFactor*float64(r.patience()))+overdueSlack
+}
+
+// coldFactor is how many times as long as usual a run may take on a cold target.
+const coldFactor = 3
+
+// patience is the expected run time, longer where the target was cold.
+func (r *run) patience() time.Duration {
+	if r.cold {
+		return coldFactor * r.expected
+	}
+	return r.expected
 }
 
 // hopelessFactor is beyond the longest run times, four times their mean, where
@@ -215,7 +231,7 @@
 
 // hopeless reports whether a run's time alone speaks against its target.
 func (r *run) hopeless(now time.Duration) bool {
-	return now-r.ordered > hopelessFactor*r.expected+overdueSlack
+	return now-r.ordered > hopelessFactor*r.patience()+overdueSlack
 }
 
 // stuckTime is the least time after which a run of a kept job is taken for stuck: the
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -135,7 +135,7 @@
 }
 
 // rank is lower for targets that suit a task better by other things than room.
-func (t *target) rank(st *step, tk *task) int {
+func (t *target) rank(now time.Duration, st *step, tk *task) int {
 	rank := 0
 	if st.Rack != "" && !slices.Contains(t.Labels, st.Rack) {
 		rank += 4
@@ -146,6 +146,9 @@
 	if t.health.suspected || t.slow() || len(t.health.strikes) > 0 {
 		rank++
 	}
+	if t.cold(now) {
+		rank++
+	}
 	return rank
 }
 
@@ -159,6 +162,7 @@
 		ordered:  now,
 		until:    t.lease.end(now, s.options.Lease),
 		expected: tk.step.expected,
+		cold:     t.cold(now),
 	}
 	j.begun++
 	if j.first == 0 {
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -159,10 +159,10 @@
 	var best *target
 	for bucket := bucketOf(st.Each.CPU); bucket < bucketCount; bucket++ {
 		for _, t := range p.buckets[bucket] {
-			if !s.may(now, t, j, st, tk) || best != nil && best.rank(st, tk) <= t.rank(st, tk) {
+			if !s.may(now, t, j, st, tk) || best != nil && best.rank(now, st, tk) <= t.rank(now, st, tk) {
 				continue
 			}
-			if best = t; t.rank(st, tk) == 0 {
+			if best = t; t.rank(now, st, tk) == 0 {
 				return t
 			}
 		}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -39,8 +39,10 @@
 	// been missing for too long is gone: it takes no new tasks.
 	missing time.Duration
 	gone    bool
-	free    work.Resources
-	runs    map[string]*run
+	// warm is from when on it runs tasks as fast as ever.
+	warm time.Duration
+	free work.Resources
+	runs map[string]*run
 	// flow is the processor that the runs give back each millisecond.
 	flow float64
 	// filed is the place in the pool's file; dirty targets may want a look.
@@ -120,6 +122,8 @@
 	expected time.Duration
 	// saved is what the task is known to have saved of its work.
 	saved string
+	// cold runs began while their target was slow after its start.
+	cold bool
 	// adopted runs were begun under a former owner, some time before they were ordered
 	// as this one sees it.
 	adopted bool
@@ -213,6 +217,7 @@
 	}
 	t.free = t.free.Plus(entry.Capacity).Minus(t.Capacity)
 	t.missing, t.gone = 0, false
+	t.warm = now + entry.WarmIn
 	t.Target = entry
 	s.touch(t)
 }
