--- a/owner/kept.go
+++ b/owner/kept.go
@@ -38,9 +38,8 @@
 	// openPause paces the tries.
 	openPause = 50 * time.Millisecond
 	// endWait is how long an answer waits for the end of a job that is running: twice
-	// the usual time in which an end is listed and noted. In a trial, callers asked
-	// within 2 ms of the last end and again after 250 ms; without the wait 2 of 269
-	// jobs with an objective of 160 ms were seen to end in time.
+	// the usual time in which an end is listed and noted. Callers ask as soon as a job should
+	// have ended, and not again before a short objective has passed.
 	endWait = 80 * time.Millisecond
 	// unstoredRetry is told while jobs can't be stored.
 	unstoredRetry = time.Second
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -198,9 +198,8 @@
 }
 
 // listedUntil is until when runs of a target are known to go on: a target that is asked
-// tells of an end at once, but while answers get lost silence tells nothing. Where a fifth of
-// them gets lost, a third of the targets came under suspicion for ends that were told and
-// lost.
+// tells of an end at once, but while answers get lost silence tells nothing: good targets would
+// come under suspicion for ends that were told and lost.
 func (s *State) listedUntil(now time.Duration, t *target) time.Duration {
 	if s.unsettled(now) {
 		return t.heard
--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -6,11 +6,10 @@
 	"github.com/burdockward/burdockward/work"
 )
 
-// Orders and looks without an answer are sent again, unchanged: where a fifth of them
-// stays unanswered and the first answer to one of four copies counts, one start in six
-// hundred is left in doubt, instead of one in five. A copy does no harm: a target that has
-// the run says so, one that has seen its end refuses it, and a copy that is carried out
-// late finds its lease over.
+// Orders and looks without an answer are sent again, unchanged, and the first answer counts:
+// few starts are left in doubt then, also where many answers get lost. A copy does no harm: a
+// target that has the run says so, one that has seen its end refuses it, and a copy that is
+// carried out late finds its lease over.
 //
 // What settling doubt may cost follows what this process has to spare, however many targets
 // it owns: answers that come late for want of processor look like lost ones, and copies of
@@ -59,9 +58,8 @@
 	// leastWeight lets the least time rise within some thousand answers, a few seconds.
 	leastWeight = 1.0 / 4096
 	// ampleLate and ampleFactor with ampleSlack are the lateness of ticks, and the time of
-	// answers against the least one, up to which there is processor for more looks. With
-	// 220 targets, looks up to the bounds of copies had half of the first starts wait for
-	// 8 ms instead of 6, and one in twenty for 49 instead of 17.
+	// answers against the least one, up to which there is processor for more looks that
+	// make no first start wait.
 	ampleLate   = 1500 * time.Microsecond
 	ampleFactor = 1.5
 	ampleSlack  = time.Millisecond
@@ -75,8 +73,7 @@
 	spareLate = 6 * time.Millisecond
 	// promptAnswer is the mean time of answers up to which copies are sent: two thirds of the
 	// longest pause, beyond which the answer would often come after the copy was sent. Ticks
-	// alone don't tell: they come in time while hundreds of answers wait for their turn, and
-	// looks that only they bounded took all of an owner's processor once.
+	// alone don't tell: they come in time while hundreds of answers wait for their turn.
 	promptAnswer = 20 * time.Millisecond
 	// missFading leaves a third of what was counted a second ago.
 	missFading = 0.98
