Keep an owner that is behind from acting on old news, and have it shed

Cause: with 1,000 targets an owner has more work in the seconds after a loss than processor. Change: news of the registry and of cordons goes before answers and jobs; a start that waited 250 ms in the process isn't sent but decided anew; an owner tells how far it is behind in its loads, so that entry VMs turn to others, and refuses new jobs from 150 ms on.

--- a/owner/cordon.go
+++ b/owner/cordon.go
@@ -12,7 +12,7 @@
 	if !view.Known() {
 		return
 	}
-	o.post(ctx, func(now time.Duration) {
+	o.postNews(ctx, func(now time.Duration) {
 		if view.Version < o.cordoned {
 			return
 		}
--- /dev/null
+++ b/owner/lag_test.go
@@ -0,0 +1,59 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/scheduler"
+	"github.com/burdockward/burdockward/work"
+)
+
+const ms = time.Millisecond
+
+func TestLag(t *testing.T) {
+	for name, test := range map[string]struct {
+		ticked, waited time.Duration
+		want           time.Duration
+	}{
+		"before the first tick":   {0, 0, 0},
+		"in time":                 {time.Second, 5 * ms, 0},
+		"paused by its quota":     {time.Second - lagSlack, 0, 0},
+		"stands still":            {time.Second - 300*ms, 0, 300 * ms},
+		"jobs wait to be read":    {time.Second, 200 * ms, 200 * ms},
+		"both, the longer counts": {time.Second - 300*ms, 200 * ms, 300 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var l lag
+			l.ticked.Store(int64(test.ticked))
+			l.read(test.waited)
+			must.Eq(t, test.want, l.behind(time.Second))
+		})
+	}
+}
+
+// What jobs have waited is forgotten when none come any more.
+func TestLagFades(t *testing.T) {
+	var l lag
+	l.read(time.Second)
+	for i := range 12 {
+		l.tick(time.Duration(i) * scheduler.TickInterval)
+	}
+	must.Zero(t, l.behind(12*scheduler.TickInterval))
+}
+
+// An owner whose decisions stand still refuses new jobs at once and tells when to come back,
+// and its loads turn entry VMs and other owners away from it.
+func TestAnOwnerThatIsBehindShedsJobs(t *testing.T) {
+	o, _ := idle(t)
+	o.loads.Store(&map[string]scheduler.Load{"service": {FreeCPU: 10, Room: scheduler.Room{Places: [scheduler.Priorities]int{1, 1, 1}}}})
+	o.lag.read(time.Hour)
+	outcome := <-submit(t, o, "1")
+	must.Eq(t, work.Refused, outcome.Result)
+	must.GreaterEq(t, time.Hour, outcome.RetryAfter)
+	load := o.Loads()["service"]
+	must.GreaterEq(t, time.Hour, load.Wait[0])
+	must.Eq(t, scheduler.Room{}, load.Room)
+	must.Eq(t, 1, (*o.loads.Load())["service"].Room.Places[0])
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -30,6 +30,12 @@
 	submissionsRoom = 512
 	// answersRoom holds the answers of all targets of a failure domain at once.
 	answersRoom = 4096
+	// newsRoom holds the news of a few readings.
+	newsRoom = 16
+	// staleOrder is how long the start of a run may wait in this process to be sent: what
+	// decided it, that its target doesn't leave or that its failure domain isn't cordoned, may
+	// be over. It is decided anew then.
+	staleOrder = 250 * time.Millisecond
 	// batch bounds the messages between two rounds of placing.
 	batch = 64
 	// registryWait bounds how long a dead connection to the store goes unnoticed,
@@ -92,8 +98,10 @@
 	submissions *ring.Ring[message]
 	vouches     vouches
 	answers     chan message
-	state       *scheduler.State
-	waiting     map[scheduler.Ref]chan work.Outcome
+	// news is what the operator and the registry say: it never waits behind answers.
+	news    chan message
+	state   *scheduler.State
+	waiting map[scheduler.Ref]chan work.Outcome
 	// made is when it was made, on the boot clock.
 	made     time.Duration
 	lastRef  scheduler.Ref
@@ -107,6 +115,7 @@
 	token   atomic.Int64
 	jobs    atomic.Int64
 	kept    keptJobs
+	lag     lag
 	// cordoned is the version of the view of cordons that was taken last.
 	cordoned int64
 	// loadsAt is when the loads were published.
@@ -129,6 +138,7 @@
 		options: o, targets: targets, store: store,
 		submissions: ring.New[message](submissionsRoom),
 		answers:     make(chan message, answersRoom),
+		news:        make(chan message, newsRoom),
 		state:       scheduler.New(o.Schedule),
 		waiting:     map[scheduler.Ref]chan work.Outcome{},
 		made:        bootclock.Now(),
@@ -192,6 +202,28 @@
 	}
 }
 
+// postNews hands the loop a message that goes before all answers and submissions: a target
+// that leaves, or a cordon, has to be known in time also where the owner is behind.
+func (o *Owner) postNews(ctx context.Context, m message) {
+	select {
+	case o.news <- m:
+	case <-ctx.Done():
+	case <-o.done:
+	}
+}
+
+// takeNews takes all news that waits.
+func (o *Owner) takeNews() {
+	for {
+		select {
+		case m := <-o.news:
+			m(bootclock.Now())
+		default:
+			return
+		}
+	}
+}
+
 func (o *Owner) loop(ctx context.Context) {
 	ticker := time.NewTicker(scheduler.TickInterval)
 	defer ticker.Stop()
@@ -203,9 +235,11 @@
 			return
 		case <-ticker.C:
 			m = o.tick
+		case m = <-o.news:
 		case m = <-o.answers:
 		case m = <-o.submissions.Items():
 		}
+		o.takeNews()
 		o.vouches.pass(bootclock.Now(), o.state)
 		m(bootclock.Now())
 		o.drain()
@@ -216,6 +250,7 @@
 
 // tick does what time alone decides.
 func (o *Owner) tick(now time.Duration) {
+	o.lag.tick(now)
 	o.readClocks(now)
 	o.state.Tick(now)
 	o.status()
@@ -279,7 +314,7 @@
 // Loads is how busy the targets are, by service.
 func (o *Owner) Loads() map[string]scheduler.Load {
 	if loads := o.loads.Load(); loads != nil {
-		return *loads
+		return delayed(*loads, o.lag.behind(bootclock.Now()))
 	}
 	return nil
 }
@@ -321,7 +356,10 @@
 
 func (o *Owner) start(ctx context.Context, e scheduler.StartRun, sent time.Duration) {
 	token, began := o.token.Load(), bootclock.Now()
-	answer := o.targets.Start(ctx, e.To, e.Order, token)
+	answer := work.OrderAnswer{Verdict: work.VerdictOvertaken}
+	if began-sent <= staleOrder {
+		answer = o.targets.Start(ctx, e.To, e.Order, token)
+	}
 	answer.Verdict = scheduler.Settle(answer.Verdict, token, o.token.Load())
 	o.options.Count("starts", answer.Verdict.String())
 	o.options.Observe("start_answer", bootclock.Now()-began)
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/burdockward/burdockward/bootclock"
 	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/platform/wire"
 	"github.com/burdockward/burdockward/scheduler"
@@ -236,3 +237,16 @@
 	}
 	return false
 }
+
+// A start that waited too long in its own process isn't sent: its target may be leaving by
+// then. It is decided anew.
+func TestStaleStartsAreNotSent(t *testing.T) {
+	target := newFencingTarget()
+	o := run(t, target)
+	must.Eq(t, work.Completed, (<-submit(t, o, "1")).Result)
+	stale := scheduler.StartRun{To: work.Address{ID: targetID}, Order: work.Order{Run: work.Run{Task: "late", Number: 9}}}
+	o.start(t.Context(), stale, bootclock.Now()-staleOrder-time.Millisecond)
+	must.SliceLen(t, 1, target.begun())
+	o.start(t.Context(), stale, bootclock.Now())
+	must.SliceLen(t, 2, target.begun())
+}
--- a/owner/reader_test.go
+++ b/owner/reader_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -84,3 +85,19 @@
 	must.True(t, r.read(cold(0)).empty())
 	must.SliceLen(t, 1, r.read(cold(4000)).changes)
 }
+
+// News goes before all that waits already: a target that leaves has to be known in time also
+// where the owner is behind.
+func TestNewsGoesBeforeAnswers(t *testing.T) {
+	o, _ := idle(t)
+	var order []string
+	for range 100 {
+		o.post(t.Context(), func(time.Duration) { order = append(order, "answer") })
+	}
+	o.postNews(t.Context(), func(time.Duration) { order = append(order, "news") })
+	ctx, end := context.WithCancel(t.Context())
+	o.post(t.Context(), func(time.Duration) { end() })
+	o.loop(ctx)
+	must.SliceContains(t, order[:2], "news")
+	must.SliceLen(t, 101, order)
+}
--- a/owner/registry.go
+++ b/owner/registry.go
@@ -31,7 +31,7 @@
 // tookRegistry reads what the store tells and passes on what is new.
 func (o *Owner) tookRegistry(ctx context.Context, update mirror.Update) {
 	if n := o.reader.read(update); !n.empty() {
-		o.post(ctx, func(now time.Duration) { o.listed(now, n) })
+		o.postNews(ctx, func(now time.Duration) { o.listed(now, n) })
 	}
 }
 
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -15,6 +15,10 @@
 
 // Submit runs a job to its end. The end of the context gives it up.
 func (o *Owner) Submit(ctx context.Context, sub scheduler.Submission) work.Outcome {
+	if retry, is := o.tooFarBehind(); is {
+		o.options.Count("jobs", "shed")
+		return work.Outcome{Result: work.Refused, Reason: "the owner is short of processor", RetryAfter: retry}
+	}
 	outcome := make(chan work.Outcome, 1)
 	var ref scheduler.Ref
 	taken := make(chan struct{})
@@ -22,7 +26,9 @@
 	accepted := o.submissions.Offer(func(now time.Duration) {
 		defer close(taken)
 		ref = o.await(&sub, outcome)
-		sub.Age += time.Since(arrived)
+		waited := time.Since(arrived)
+		o.lag.read(waited)
+		sub.Age += waited
 		if sub.Job.Kept && !o.mayAccept(sub) {
 			return
 		}
