Log by run number on which fact a run counts as over

After a report that two runs of one task met, nothing in the logs says which run an owner took for over, and why: a run of an ended job left no line, and lines named neither run number nor token. An owner now counts lost runs and withheld renewals by cause, and logs unanswered stops, late ends after the job, runs that go on although they counted as over, runs of another owner ordered after the first poll, jobs seen again, withdrawn parts and orders sent late. Lines about a run have its number, token, relay, lease ends and clock readings; a job that ran again or whose caller had returned has its history logged. No decision changes.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -13,9 +13,7 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -379,6 +377,8 @@
 			o.record(ctx, e)
 		case scheduler.LogEvent:
 			o.logEvent(e)
+		case scheduler.Count:
+			o.options.Count(e.Name, e.Kind)
 		case scheduler.JobHistory:
 			o.logHistory(e)
 		case scheduler.Deposed:
@@ -394,6 +394,7 @@
 // sendStart starts a run on a target, unless the decision to do so is older than maxStartAge.
 func (o *Owner) sendStart(ctx context.Context, e scheduler.StartRun, decided time.Duration) {
 	token, began := o.token.Load(), bootclock.Now()
+	o.noteLateOrder("start", e.To.ID, e.Run, token, began-decided)
 	answer := work.OrderAnswer{Verdict: work.VerdictStaleToken}
 	if began-decided <= maxStartAge {
 		answer = o.targets.Start(ctx, e.To, e.StartOrder, token)
@@ -410,6 +411,7 @@
 // sendStop stops a run on a target.
 func (o *Owner) sendStop(ctx context.Context, e scheduler.StopRun, decided time.Duration) {
 	token := o.token.Load()
+	o.noteLateOrder("stop", e.To.ID, e.Run, token, bootclock.Now()-decided)
 	answer := o.targets.Stop(ctx, e.To, e.Run, token)
 	answer.Verdict = scheduler.ResolveVerdict(answer.Verdict, token, o.token.Load())
 	o.options.Count("stops", answer.Verdict.String())
@@ -422,6 +424,9 @@
 // poll asks a target for its runs and completions.
 func (o *Owner) poll(ctx context.Context, e scheduler.Poll, decided time.Duration) {
 	token := o.token.Load()
+	if e.LeaseUntil > 0 {
+		o.noteLateOrder("poll", e.To.ID, work.RunID{}, token, bootclock.Now()-decided)
+	}
 	answer, verdict := o.targets.Poll(ctx, e.To, token, e.LeaseUntil, e.AckUpTo, e.Wait)
 	verdict = scheduler.ResolveVerdict(verdict, token, o.token.Load())
 	o.options.Count("looks", verdict.String())
@@ -475,33 +480,3 @@
 	o.options.Log.Warn("deposed: a target has seen a higher token", "target", e.Target, "token", o.token.Load())
 	o.state.Abandon(bootclock.Now())
 }
-
-// logEvent logs and counts an event of the scheduler.
-func (o *Owner) logEvent(e scheduler.LogEvent) {
-	o.options.Count("notes", e.Message)
-	level := slog.LevelInfo
-	if e.Failure {
-		level = slog.LevelWarn
-	}
-	o.options.Log.LogAttrs(context.Background(), level, e.Message,
-		slog.String("job", e.Job), slog.String("task", e.Task), slog.String("target", e.Target),
-		slog.String("detail", e.Detail), slog.Duration("age", e.Age))
-}
-
-// logHistory logs what happened to a job, in a single log line so that the log's limit drops
-// all of it or nothing.
-func (o *Owner) logHistory(e scheduler.JobHistory) {
-	level := slog.LevelWarn
-	if e.Result == work.Completed && e.Took <= e.Objective {
-		level = slog.LevelInfo
-	}
-	entries := make([]string, len(e.Entries))
-	for i, entry := range e.Entries {
-		entries[i] = strings.TrimSpace(fmt.Sprintf("%dms %s %s %s %s",
-			entry.At.Milliseconds(), entry.What, entry.Task, entry.Target, entry.Detail))
-	}
-	o.options.Log.LogAttrs(context.Background(), level, "job ended",
-		slog.String("job", e.Job), slog.String("queue", e.Queue), slog.String("result", e.Result.String()),
-		slog.String("reason", e.Reason), slog.Duration("took", e.Took), slog.Duration("objective", e.Objective),
-		slog.Any("trail", entries), slog.Int("trail_dropped", e.Dropped))
-}
--- a/relay/router.go
+++ b/relay/router.go
@@ -210,7 +210,9 @@
 		return r.options.Direct.Start(ctx, to, order, token)
 	}
 	r.options.Count("start_routes", "relay")
-	return r.sendOrder(ctx, s, to, &linkpb.Carry{Token: token, What: startToWire(order)})
+	answer := r.sendOrder(ctx, s, to, &linkpb.Carry{Token: token, What: startToWire(order)})
+	answer.Route = s.vm.Name
+	return answer
 }
 
 // Stop implements Targets.
--- a/relay/router_test.go
+++ b/relay/router_test.go
@@ -162,7 +162,9 @@
 	f := newFleet(t, 3, 100)
 	to := f.relayedTarget(t)
 	order := work.StartOrder{Run: work.RunID{Task: "j.0.0.1", Number: 5}, Payload: "p", SavedState: "s", Ticket: "t", LeaseUntilMS: 99}
-	must.Eq(t, work.OrderAnswer{Verdict: work.VerdictDone, ClockMS: 11}, f.Start(t.Context(), to, order, 11))
+	relay := f.usableStream(to.ID).vm.Name
+	must.NotEq(t, "", relay)
+	must.Eq(t, work.OrderAnswer{Verdict: work.VerdictDone, ClockMS: 11, Route: relay}, f.Start(t.Context(), to, order, 11))
 	must.Eq(t, work.OrderAnswer{Verdict: work.VerdictStaleRun, ClockMS: 9}, f.Stop(t.Context(), to, order.Run, 11))
 	held, verdict := f.Poll(t.Context(), to, 12, 34, 56, 78*time.Millisecond)
 	must.Eq(t, work.VerdictDone, verdict)
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -29,6 +29,7 @@
 		if j.isDurable() {
 			s.attachDurable(j, sub)
 		} else {
+			s.emit(Count{"jobs_seen_again", "present"})
 			s.attachCaller(now, j, sub)
 		}
 		return
@@ -57,6 +58,7 @@
 	}
 	j.pool.recordDemand(now, j)
 	j.record(now, "taken", "", "", s.describeLoad(j))
+	s.noteSeenAgain(now, j)
 	s.jobs[sub.Ref] = j
 	s.jobsByKey[sub.key()] = j
 	if s.restoreLosses(now, j); j.ended {
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -35,6 +35,7 @@
 		return
 	}
 	r.copies.unanswered--
+	r.route = answer.Route
 	switch verdict := answer.Verdict; {
 	case verdict == work.VerdictDone:
 		s.markRunning(r)
@@ -132,8 +133,8 @@
 	}
 	r.state = uncertain
 	s.recordMissedAnswer(now, t)
-	r.task.job.record(now, "start unanswered", r.Task, t.ID, "")
-	s.emit(LogEvent{Message: "start unanswered", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered})
+	r.task.job.recordRun(now, "start unanswered", r, "")
+	s.emit(LogEvent{Message: "start unanswered", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered, Run: r.facts(now)})
 	s.stop(now, r)
 	if r.task.step.Gang {
 		s.stopGang(now, r.task.step)
@@ -143,8 +144,9 @@
 // handleStartRefused takes back a run that the target certainly did not start.
 func (s *State) handleStartRefused(now time.Duration, t *target, r *run, verdict work.Verdict) {
 	j := r.task.job
-	s.emit(LogEvent{Message: "start refused", Job: j.sub.Job.ID, Task: r.Task, Target: t.ID, Detail: verdict.String(), Age: now - r.ordered})
-	j.record(now, "start refused", r.Task, t.ID, verdict.String())
+	s.emit(LogEvent{Message: "start refused", Job: j.sub.Job.ID, Task: r.Task, Target: t.ID, Detail: verdict.String(), Age: now - r.ordered, Run: r.facts(now)})
+	j.recordRun(now, "start refused", r, verdict.String())
+	s.evidence.addLostRun(now, r.RunID, "start refused: "+verdict.String())
 	j.possibleStarts--
 	if verdict == work.VerdictInvalidTicket {
 		r.task.step.dropTicket(t.ID)
@@ -252,7 +254,9 @@
 	}
 	s.clearTargetLoss(t)
 	t.failedPolls = 0
-	t.fenced = true
+	if !t.fenced {
+		t.fenced, t.fencedAt = true, now
+	}
 	t.ackedCompletion = t.ackSent
 	t.answeredPollSentAt = t.poll.SentAt
 	t.lease.update(answer.ClockMS, now)
@@ -315,7 +319,8 @@
 // stopUnknownRun stops a run whose owner or job this owner does not know.
 func (s *State) stopUnknownRun(now time.Duration, t *target, unknown work.RunID) {
 	if t.unknownRuns[unknown] == nil {
-		s.emit(LogEvent{Message: "stranger stopped", Task: unknown.Task, Target: t.ID})
+		s.emit(LogEvent{Message: "stranger stopped", Task: unknown.Task, Target: t.ID, Run: t.facts(now, unknown.Number)})
+		s.noteStranger(now, t, unknown)
 		t.unknownRuns[unknown] = &stopTry{first: now, last: now}
 		s.emit(StopRun{To: t.address(), Run: unknown})
 	}
@@ -345,9 +350,11 @@
 func (s *State) handleCompletion(now time.Duration, t *target, end work.Completion) {
 	r := t.runs[end.Run.Task]
 	if r == nil || r.RunID != end.Run {
+		s.noteLateCompletion(now, t, end)
 		s.handleUnknownCompletion(now, t, end)
 		return
 	}
+	r.endListed = true
 	if end.SavedState != "" {
 		r.saved = end.SavedState
 	}
@@ -371,9 +378,10 @@
 	s.recordSuccess(now, t, r)
 	j := r.task.job
 	if j.ended || r.task.done {
+		s.noteEndAfterJob(now, r, string(work.CompletionDone))
 		return
 	}
-	j.record(now, "done", r.Task, t.ID, "")
+	j.recordRun(now, "done", r, "")
 	j.markDone(r.task)
 	switch {
 	case j.openTasks == 0:
@@ -388,12 +396,14 @@
 func (s *State) failRun(now time.Duration, t *target, r *run) {
 	j := r.task.job
 	s.releaseRun(r)
-	s.emit(LogEvent{Message: "run failed", Job: j.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered})
-	j.record(now, "failed", r.Task, t.ID, "")
+	s.emit(LogEvent{Message: "run failed", Job: j.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered, Run: r.facts(now)})
+	j.recordRun(now, "failed", r, "")
 	s.recordFailedRun(now, t, j)
 	if j.ended || r.task.done {
+		s.noteEndAfterJob(now, r, string(work.CompletionFailed))
 		return
 	}
+	j.hasRerun = true
 	s.recordSaved(r.task, r.Number, r.saved)
 	r.task.fails++
 	r.task.lastFailedRun = r.Number
@@ -434,7 +444,10 @@
 			poll.Wait = s.pollWait(now)
 		}
 		if s.canRenewLease(now, t) {
+			t.renewalWithheld = false
 			s.renewLease(now, t, &poll)
+		} else {
+			s.noteRenewalWithheld(now, t)
 		}
 	case t.ackedCompletion < poll.AckUpTo:
 	default:
--- a/scheduler/delegate.go
+++ b/scheduler/delegate.go
@@ -49,6 +49,8 @@
 	step  *step
 	tasks []*task
 	to    capacityKey
+	// since is when they were delegated.
+	since time.Duration
 }
 
 // Parameters of delegation.
@@ -120,7 +122,7 @@
 // delegate hands tasks of a step to another owner as a new part.
 func (s *State) delegate(now time.Duration, j *job, st *step, tasks []*task, to capacityKey) {
 	s.lastPart++
-	s.parts[s.lastPart] = &delegatedPart{job: j, step: st, tasks: tasks, to: to}
+	s.parts[s.lastPart] = &delegatedPart{job: j, step: st, tasks: tasks, to: to, since: now}
 	j.possibleStarts++
 	names := make([]string, len(tasks))
 	for i, t := range tasks {
@@ -152,6 +154,7 @@
 	if j.ended {
 		return
 	}
+	s.notePartReturned(now, p, outcome)
 	j.record(now, "part returned", p.tasks[0].name, p.to.owner, outcome.Result.String()+" "+outcome.Reason)
 	switch outcome.Result {
 	case work.Completed:
@@ -188,6 +191,7 @@
 		if s.parts[id].job != j {
 			continue
 		}
+		s.notePartWithdrawn(now, s.parts[id])
 		s.emit(Withdraw{Part: id})
 		s.stoppingRuns[j.sub.Job.ID]++
 		s.withdrawn = append(s.withdrawn, withdrawal{job: j.sub.Job.ID, until: now + withdrawTimeout})
--- a/scheduler/history.go
+++ b/scheduler/history.go
@@ -6,8 +6,9 @@
 	"github.com/burdockward/burdockward/work"
 )
 
-// JobHistory lists the events of one job. It is logged when a job ends badly or late, and for a
-// sample of the others: the log has no line for each decision about the many jobs that go well.
+// JobHistory lists the events of one job. It is logged when a job ends badly or late, when a task of
+// it ran again or its caller had sent it before, and for a sample of the others: the log has no line
+// for each decision about the many jobs that go well.
 type JobHistory struct {
 	Job    string
 	Queue  string
@@ -28,6 +29,9 @@
 	Task   string
 	Target string
 	Detail string
+	// Run and LeaseUntil are the number of the run and the lease end that its start asked for; 0
+	// where the entry is about no run.
+	Run, LeaseUntil int64
 }
 
 func (JobHistory) effect() {}
@@ -49,11 +53,23 @@
 	j.history = append(j.history, HistoryEntry{At: now - j.arrived, What: what, Task: task, Target: target, Detail: detail})
 }
 
-// logHistory emits the history of a job that has ended, if the job went badly or is in the sample.
+// recordRun adds an entry about a run to its job's history.
+func (j *job) recordRun(now time.Duration, what string, r *run, detail string) {
+	if len(j.history) >= maxHistory {
+		j.historyDropped++
+		return
+	}
+	j.history = append(j.history, HistoryEntry{
+		At: now - j.arrived, What: what, Task: r.Task, Target: r.target.ID, Detail: detail, Run: r.Number, LeaseUntil: r.leaseUntil,
+	})
+}
+
+// logHistory emits the history of a job that has ended, if the job went badly or is in the sample,
+// or if runs of it may have met earlier ones.
 func (s *State) logHistory(now time.Duration, j *job, outcome work.Outcome) {
 	s.endedJobs++
 	good := outcome.Result == work.Completed && now <= j.objective
-	if good && s.endedJobs%sampleEvery != 0 || outcome.Result == work.Moved {
+	if good && !j.hasRerun && !j.returned && s.endedJobs%sampleEvery != 0 || outcome.Result == work.Moved {
 		return
 	}
 	s.emit(JobHistory{
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -52,6 +52,9 @@
 	historyDropped int
 	// failedTargets holds the targets on which a task of this job failed.
 	failedTargets map[string]bool
+	// hasRerun says that a run of it failed or was lost, returned that its caller had sent it
+	// before.
+	hasRerun, returned bool
 }
 
 // step is one step of one occurrence of a job.
@@ -172,7 +175,7 @@
 // newJob returns the job of a submission with all its steps and tasks. The State doesn't hold it
 // yet.
 func (s *State) newJob(now time.Duration, sub Submission) *job {
-	before := sub.waitedBefore()
+	before, returned := sub.waitedBefore(), sub.isReturned()
 	sub.Age += before
 	if sub.Wait > 0 {
 		sub.Wait += before
@@ -183,7 +186,7 @@
 		pool:     s.poolOf(sub.Queue.Service),
 		arrived:  now - sub.Age, submitted: now,
 		openTasks:     sub.Job.TaskCount() * sub.Job.Occurrences(),
-		failedTargets: map[string]bool{},
+		failedTargets: map[string]bool{}, returned: returned,
 	}
 	for occurrence := range sub.Job.Occurrences() {
 		for i, declared := range sub.Job.Steps {
@@ -351,6 +354,7 @@
 		s.rememberOutcome(now, j.sub, outcome)
 		s.emit(Answer{Ref: j.sub.Ref, Outcome: outcome, Times: j.times(now)})
 	}
+	s.noteUncleanEnd(now, j, outcome)
 	s.logHistory(now, j, outcome)
 	s.stopRuns(now, j)
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -189,7 +189,7 @@
 	}
 	s.assignRun(t, r)
 	t.lease.until = max(t.lease.until, r.leaseUntil)
-	j.record(now, "started", tk.name, t.ID, "")
+	j.recordRun(now, "started", r, "")
 	r.resumeFrom, r.ticket = tk.savedState().value, tk.step.advice.ticketFor(t.ID)
 	s.sendStart(now, r)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -92,6 +92,10 @@
 	// Age is how old the information behind the decision is, or how long its subject has existed; 0
 	// where neither applies.
 	Age time.Duration
+	// Counter and Kind count the event; without them it is counted by its message.
+	Counter, Kind string
+	// Run describes the run that the event is about; nil where there is none.
+	Run *RunFacts
 }
 
 func (StartRun) effect() {}
@@ -196,6 +200,7 @@
 	resend        resendPolicy
 	cordon        cordon
 	crashes       lossTracker
+	evidence      evidence
 	// lateCompletions holds, for each durable job whose end is being written to the store, the
 	// completions that arrived after its end.
 	lateCompletions map[string][]CompletionRef
@@ -253,6 +258,7 @@
 		resend:                newResendPolicy(o.SendOnce),
 		cordon:                cordon{known: !o.AwaitCordon},
 		crashes:               newLossTracker(),
+		evidence:              newEvidence(),
 		listedAtStart:         map[string]bool{},
 
 		recentOutcomes: map[jobRef]recentOutcome{},
@@ -345,6 +351,7 @@
 	}
 	s.expireWithdrawn(now)
 	s.expireOutcomes(now)
+	s.evidence.expire(now)
 	s.tickLosses(now)
 	s.retryAwaitingClaim(now)
 	for _, p := range s.pools {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -72,6 +72,10 @@
 	// yet. fenced says that the target has answered under this owner's fencing token.
 	inheritedRuns map[work.RunID]inheritedRun
 	fenced        bool
+	// fencedAt is when the present incarnation first answered so. renewalWithheld says that the
+	// last poll with runs did not extend their lease.
+	fencedAt        time.Duration
+	renewalWithheld bool
 	// latencySensitiveRuns and backgroundRuns count runs of such steps; backgroundCPU is the
 	// processor that the latter want.
 	latencySensitiveRuns, backgroundRuns int
@@ -111,6 +115,8 @@
 	// acked is when the target confirmed the stop; 0 before.
 	acked    time.Duration
 	attempts int
+	// noted says that the missing answer has been logged.
+	noted bool
 }
 
 // runState says what is known of a run.
@@ -146,6 +152,10 @@
 	cold bool
 	// listed runs were listed by a poll; isolated runs have their target to themselves.
 	listed, isolated bool
+	// endListed is set once the target has listed the run's completion; route is how the answered
+	// start order went.
+	endListed bool
+	route     string
 	// adopted runs were started by a previous owner; ordered is then when this owner took them
 	// over.
 	adopted bool
@@ -313,12 +323,13 @@
 // saved.
 func (s *State) loseRun(now time.Duration, r *run, why string) {
 	s.releaseRun(r)
+	s.noteLostRun(now, r, why)
 	if r.task.job.ended || r.task.done {
 		return
 	}
 	s.recordSaved(r.task, r.Number, r.saved)
-	r.task.job.record(now, "lost", r.Task, r.target.ID, why)
-	s.emit(LogEvent{Message: "run lost", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: r.target.ID, Detail: why, Age: now - r.ordered})
+	r.task.job.recordRun(now, "lost", r, why)
+	s.emit(LogEvent{Message: "run lost", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: r.target.ID, Detail: why, Age: now - r.ordered, Run: r.facts(now)})
 	s.requeue(now, r)
 }
 
@@ -366,7 +377,7 @@
 	if r.stop == nil {
 		r.stop = &stopTry{first: now, last: now}
 		s.markChanged(r.target)
-		r.task.job.record(now, "stopped", r.Task, r.target.ID, "")
+		r.task.job.recordRun(now, "stopped", r, "")
 		s.emit(StopRun{To: r.target.address(), Run: r.RunID})
 	}
 }
@@ -430,6 +441,7 @@
 // lost.
 func (s *State) tickTarget(now time.Duration, t *target) {
 	for _, r := range t.sortedRuns() {
+		s.noteOverdueStop(now, r)
 		s.tickRun(now, t, r)
 	}
 	for _, unknown := range t.sortedUnknownRuns() {
--- a/work/orders.go
+++ b/work/orders.go
@@ -77,6 +77,8 @@
 	Verdict Verdict
 	// ClockMS is the target's monotonic clock; 0 if the answer didn't contain it.
 	ClockMS int64
+	// Route is the relay that the order went by; empty if none.
+	Route string
 }
 
 // CompletionKind says how a run ended.
