Log jobs asked for again and orders that relays carry late

An entry VM left no line when it asked an owner for a job again or sent it to another owner, a relay none about an order, and a claim that was passed on by message could not be told from one whose message was lost. They are logged and counted now: repeated requests with the owner's incarnation, late and unanswered orders at a relay with run number and token, claims by message with and without an answer. No decision changes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -123,6 +124,11 @@
 	refusedBy map[string]bool
 	// latestStart is when the job has to start to be answered within its objective.
 	latestStart time.Duration
+	// last is the answer of the owner that was asked last, lastGroup its group; empty before.
+	last      work.Outcome
+	lastGroup string
+	// handedAgain says that a line about another owner was logged.
+	handedAgain bool
 }
 
 // Dispatch has a job run and returns its outcome, which it counts and logs. The job is given up
@@ -164,7 +170,9 @@
 			return work.Outcome{Result: work.Refused, Reason: "every failure domain is cordoned", RetryAfter: cordonedRetryAfter}
 		}
 		if chosen >= 0 {
+			e.noteHandedAgain(r, candidates[chosen])
 			outcome := e.runAt(ctx, r, candidates[chosen])
+			r.last, r.lastGroup = outcome, candidates[chosen].Group
 			switch outcome.Result {
 			case work.Moved:
 			case work.Refused:
@@ -190,6 +198,22 @@
 	}
 }
 
+// noteHandedAgain counts that a job goes to an owner after another one has answered about it. After
+// an answer other than a refusal it logs that, once for each request.
+func (e *Entry) noteHandedAgain(r *request, to Candidate) {
+	if r.lastGroup == "" {
+		return
+	}
+	e.options.Count("handed_again", r.last.Result.String())
+	if r.last.Result == work.Refused || r.handedAgain {
+		return
+	}
+	r.handedAgain = true
+	e.options.Log.LogAttrs(context.Background(), slog.LevelInfo, "job handed to an owner again",
+		slog.String("job", r.job.ID), slog.String("group", to.Group), slog.String("incarnation", strconv.FormatUint(to.Owner.Incarnation, 16)), slog.Bool("own", to.Self), slog.String("before", r.lastGroup),
+		slog.String("result", r.last.Result.String()), slog.String("reason", r.last.Reason), slog.Duration("age", bootclock.Now()-r.arrived))
+}
+
 // noBetterOwner reports whether no other owner is worth asking after a refusal. One that has not
 // refused the job itself is worth it if its forecast wait plus farPenalty is shorter than the
 // refusal's retry delay.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"log/slog"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -208,3 +211,26 @@
 		})
 	}
 }
+
+// A job that an owner handed back and that goes to an owner again is logged with both; after a
+// refusal it is only counted.
+func TestJobHandedAgainIsLogged(t *testing.T) {
+	for result, wantLines := range map[work.Result]int{work.Moved: 1, work.Refused: 0} {
+		f := newFakePeers([]work.Outcome{{Result: result, Reason: "why", RetryAfter: time.Second}, {Result: work.Completed}}, []work.Outcome{{Result: work.Completed}})
+		e := newEntry(f)
+		counts := map[string]int{}
+		e.options.Count = func(what, label string) { counts[what+" "+label]++ }
+		var lines bytes.Buffer
+		e.options.Log = slog.New(slog.NewJSONHandler(&lines, nil))
+		must.Eq(t, work.Completed, e.Dispatch(t.Context(), job, queue, 0).Result)
+		must.Eq(t, 1, counts["handed_again "+result.String()])
+		must.Eq(t, wantLines, bytes.Count(lines.Bytes(), []byte("\n")))
+		if wantLines == 0 {
+			continue
+		}
+		var line struct{ Msg, Job, Group, Before, Result, Reason string }
+		must.NoError(t, json.Unmarshal(lines.Bytes(), &line))
+		must.Eq(t, "job handed to an owner again j near near moved why",
+			strings.Join([]string{line.Msg, line.Job, line.Group, line.Before, line.Result, line.Reason}, " "))
+	}
+}
--- a/link/link.go
+++ b/link/link.go
@@ -10,8 +10,10 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -148,7 +150,11 @@
 )
 
 // Client calls other VMs.
-type Client struct{ http *http.Client }
+type Client struct {
+	http *http.Client
+	// Log gets a line for each job that is asked for again; with nil there are none.
+	Log *slog.Logger
+}
 
 // NewClient creates a client for calls to any VM.
 func NewClient() *Client {
@@ -209,6 +215,7 @@
 	for try := 0; try < maxRejoins && ctx.Err() == nil && !order.Job.Durable; try++ {
 		ago := time.Since(began)
 		order.Age, order.Previous = age+ago, PreviousRequest{Incarnation: to.Incarnation, Ago: ago}
+		c.noteRejoin(to, order, err)
 		if reply, err = c.run(ctx, to.ControlAddress, order); err == nil {
 			return outcomeFromWire(reply)
 		}
@@ -216,6 +223,14 @@
 	return work.Outcome{Result: work.Unknown, Reason: "the owner was lost: " + err.Error()}
 }
 
+// noteRejoin logs that a job, or a part of one, is asked for again at its owner.
+func (c *Client) noteRejoin(to heartbeat.Owner, order Order, err error) {
+	if c.Log != nil {
+		c.Log.Info("asking for a job again", "job", order.Job.ID, "part", order.Part, "group", order.Group, "address", to.ControlAddress,
+			"incarnation", strconv.FormatUint(to.Incarnation, 16), "age", order.Previous.Ago, "error", err)
+	}
+}
+
 // Release asks the previous owner which targets it does not use any more.
 func (c *Client) Release(ctx context.Context, address, group string, token int64) (owner.Released, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/node/calls.go
+++ b/node/calls.go
@@ -55,7 +55,7 @@
 		outcome, presence = o.Rejoin(ctx, submissionFromOrder(order), order.Previous.Ago, bootclock.Now() < until)
 	}
 	n.options.Count("rejoins", presence.String())
-	n.log.Info("job asked for again", "job", order.Job.ID, "entry", order.Entry, "given", order.Previous.Ago, "found", presence.String())
+	n.log.Info("job asked for again", "job", order.Job.ID, "entry", order.Entry, "given", order.Previous.Ago, "found", presence.String(), "part", order.Part)
 	return outcome
 }
 
@@ -111,6 +111,9 @@
 
 // HandOverClaim implements link.Handler.
 func (p peerCalls) HandOverClaim(held ownership.GroupClaim) {
+	p.node.options.Count("claims_passed", "received")
+	p.node.log.Info("claim received by message", "group", held.Group, "owner", held.Claim.GetVm(), "token", held.Version,
+		"incarnation", ownerName(held.Claim.GetLife()), "passed", held.Claim.GetPassed())
 	p.node.keeper.Merge([]ownership.GroupClaim{held})
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -126,6 +126,7 @@
 		peerClient: link.NewClient(),
 		config:     configuration{log: o.Log},
 	}
+	n.peerClient.Log = o.Log
 	n.cordons.init(n)
 	n.store = platform.NewStore(s.StoreAddress, platform.StoreEvents{Called: o.recordStoreCall, Clock: n.storeClock.setFromStore, Unreadable: o.reportUnreadableRow})
 	if s.AdvisorAddress != "" {
--- a/node/rejoin_test.go
+++ b/node/rejoin_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"net"
@@ -229,6 +231,22 @@
 	must.Eq(t, 0, stops)
 }
 
+// The entry VM logs that it asks for a job again, with the owner's incarnation.
+func TestRejoinIsLoggedAtEntryVM(t *testing.T) {
+	f := newFleet(t, time.Hour)
+	var lines bytes.Buffer
+	f.client.Log = slog.New(slog.NewJSONHandler(&lines, nil))
+	outcome := f.runJob(t.Context(), "1")
+	run := <-f.target.began
+	f.proxy.reset()
+	must.True(t, eventually(func() bool { return f.proxy.connections() == 2 }))
+	f.target.end(run, work.CompletionDone)
+	must.Eq(t, work.Completed, (<-outcome).Result)
+	var line struct{ Msg, Job, Incarnation string }
+	must.NoError(t, json.Unmarshal(lines.Bytes(), &line))
+	must.Eq(t, "asking for a job again 1 7", line.Msg+" "+line.Job+" "+line.Incarnation)
+}
+
 // The outcome of a job that ended before its connection broke can still be asked for, by the entry
 // VM that requested the job and by no other.
 func TestRejoinReturnsOutcomeOfEndedJob(t *testing.T) {
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -192,7 +193,8 @@
 	}
 	k.claims[claim.Group] = claim
 	k.seenAt[claim.Group] = bootclock.Now()
-	k.options.Log.Info("owner changed", "group", claim.Group, "owner", claim.Claim.GetVm(), "token", claim.Version)
+	k.options.Log.Info("owner changed", "group", claim.Group, "owner", claim.Claim.GetVm(), "token", claim.Version,
+		"incarnation", strconv.FormatUint(claim.Claim.GetLife(), 16), "passed", claim.Claim.GetPassed())
 }
 
 func (k *Keeper) notify() { k.options.ClaimsChanged(k.Claims()) }
@@ -319,6 +321,19 @@
 	handedOver := GroupClaim{Group: k.options.Group, Claim: claim, Version: own.Version}
 	// The claim is merged also if no answer came, because the successor may own the group.
 	err = sender.HandOverClaim(context.WithoutCancel(ctx), to.ControlAddress, handedOver)
+	k.noteClaimPassed(handedOver, err)
 	k.Merge([]GroupClaim{handedOver})
 	return err
 }
+
+// noteClaimPassed counts a claim that was handed over by message, and logs it if no answer came:
+// whether the other VM owns the group is not known then.
+func (k *Keeper) noteClaimPassed(claim GroupClaim, err error) {
+	result := "answered"
+	if err != nil {
+		result = "unanswered"
+		k.options.Log.Warn("claim passed on without an answer", "group", claim.Group, "owner", claim.Claim.GetVm(), "token", claim.Version,
+			"incarnation", strconv.FormatUint(claim.Claim.GetLife(), 16), "passed", claim.Claim.GetPassed(), "error", err)
+	}
+	k.options.Count("claims_passed", result)
+}
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"testing"
 	"time"
@@ -270,3 +271,24 @@
 	must.False(t, ShouldClaim(Observation{Current: &held, VM: "v", Incarnation: 1, ClaimAge: 100 * ms, OwnerSilent: 100 * ms}))
 	must.True(t, ShouldClaim(Observation{Current: &held, VM: "v", Incarnation: 1, ClaimAge: time.Second, OwnerSilent: time.Second}))
 }
+
+// unansweringSender gets a claim and loses the answer.
+type unansweringSender struct{ fakeClaimSender }
+
+func (f *unansweringSender) HandOverClaim(ctx context.Context, address string, claim GroupClaim) error {
+	_ = f.fakeClaimSender.HandOverClaim(ctx, address, claim)
+	return errors.New("no answer")
+}
+
+// A claim that is handed over by message is counted by whether the message was answered.
+func TestClaimsPassedAreCounted(t *testing.T) {
+	counts := map[string]int{}
+	for _, sender := range []ClaimSender{&fakeClaimSender{}, &unansweringSender{}} {
+		k := newKeeper(&fakeStore{version: 5, err: platform.ErrStoreUnavailable.Errorf("away")}, func([]GroupClaim) {})
+		k.options.Count = func(what, label string) { counts[what+" "+label]++ }
+		k.Merge([]GroupClaim{{Group: "g", Version: 5, Claim: &linkpb.Claim{Vm: "v", Life: 1}}})
+		_ = k.HandOver(t.Context(), successor, sender)
+	}
+	must.Eq(t, 1, counts["claims_passed answered"])
+	must.Eq(t, 1, counts["claims_passed unanswered"])
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -137,16 +137,23 @@
 	to := work.TargetAddress{ID: order.GetId(), Address: order.GetAddress()}
 	switch what := order.GetWhat().(type) {
 	case *linkpb.Carry_Start:
-		if bootclock.Now()-received > staleOrderAge {
+		if waited := bootclock.Now() - received; waited > staleOrderAge {
+			s.noteCarried("start not carried", order, waited, work.VerdictUnsent)
 			return &linkpb.Carried{Verdict: int32(work.VerdictUnsent)}
 		}
 		s.Count("carried", "start")
-		return orderAnswerToWire(s.Targets.Start(ctx, to, startFromWire(what.Start), order.GetToken()))
+		answer := s.Targets.Start(ctx, to, startFromWire(what.Start), order.GetToken())
+		if answer.Verdict == work.VerdictUnknown || answer.Verdict == work.VerdictConnectionLost {
+			s.noteCarried("carried start unanswered", order, bootclock.Now()-received, answer.Verdict)
+		}
+		return orderAnswerToWire(answer)
 	case *linkpb.Carry_Stop:
 		s.Count("carried", "stop")
+		s.noteIfLate(order, bootclock.Now()-received)
 		return orderAnswerToWire(s.Targets.Stop(ctx, to, runFromWire(what.Stop.GetRun()), order.GetToken()))
 	case *linkpb.Carry_Look:
 		s.Count("carried", "look")
+		s.noteIfLate(order, bootclock.Now()-received)
 		poll := what.Look
 		held, verdict := s.Targets.Poll(ctx, to, order.GetToken(), poll.GetUntilMs(), poll.GetSeen(), time.Duration(poll.GetWaitUs())*time.Microsecond)
 		answer := pollAnswerToWire(held)
@@ -157,6 +164,26 @@
 	}
 }
 
+// noteIfLate logs a stop, or a poll that extends a lease, that waited long in this process.
+func (s *Server) noteIfLate(order *linkpb.Carry, waited time.Duration) {
+	if waited > staleOrderAge && (order.GetStop() != nil || order.GetLook().GetUntilMs() > 0) {
+		s.noteCarried("order carried late", order, waited, work.VerdictUnknown)
+	}
+}
+
+// noteCarried counts and logs an order that was not carried out at once or may not have been.
+func (s *Server) noteCarried(message string, order *linkpb.Carry, age time.Duration, verdict work.Verdict) {
+	s.Count("carried_badly", message)
+	run, until := order.GetStart().GetRun(), order.GetStart().GetUntilMs()
+	if stop := order.GetStop(); stop != nil {
+		run = stop.GetRun()
+	}
+	s.Log.LogAttrs(context.Background(), slog.LevelWarn, message,
+		slog.String("task", run.GetTask()), slog.String("target", order.GetId()), slog.Duration("age", age),
+		slog.Int64("run", run.GetNumber()), slog.Int64("token", order.GetToken()),
+		slog.Int64("lease_until", max(until, order.GetLook().GetUntilMs())), slog.String("verdict", verdict.String()))
+}
+
 // orderAnswerToWire converts the answer to a start or a stop.
 func orderAnswerToWire(a work.OrderAnswer) *linkpb.Carried {
 	return &linkpb.Carried{Verdict: int32(a.Verdict), ClockMs: a.ClockMS}
