Give lines about late orders and withdrawn parts the lower level

They come in bursts when an owner or a relay is short of processor, and would take the room that the log reserves for lines of failed requests: up to 200 a second with the level of failures, up to 80 with the lower one. They are counted in full either way. The lines that show that runs may have met keep the level of failures.

--- a/owner/log.go
+++ b/owner/log.go
@@ -21,7 +21,7 @@
 		return
 	}
 	o.options.Count("orders_late", kind)
-	o.options.Log.LogAttrs(context.Background(), slog.LevelWarn, "order sent late",
+	o.options.Log.LogAttrs(context.Background(), slog.LevelInfo, "order sent late",
 		slog.String("order", kind), slog.String("task", run.Task), slog.String("target", target),
 		slog.Duration("age", waited), slog.Int64("run", run.Number), slog.Int64("token", token))
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -178,7 +178,7 @@
 	if stop := order.GetStop(); stop != nil {
 		run = stop.GetRun()
 	}
-	s.Log.LogAttrs(context.Background(), slog.LevelWarn, message,
+	s.Log.LogAttrs(context.Background(), slog.LevelInfo, message,
 		slog.String("task", run.GetTask()), slog.String("target", order.GetId()), slog.Duration("age", age),
 		slog.Int64("run", run.GetNumber()), slog.Int64("token", order.GetToken()),
 		slog.Int64("lease_until", max(until, order.GetLook().GetUntilMs())), slog.String("verdict", verdict.String()))
--- a/scheduler/evidence.go
+++ b/scheduler/evidence.go
@@ -240,7 +240,7 @@
 // notePartWithdrawn logs that the owner of a part is told to stop it.
 func (s *State) notePartWithdrawn(now time.Duration, p *delegatedPart) {
 	s.emit(LogEvent{
-		Failure: true, Message: "part withdrawn", Counter: "parts", Kind: "withdrawn",
+		Message: "part withdrawn", Counter: "parts", Kind: "withdrawn",
 		Job: p.job.sub.Job.ID, Task: p.tasks[0].name, Detail: s.describePart(now, p), Age: now - p.since,
 	})
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -82,7 +82,7 @@
 
 // LogEvent is a decision or a change of state, to be logged.
 type LogEvent struct {
-	// Failure marks lines that explain why a request failed.
+	// Failure marks lines that explain why a request failed, or that show that runs may have met.
 	Failure bool
 	Message string
 	Job     string
