Start nothing for a request that outlasted its own keepalive

Callers saw: nothing at this place; found by reading beside the fault of replaced requests. Cause: the age of a request was checked when its connection was read, not when the owner's loop got to it. After a process pause in between, fresh keepalives of the entry VM vouched for a request that this VM had long given up, and that may have been placed elsewhere; what is remembered of replaced requests lasts for a second only. Evidence: TestRequestOlderThanItsKeepaliveStartsNothing; the entry of its guard in the list of mutants is caught. Why it works: the request carries the end of its own keepalive, and the decision checks it. Refusals need not be remembered for requests that replace others, as those start nothing anyway, so that code is gone; the mutant of the check for replaced requests survived with it and is caught now.

--- a/node/calls.go
+++ b/node/calls.go
@@ -36,7 +36,7 @@
 // submissionFromOrder converts an order of another VM to a submission.
 func submissionFromOrder(order link.Order) scheduler.Submission {
 	return scheduler.Submission{
-		Entry: order.Entry, Request: order.Request, Job: order.Job, Queue: order.Queue, Age: order.Age, Wait: order.Wait, Part: order.Part,
+		Entry: order.Entry, Request: order.Request, Expires: keepaliveEnd(order), Job: order.Job, Queue: order.Queue, Age: order.Age, Wait: order.Wait, Part: order.Part,
 	}
 }
 
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -15,6 +15,10 @@
 		s.answer(sub, work.Outcome{Result: work.Unknown, Reason: "the job was asked for again"})
 		return
 	}
+	if sub.isStale(now) {
+		s.answer(sub, work.Outcome{Result: work.Moved, Reason: "the request waited too long at this VM"})
+		return
+	}
 	s.admit(now, sub)
 }
 
@@ -22,7 +26,7 @@
 // whether a later request replaced this one.
 func (s *State) admit(now time.Duration, sub Submission) {
 	if s.leaving {
-		s.reject(now, sub, work.Outcome{Result: work.Moved, Reason: "another VM orders the targets"})
+		s.answer(sub, work.Outcome{Result: work.Moved, Reason: "another VM orders the targets"})
 		return
 	}
 	if j := s.jobsByKey[sub.key()]; j != nil {
@@ -35,21 +39,21 @@
 		return
 	}
 	if reason, poisoned := s.poisonedReason(sub); poisoned {
-		s.reject(now, sub, work.Outcome{Result: work.Failed, Reason: reason})
+		s.answer(sub, work.Outcome{Result: work.Failed, Reason: reason})
 		return
 	}
 	if s.cordon.isCordoned() {
-		s.reject(now, sub, work.Outcome{Result: work.Refused, Reason: cordonedReason, RetryAfter: cordonedRetryAfter})
+		s.answer(sub, work.Outcome{Result: work.Refused, Reason: cordonedReason, RetryAfter: cordonedRetryAfter})
 		return
 	}
 	j := s.newJob(now, sub)
 	if why := s.unservableReason(j); why != "" {
-		s.reject(now, sub, work.Outcome{Result: work.Refused, Reason: why, RetryAfter: unservableRetryAfter})
+		s.answer(sub, work.Outcome{Result: work.Refused, Reason: why, RetryAfter: unservableRetryAfter})
 		return
 	}
 	if sub.Part != nil {
 		if !s.canTakePart(now, j) {
-			s.reject(now, sub, work.Outcome{Result: work.Refused, Reason: "no room for a part"})
+			s.answer(sub, work.Outcome{Result: work.Refused, Reason: "no room for a part"})
 			return
 		}
 	} else if wait, ok := s.forecastStart(now, j); !ok {
@@ -78,15 +82,6 @@
 	s.emit(Answer{Ref: sub.Ref, Outcome: outcome})
 }
 
-// reject answers a submission that isn't accepted. If it replaces an earlier request, the outcome is
-// remembered for those that replace it in turn.
-func (s *State) reject(now time.Duration, sub Submission, outcome work.Outcome) {
-	if s.isSuperseded(now, sub) {
-		s.rememberOutcome(now, sub, outcome)
-	}
-	s.answer(sub, outcome)
-}
-
 // attachCaller connects a running job to the caller that sent it again; that caller has given up
 // its earlier request.
 func (s *State) attachCaller(now time.Duration, j *job, sub Submission) {
@@ -138,7 +133,7 @@
 		wait.Round(time.Millisecond), (j.latestStart-now).Round(time.Millisecond), s.describeLoad(j)))
 	outcome := work.Outcome{Result: work.Refused, Reason: "too much work waits", RetryAfter: wait}
 	s.logHistory(now, j, outcome)
-	s.reject(now, j.sub, outcome)
+	s.answer(j.sub, outcome)
 }
 
 // startMarginShare of the objective is by how much a forecast start must be earlier than needed.
--- a/scheduler/rejoin.go
+++ b/scheduler/rejoin.go
@@ -36,6 +36,10 @@
 	at      time.Duration
 }
 
+// isStale reports whether a request has waited so long at this VM that its entry VM may have given it
+// up. Later keepalives don't vouch for it.
+func (sub Submission) isStale(now time.Duration) bool { return sub.Expires > 0 && now >= sub.Expires }
+
 // answers reports whether an outcome is that of a request sent some time ago. Without a number it
 // may be that of an earlier request, whose outcome the entry VM had before it sent this one.
 func (past recentOutcome) answers(now time.Duration, sub Submission, ago time.Duration) bool {
@@ -100,7 +104,7 @@
 		s.answer(sub, past.outcome)
 		return Present
 	}
-	if s.isSuperseded(now, sub) {
+	if s.isSuperseded(now, sub) || begin && sub.isStale(now) {
 		return Forgotten
 	}
 	if ago >= outcomeRetention || s.outcomeDiscardedAt > 0 && now-s.outcomeDiscardedAt <= outcomeRetention || len(s.superseded) >= maxRecentOutcomes {
--- a/scheduler/rejoin_test.go
+++ b/scheduler/rejoin_test.go
@@ -140,3 +140,26 @@
 		must.MapEmpty(t, b.s.superseded)
 	}
 }
+
+// A request that has waited in this process for longer than its own keepalive starts nothing, even
+// if its entry VM has sent other keepalives since: it may have given the request up.
+func TestRequestOlderThanItsKeepaliveStartsNothing(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.addUsableTarget("a", 2)
+	b.s.EntryKeepalive("e", b.now+time.Hour)
+	sub := Submission{
+		Ref: 1, Entry: "e", Request: 1, Expires: b.now,
+		Job:   work.Job{ID: "j", Steps: []work.Step{{Tasks: 1, PerTask: work.Resources{CPU: 1}, DeclaredRunTime: 100 * ms}}},
+		Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+	}
+	b.s.Submit(b.now, sub)
+	effects := b.effects()
+	must.Eq(t, work.Moved, pickEffects[Answer](effects)[0].Outcome.Result)
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	sub.Ref = 2
+	must.Eq(t, Forgotten, b.s.Rejoin(b.now, sub, ms, true))
+	must.SliceEmpty(t, b.effects())
+	sub.Ref, sub.Expires = 3, b.now+ms
+	b.s.Submit(b.now, sub)
+	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,6 +30,9 @@
 	// Request numbers the requests of Entry. A request and those that replace it after its
 	// connection broke have the same number; 0 means that the entry VM doesn't number them.
 	Request uint64
+	// Expires is when the keepalive of the request itself ends, on the State's clock: from then on
+	// the request starts nothing. 0 means never.
+	Expires time.Duration
 	Job     work.Job
 	// Part names the tasks if another owner delegates a part of a job: its one step has just these
 	// tasks. A part is accepted only if it can start at once.
