Carry the caller's entry VM with a lent part

Need: an owner that runs a part of another owner's job knows only the lender as its entry VM, so that the loss of the VM that took the job from its caller reaches it through a chain of two keepalives. Change: an order for a part, and its submission, name that VM; nothing uses it yet. A VM of an older build sends none, which means the lender.

--- a/link/link.go
+++ b/link/link.go
@@ -40,6 +40,9 @@
 	Age, Wait time.Duration
 	// Part names the tasks if the order is a part of a job that another owner delegates.
 	Part []string
+	// Origin is the heartbeat.EntryID of the VM that received the job of a part; empty if that is
+	// Entry.
+	Origin string
 	// Previous is the earlier request for the same job; zero in a first request.
 	Previous PreviousRequest
 	// Request is the number that Client gives a request and those that replace it.
@@ -96,6 +99,7 @@
 		Age:       duration(r.GetAgeUs()),
 		Wait:      duration(r.GetWaitUs()),
 		Part:      r.GetPart(),
+		Origin:    r.GetOrigin(),
 
 		Previous: PreviousRequest{Incarnation: r.GetGivenLife(), Ago: duration(r.GetGivenUs())},
 		Request:  r.GetRequest(),
@@ -191,6 +195,7 @@
 		AgeUs:  micros(order.Age),
 		WaitUs: micros(order.Wait),
 		Part:   order.Part,
+		Origin: order.Origin,
 
 		GivenLife: order.Previous.Incarnation,
 		GivenUs:   micros(order.Previous.Ago),
--- a/node/calls.go
+++ b/node/calls.go
@@ -24,7 +24,7 @@
 		return work.Outcome{Result: work.Moved, Reason: "not the owner, or the order is stale"}
 	}
 	o.RecordKeepalive(order.Entry, until, nil)
-	return o.Submit(ctx, submissionFromOrder(order))
+	return o.Submit(ctx, n.submissionFromOrder(order))
 }
 
 // keepaliveEnd returns when an order's own keepalive expires, on this VM's boot clock: the owner
@@ -34,9 +34,13 @@
 }
 
 // submissionFromOrder converts an order of another VM to a submission.
-func submissionFromOrder(order link.Order) scheduler.Submission {
+func (n *Node) submissionFromOrder(order link.Order) scheduler.Submission {
+	origin := order.Origin
+	if origin == heartbeat.EntryID(n.self.VM, n.self.Incarnation) {
+		origin = ""
+	}
 	return scheduler.Submission{
-		Entry: order.Entry, Request: order.Request, Expires: keepaliveEnd(order), Job: order.Job, Queue: order.Queue, Age: order.Age, Wait: order.Wait, Part: order.Part,
+		Entry: order.Entry, Origin: origin, Request: order.Request, Expires: keepaliveEnd(order), Job: order.Job, Queue: order.Queue, Age: order.Age, Wait: order.Wait, Part: order.Part,
 	}
 }
 
@@ -47,12 +51,12 @@
 	outcome := work.Outcome{Result: work.Unknown, Reason: "the connection broke, and who owned the targets then has ended"}
 	presence := scheduler.Forgotten
 	if o := n.outgoingOwner(); o != nil {
-		outcome, presence = o.Rejoin(ctx, submissionFromOrder(order), order.Previous.Ago, false)
+		outcome, presence = o.Rejoin(ctx, n.submissionFromOrder(order), order.Previous.Ago, false)
 	}
 	if o := n.currentOwner(); o != nil && presence != scheduler.Present && order.Previous.Incarnation == n.self.Incarnation {
 		until := keepaliveEnd(order)
 		o.RecordKeepalive(order.Entry, until, nil)
-		outcome, presence = o.Rejoin(ctx, submissionFromOrder(order), order.Previous.Ago, bootclock.Now() < until)
+		outcome, presence = o.Rejoin(ctx, n.submissionFromOrder(order), order.Previous.Ago, bootclock.Now() < until)
 	}
 	n.options.Count("rejoins", presence.String())
 	n.log.Info("job asked for again", "job", order.Job.ID, "entry", order.Entry, "given", order.Previous.Ago, "found", presence.String(), "part", order.Part)
--- a/node/delegate.go
+++ b/node/delegate.go
@@ -45,7 +45,7 @@
 		}
 		outcome := n.peerClient.RunWhileAlive(ctx, view.Alive, view.Owner, link.Order{
 			Group: held.Group, Entry: heartbeat.EntryID(n.self.VM, n.self.Incarnation), Timestamp: view.Timestamp,
-			Job: sub.Job, Queue: sub.Queue, Age: sub.Age, Wait: sub.Wait, Part: sub.Part,
+			Job: sub.Job, Queue: sub.Queue, Age: sub.Age, Wait: sub.Wait, Part: sub.Part, Origin: sub.Origin,
 		})
 		if outcome.Result == work.Unknown {
 			n.heartbeats.GiveUp(view.Incarnation, sub.Job.ID)
--- a/scheduler/delegate.go
+++ b/scheduler/delegate.go
@@ -131,10 +131,11 @@
 	part := st.Step
 	part.Tasks, part.DependsOn = len(tasks), nil
 	sub := Submission{
-		Part:  names,
-		Job:   work.Job{ID: j.sub.Job.ID, Payload: j.sub.Job.Payload, Steps: []work.Step{part}},
-		Queue: j.sub.Queue,
-		Age:   now - j.arrived,
+		Part:   names,
+		Origin: j.sub.Entry,
+		Job:    work.Job{ID: j.sub.Job.ID, Payload: j.sub.Job.Payload, Steps: []work.Step{part}},
+		Queue:  j.sub.Queue,
+		Age:    now - j.arrived,
 	}
 	if j.deadline > 0 {
 		sub.Wait = j.deadline - j.arrived
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -27,6 +27,9 @@
 	// Entry is the VM that took the job from its caller and sends keepalives for it; empty means
 	// this VM.
 	Entry string
+	// Origin is the VM that took the job of a part from its caller, if that is neither Entry nor this
+	// VM. Its keepalives count as well as those of Entry.
+	Origin string
 	// Request numbers the requests of Entry. A request and those that replace it after its
 	// connection broke have the same number; 0 means that the entry VM doesn't number them.
 	Request uint64
