Show runs that outlive the loss of their caller's entry VM

Callers saw: a job that they send again 1.3 s after a broken connection may meet its first run. Cause: the keepalive of an entry VM, the owner's lag, the wait for a stop's answer and the lease add up; for a lent part the keepalive of the lender comes on top. No rule bounds the sum.

--- a/scheduler/overlap_test.go
+++ b/scheduler/overlap_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -31,3 +32,54 @@
 	b.answerPoll(start.To.ID, work.PollAnswer{ClockMS: 5450})
 	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
 }
+
+// resendDelay is how long after a broken connection callers send a job again.
+const resendDelay = 1300 * ms
+
+// playLostEntry loses the entry VM of a running job, or of one that lent a part, whose target answers
+// polls but no stops. It returns for how long after the loss the target's lease lasts if its clock is
+// 2 % slow. A lender notices the loss as late as it may and can't tell this owner.
+func playLostEntry(t *testing.T, sub Submission, tick time.Duration) time.Duration {
+	b := newHarness(t, Options{})
+	b.addUsableTarget("a", 4)
+	b.submit("other", 1, 1, "")
+	other := pickEffects[StartRun](b.effects())[0]
+	b.s.HandleStartAnswer(b.now, "a", other.Run, doneAnswer(5000))
+	lost := b.now
+	b.s.EntryKeepalive("e", lost+keepaliveLifetime)
+	b.s.EntryKeepalive("lender", lost+2*keepaliveLifetime+TickInterval)
+	sub.Ref = 1
+	sub.Job = work.Job{ID: "j", Steps: []work.Step{{Tasks: 1, PerTask: work.Resources{CPU: 1}, DeclaredRunTime: time.Second}}}
+	sub.Queue = work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second}
+	b.s.Submit(b.now, sub)
+	run := pickEffects[StartRun](b.effects())[0]
+	clock := func() int64 { return 5000 + int64(0.98*float64((b.now-lost).Milliseconds())) }
+	b.s.HandleStartAnswer(b.now, "a", run.Run, doneAnswer(clock()))
+	until := run.LeaseUntilMS
+	for nextTick := b.now + TickInterval - ms; clock() <= until; b.now += ms {
+		b.answerPoll("a", work.PollAnswer{ClockMS: clock(), Running: listing(run.Run, other.Run)})
+		if b.now >= nextTick {
+			b.s.Tick(b.now)
+			nextTick += tick
+		}
+		for _, poll := range pickEffects[Poll](b.effects()) {
+			until = max(until, poll.LeaseUntil)
+		}
+	}
+	return b.now - lost
+}
+
+// The run of a lost entry VM is over before its caller sends the job again.
+func TestRunOfLostEntryVMEndsBeforeItsCallerReturns(t *testing.T) {
+	must.Less(t, resendDelay, playLostEntry(t, Submission{Entry: "e"}, TickInterval))
+}
+
+// The same holds at an owner that is behind, but not so far that it counts as paused.
+func TestRunOfLostEntryVMEndsAtSlowOwnerBeforeItsCallerReturns(t *testing.T) {
+	must.Less(t, resendDelay, playLostEntry(t, Submission{Entry: "e"}, 390*ms))
+}
+
+// The same holds for a part that another owner has lent.
+func TestPartOfLostEntryVMEndsBeforeItsCallerReturns(t *testing.T) {
+	must.Less(t, resendDelay, playLostEntry(t, Submission{Entry: "lender", Origin: "e", Part: []string{"j.0.0.0"}}, TickInterval))
+}
