End leases before the callers of lost entry VMs return

Callers saw: a job that they send again 1.3 s after a broken connection may meet its first run. Cause: the owner extended a target's lease by 800 ms as long as it had not found out that an entry VM was lost and that a stop had no answer; those times, its own lag, and for a lent part the lender's keepalive, add up to more than 1.3 s. Class: time limits in a chain, each sound alone, whose sum nothing bounds. Why it works: every lease that an owner asks for ends before the last keepalive's timestamp plus 1.3 s, on the slowest clock that a target may have, however late the owner is; a part counts the keepalives of the VM that took its job as well as the lender's. A target whose runs leave less than half a lease takes no new task until they are over.

--- a/node/node.go
+++ b/node/node.go
@@ -267,6 +267,7 @@
 		Group: held.Group, FailureDomain: n.self.FailureDomain, Token: held.Version,
 		Schedule: scheduler.Options{
 			StopTimeout: n.options.Settings.MaxStopTime,
+			ResendDelay: n.options.Settings.MinResendDelay, KeepaliveTimeout: heartbeat.KeepaliveTimeout,
 		},
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.registry),
 		Delegate: n.delegate, NeedsCapacity: n.heartbeats.RequestLoads, StoreClock: n.storeClock.nowIfKnown,
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -459,12 +459,6 @@
 	s.emit(poll)
 }
 
-// renewLease has a poll extend the lease of all that runs at its target.
-func (s *State) renewLease(now time.Duration, t *target, poll *Poll) {
-	poll.LeaseUntil = t.lease.endAfter(now, s.options.Lease)
-	t.lease.until = max(t.lease.until, poll.LeaseUntil)
-}
-
 // Parameters of polls while answers are being lost.
 const (
 	// lossPeriod is how long after a lost answer more losses are expected.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -31,6 +31,8 @@
 	// useless jobs are past usefulUntil. Only durable jobs get here: they run all the same.
 	useless bool
 	ended   bool
+	// endedAt is when it ended.
+	endedAt time.Duration
 	// stored jobs are in the store, cancelled ones are over for good, and dropped ones are left
 	// to another owner.
 	stored, cancelled, dropped bool
@@ -341,7 +343,7 @@
 	if j.ended {
 		return
 	}
-	j.ended = true
+	j.ended, j.endedAt = true, now
 	delete(s.jobs, j.sub.Ref)
 	delete(s.jobsByKey, j.sub.key())
 	delete(s.recurringJobs, j)
@@ -393,7 +395,7 @@
 		s.demoteIfLate(now, j)
 	case !s.hasKeepalive(now, j):
 		s.finish(now, j, j.giveUpOutcome(fmt.Sprintf("its entry VM is silent: vouched until %v ago",
-			(now-s.keepalives[j.sub.Entry]).Round(time.Millisecond))))
+			(now-s.lastKeepalive(j)).Round(time.Millisecond))))
 	case j.deadline > 0 && now >= j.deadline:
 		s.finish(now, j, j.giveUpOutcome("the caller's deadline has passed"))
 	case j.sub.Part != nil && !j.mayHaveStarted() && now-j.submitted > partStartTimeout:
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -179,7 +179,7 @@
 		task:       tk,
 		target:     t,
 		ordered:    now,
-		leaseUntil: t.lease.endAfter(now, s.options.Lease),
+		leaseUntil: s.leaseEnd(now, t, j),
 		expected:   tk.step.expectedRuntime,
 		cold:       t.isCold(now),
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -124,6 +124,10 @@
 	StopTimeout time.Duration
 	// PauseThreshold is the gap between two ticks that counts as a pause of this process.
 	PauseThreshold time.Duration
+	// ResendDelay is how long after a broken connection callers send their job again.
+	ResendDelay time.Duration
+	// KeepaliveTimeout is for how long after its timestamp a keepalive counts.
+	KeepaliveTimeout time.Duration
 	// SendOnce sends each order once and does not shorten polls when answers get lost. It is the
 	// baseline that the resending of orders is compared with.
 	SendOnce bool
@@ -147,6 +151,10 @@
 	// DefaultPauseThreshold is five times the longest stretch without processor under a CPU quota
 	// of 0.4 core per 100 ms, plus a margin.
 	DefaultPauseThreshold = 400 * time.Millisecond
+	// DefaultResendDelay is the platform's bound.
+	DefaultResendDelay = 1300 * time.Millisecond
+	// DefaultKeepaliveTimeout is that of heartbeats.
+	DefaultKeepaliveTimeout = 320 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -154,6 +162,8 @@
 	setDefault(&o.PollWait, DefaultPollWait)
 	setDefault(&o.StopTimeout, DefaultStopTimeout)
 	setDefault(&o.PauseThreshold, DefaultPauseThreshold)
+	setDefault(&o.ResendDelay, DefaultResendDelay)
+	setDefault(&o.KeepaliveTimeout, DefaultKeepaliveTimeout)
 	return o
 }
 
@@ -329,7 +339,7 @@
 // hasKeepalive reports whether a job's caller is presumed to wait still. Durable jobs and those of
 // this VM need no keepalive.
 func (s *State) hasKeepalive(now time.Duration, j *job) bool {
-	return j.isDurable() || j.sub.Entry == "" || now < s.keepalives[j.sub.Entry]
+	return j.isDurable() || j.sub.Entry == "" || now < s.lastKeepalive(j)
 }
 
 // TickInterval is the time between two calls of Tick: a fraction of the shortest timeout that Tick
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -167,39 +167,6 @@
 	stop *stopTry
 }
 
-// lease tracks a target's clock and the lease of its runs.
-type lease struct {
-	// clock is the newest known value of the target's clock; the target read it at readAt or
-	// earlier.
-	clock  int64
-	readAt time.Duration
-	known  bool
-	// until is the latest end ever requested.
-	until int64
-}
-
-// minClockRate is the slowest that a target's clock may run relative to true time. The platform
-// guarantees 2 % and this allows as much again for this VM's own clock.
-const minClockRate = 0.96
-
-func (l *lease) update(clock int64, at time.Duration) {
-	if clock == 0 || l.known && clock < l.clock {
-		return
-	}
-	l.clock, l.readAt, l.known = clock, at, true
-}
-
-// endAfter returns the target's clock value for a time span from now.
-func (l *lease) endAfter(now, length time.Duration) int64 {
-	return l.clock + (now - l.readAt + length).Milliseconds()
-}
-
-// hasLapsed reports whether an end has certainly passed on the target's clock.
-func (l *lease) hasLapsed(now time.Duration, until int64) bool {
-	least := l.clock + int64(minClockRate*float64((now-l.readAt).Milliseconds()))
-	return l.known && least > until
-}
-
 func (s *State) sortedTargets() []*target {
 	targets := make([]*target, 0, len(s.targets))
 	for _, t := range s.targets {
@@ -414,21 +381,6 @@
 	return o.acked == 0 && now-o.first > stopAnswerTimeout
 }
 
-// canRenewLease reports whether the target's lease may be renewed. It may not while the target does
-// not answer, has unknown runs or an overdue stop, or has runs that were left to another owner
-// longer ago than droppedRenewTime.
-func (s *State) canRenewLease(now time.Duration, t *target) bool {
-	if t.state != usable || t.failedPolls > 0 {
-		return false
-	}
-	for _, r := range t.runs {
-		if r.stop != nil && r.stop.isOverdue(now) || r.task.job.dropped && now-s.dropped > s.droppedRenewTime {
-			return false
-		}
-	}
-	return len(t.unknownRuns) == 0
-}
-
 // isIdle reports whether the target has no run that this owner has to see end.
 func (t *target) isIdle() bool {
 	for _, r := range t.runs {
