Acknowledge unclaimed completions in one order after a takeover

What was seen: a world of durable jobs that was played twice from the same seed went apart after a takeover, at the first poll or start, so that a failure seen once couldn't be played again. Cause: FinishResume walked unrecordedCompletions, a map, and each completion marks its target as changed. The order in which targets change decides the order of the polls and the place of targets among those with equal room. Change: the tasks are taken by name.

--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -271,13 +272,13 @@
 // none of them may be acknowledged. Inherited runs are now assigned to their tasks or stopped.
 func (s *State) FinishResume(now time.Duration) {
 	s.allResumed = true
-	for task, completions := range s.unrecordedCompletions {
-		for _, o := range completions {
+	for _, task := range slices.Sorted(maps.Keys(s.unrecordedCompletions)) {
+		for _, o := range s.unrecordedCompletions[task] {
 			s.pendingWrites++
 			s.HandleCompletionStored(o.ref)
 		}
-		delete(s.unrecordedCompletions, task)
 	}
+	clear(s.unrecordedCompletions)
 	clear(s.inheritedStates)
 	for _, t := range s.sortedTargets() {
 		s.assignInheritedRuns(now, t)
