Read a resumed job's lost targets and saved work by task index

Cause: restoreProgress walked the maps of lost targets and of saved work. The losses of one target are kept in the order in which they were restored, and the first task of them that is poisoned ends the job and is named. Of a gang the last saved state that the walk met counted. Change: both are read by task index.

--- a/scheduler/resume_test.go
+++ b/scheduler/resume_test.go
@@ -34,3 +34,19 @@
 		must.Eq(t, first, polls())
 	}
 }
+
+// Of several tasks that crashed the same target, the same one is named each time as the reason for
+// which the job fails.
+func TestTakeoverNamesOnePoisonTask(t *testing.T) {
+	outcome := func() string {
+		b := newRackHarness(t, 2)
+		crashes := []Crash{{Target: "x", Isolated: true}, {Target: "y", Isolated: true}}
+		b.s.ResumeJob(b.now, b.durableJob("j", 4), Progress{Crashed: map[int][]Crash{0: crashes, 1: crashes, 2: crashes, 3: crashes}})
+		b.s.RegistryRead()
+		return fmt.Sprint(pickEffects[LogEvent](b.advance(40 * ms)))
+	}
+	first := outcome()
+	for range takeOverTimes {
+		must.Eq(t, first, outcome())
+	}
+}
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -158,14 +158,14 @@
 			j.tasks[index].lastFailedRun = progress.LastFailed[index]
 		}
 	}
-	for index, targets := range progress.Crashed {
+	for _, index := range slices.Sorted(maps.Keys(progress.Crashed)) {
 		if known(index) {
-			s.restoreStoredLosses(now, j.tasks[index], targets)
+			s.restoreStoredLosses(now, j.tasks[index], progress.Crashed[index])
 		}
 	}
-	for index, saved := range progress.Saved {
+	for _, index := range slices.Sorted(maps.Keys(progress.Saved)) {
 		if known(index) {
-			*j.tasks[index].savedState() = savedState{value: saved}
+			*j.tasks[index].savedState() = savedState{value: progress.Saved[index]}
 		}
 	}
 }
