Store the saved work of a gang under one task

What was seen: a successor may continue a gang from older work than the gang has saved. Cause: what a gang has saved was stored under the member that reported it, so the store could hold several states of one gang, and the order in which the successor read them chose one. Change: the state of a gang is stored under its first member's index, so newer work replaces older work. A store with several states from before is still read, by index. Evidence: TestStoreHasNewestSavedStateOfGang failed before and passes.

--- a/scheduler/resume_test.go
+++ b/scheduler/resume_test.go
@@ -50,3 +50,22 @@
 		must.Eq(t, first, outcome())
 	}
 }
+
+// The store has one saved state of a gang: the newest that any member reported.
+func TestStoreHasNewestSavedStateOfGang(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.s.FinishResume(b.now)
+	b.addUsableTarget("a", 2)
+	starts := pickEffects[StartRun](b.acceptAndStore(b.jobOfSteps("j", work.Step{Tasks: 2, PerTask: work.Resources{CPU: 1}, Gang: true})))
+	must.SliceLen(t, 2, starts)
+	b.answerStarts(starts)
+	for i, saved := range []string{"older", "newer"} {
+		run := b.s.targets["a"].runs[starts[i].Run.Task]
+		b.s.recordSaved(run.task, run.Number, saved)
+	}
+	stored := map[int]string{}
+	for _, e := range pickEffects[TaskSaved](b.effects()) {
+		stored[e.Task] = e.Saved
+	}
+	must.Eq(t, map[int]string{0: "newer"}, stored)
+}
--- a/scheduler/saved.go
+++ b/scheduler/saved.go
@@ -24,6 +24,15 @@
 	}
 	*saved = savedState{run: run, value: value}
 	if t.job.stored && !t.job.ended {
-		s.emit(TaskSaved{Job: t.job.sub.Job.ID, Task: t.index, Saved: value})
+		s.emit(TaskSaved{Job: t.job.sub.Job.ID, Task: t.savedIndex(), Saved: value})
 	}
 }
+
+// savedIndex is the index under which the store has the task's saved work. A gang has one, so that
+// newer work replaces older work that another member reported.
+func (t *task) savedIndex() int {
+	if t.step.Gang {
+		return t.step.members[0].index
+	}
+	return t.index
+}
