Compare the events and effects of worlds that are played twice

What was seen: a world that failed once passed when it was played again from its seed, which hides faults from every replay. Need: a check that shows the next such place. Change: each fuzz test has its history in a function of its own, a world can record its events and effects with their times, and a test plays five seeds of each of six worlds six times and compares all records. The draws are unchanged, so old seeds play the same histories.

--- a/scheduler/cordon_world_test.go
+++ b/scheduler/cordon_world_test.go
@@ -68,35 +68,39 @@
 // as without cordons.
 func TestFuzzCordons(t *testing.T) {
 	steps := 0
-	rapid.Check(t, func(rt *rapid.T) {
-		share := func(name string) float64 { return float64(rapid.IntRange(0, 20).Draw(rt, name)) / 100 }
-		w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
-			lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: share("failing"),
-			broken: share("broken"),
-		})
-		w.cordons = &fakeCordons{cordoned: rapid.Bool().Draw(rt, "closed")}
-		w.longest = rapid.SampledFrom([]int{100, 800}).Draw(rt, "longest")
-		if rapid.Bool().Draw(rt, "lending") {
-			w.addOtherOwner(rapid.IntRange(1, 3).Draw(rt, "others"))
-		}
-		w.takeOver()
-		for range rapid.IntRange(5, 60).Draw(rt, "steps") {
-			if rapid.IntRange(0, 4).Draw(rt, "cordon") == 0 {
-				w.toggleCordon()
-			}
-			injectEvent(rt, w)
-			w.run(time.Duration(rapid.IntRange(0, 400).Draw(rt, "pause")) * ms)
-			if len(w.violations) > 0 {
-				rt.Fatalf("broken: %v", w.violations)
-			}
+	rapid.Check(t, func(rt *rapid.T) { steps += playCordons(rt, nil) })
+	must.Greater(t, 100, steps)
+}
+
+// playCordons plays one random history of cordons, and returns how often the cordon changed.
+func playCordons(rt *rapid.T, trace *worldTrace) int {
+	share := func(name string) float64 { return float64(rapid.IntRange(0, 20).Draw(rt, name)) / 100 }
+	w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
+		lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: share("failing"),
+		broken: share("broken"),
+	})
+	w.cordons = &fakeCordons{cordoned: rapid.Bool().Draw(rt, "closed")}
+	w.trace = trace
+	w.longest = rapid.SampledFrom([]int{100, 800}).Draw(rt, "longest")
+	if rapid.Bool().Draw(rt, "lending") {
+		w.addOtherOwner(rapid.IntRange(1, 3).Draw(rt, "others"))
+	}
+	w.takeOver()
+	for range rapid.IntRange(5, 60).Draw(rt, "steps") {
+		if rapid.IntRange(0, 4).Draw(rt, "cordon") == 0 {
+			w.toggleCordon()
 		}
-		w.run(5 * time.Second)
+		injectEvent(rt, w)
+		w.run(time.Duration(rapid.IntRange(0, 400).Draw(rt, "pause")) * ms)
 		if len(w.violations) > 0 {
 			rt.Fatalf("broken: %v", w.violations)
 		}
-		steps += w.cordons.changes
-	})
-	must.Greater(t, 100, steps)
+	}
+	w.run(5 * time.Second)
+	if len(w.violations) > 0 {
+		rt.Fatalf("broken: %v", w.violations)
+	}
+	return w.cordons.changes
 }
 
 // While a failure domain is cordoned its jobs go to the other owner as a whole, and afterwards they
--- a/scheduler/crash_world_test.go
+++ b/scheduler/crash_world_test.go
@@ -168,7 +168,7 @@
 	setChecks(t, 100)
 	crashes, poisoned := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
-		w := playCrashing(rt, true)
+		w := playCrashing(rt, true, nil)
 		for _, n := range w.crashed {
 			crashes += n
 		}
@@ -184,11 +184,12 @@
 
 // playCrashing plays a random history of crashing tasks. If alone is set, no previous owner goes
 // on where targets restart under their IDs.
-func playCrashing(rt *rapid.T, alone bool) *world {
+func playCrashing(rt *rapid.T, alone bool, trace *worldTrace) *world {
 	share := func(name string) float64 { return float64(rapid.IntRange(0, 4).Draw(rt, name)) / 100 }
 	w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(2, 8).Draw(rt, "targets"), worldFaults{
 		lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"),
 	})
+	w.trace = trace
 	w.longest = rapid.SampledFrom([]int{100, 800}).Draw(rt, "longest")
 	w.restarts = rapid.Bool().Draw(rt, "restarts")
 	w.singleOwner = w.restarts && alone
@@ -232,7 +233,7 @@
 	setChecks(t, 1)
 	must.NoError(t, flag.Set("rapid.seed", "129"))
 	defer func() { _ = flag.Set("rapid.seed", "1") }()
-	rapid.Check(t, func(rt *rapid.T) { playCrashing(rt, false) })
+	rapid.Check(t, func(rt *rapid.T) { playCrashing(rt, false, nil) })
 }
 
 // describeOpenJobs returns the histories of the jobs that haven't ended or broke an invariant, and
@@ -312,45 +313,49 @@
 // and grows. Nothing is started that doesn't fit, and all durable jobs end.
 func TestFuzzCapacity(t *testing.T) {
 	setChecks(t, 300)
-	rapid.Check(t, func(rt *rapid.T) {
-		share := func(name string) float64 { return float64(rapid.IntRange(0, 6).Draw(rt, name)) / 100 }
-		w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 5).Draw(rt, "targets"), worldFaults{
-			lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"),
-		})
-		w.longest = rapid.SampledFrom([]int{100, 800, 2500}).Draw(rt, "longest")
-		w.restarts = rapid.Bool().Draw(rt, "tells")
-		for _, target := range w.targets {
-			target.overcommits = true
-		}
-		w.takeOver()
-		w.run(200 * ms)
-		for range rapid.IntRange(5, 60).Draw(rt, "steps") {
-			target := w.targets[rapid.SampledFrom(w.targetIDs()).Draw(rt, "target")]
-			switch rapid.SampledFrom([]string{"call", "call", "durable", "resize", "resize", "other"}).Draw(rt, "what") {
-			case "call":
-				w.addCaller(rapid.IntRange(1, 6).Draw(rt, "tasks"))
-			case "durable":
-				w.submitDurable(w.drawJob(rt), false)
-			case "resize":
-				target.resize(int64(rapid.IntRange(0, fakeCPU+2).Draw(rt, "capacity")))
-			case "other":
-				for _, at := range w.targets {
-					at.markBystanders()
-				}
-				injectEvent(rt, w)
-			}
-			w.run(time.Duration(rapid.IntRange(0, 700).Draw(rt, "pause")) * ms)
-			if len(w.violations) > 0 {
-				rt.Fatalf("invariants broken: %v", w.violations)
+	rapid.Check(t, func(rt *rapid.T) { playCapacity(rt, nil) })
+}
+
+// playCapacity plays one random history of changing capacity.
+func playCapacity(rt *rapid.T, trace *worldTrace) {
+	share := func(name string) float64 { return float64(rapid.IntRange(0, 6).Draw(rt, name)) / 100 }
+	w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 5).Draw(rt, "targets"), worldFaults{
+		lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"),
+	})
+	w.trace = trace
+	w.longest = rapid.SampledFrom([]int{100, 800, 2500}).Draw(rt, "longest")
+	w.restarts = rapid.Bool().Draw(rt, "tells")
+	for _, target := range w.targets {
+		target.overcommits = true
+	}
+	w.takeOver()
+	w.run(200 * ms)
+	for range rapid.IntRange(5, 60).Draw(rt, "steps") {
+		target := w.targets[rapid.SampledFrom(w.targetIDs()).Draw(rt, "target")]
+		switch rapid.SampledFrom([]string{"call", "call", "durable", "resize", "resize", "other"}).Draw(rt, "what") {
+		case "call":
+			w.addCaller(rapid.IntRange(1, 6).Draw(rt, "tasks"))
+		case "durable":
+			w.submitDurable(w.drawJob(rt), false)
+		case "resize":
+			target.resize(int64(rapid.IntRange(0, fakeCPU+2).Draw(rt, "capacity")))
+		case "other":
+			for _, at := range w.targets {
+				at.markBystanders()
 			}
+			injectEvent(rt, w)
 		}
-		for _, id := range w.targetIDs() {
-			w.targets[id].resize(fakeCPU)
+		w.run(time.Duration(rapid.IntRange(0, 700).Draw(rt, "pause")) * ms)
+		if len(w.violations) > 0 {
+			rt.Fatalf("invariants broken: %v", w.violations)
 		}
-		w.durableStore.unavailable, w.faults = false, worldFaults{}
-		w.takeOver()
-		w.runUntilJobsEnd()
-		must.SliceEmpty(rt, w.violations, must.Sprint(w.violations))
-		must.SliceEmpty(rt, w.unendedJobs(), must.Sprint(w.unendedJobs()))
-	})
+	}
+	for _, id := range w.targetIDs() {
+		w.targets[id].resize(fakeCPU)
+	}
+	w.durableStore.unavailable, w.faults = false, worldFaults{}
+	w.takeOver()
+	w.runUntilJobsEnd()
+	must.SliceEmpty(rt, w.violations, must.Sprint(w.violations))
+	must.SliceEmpty(rt, w.unendedJobs(), must.Sprint(w.unendedJobs()))
 }
--- a/scheduler/durable_world_test.go
+++ b/scheduler/durable_world_test.go
@@ -197,35 +197,39 @@
 // stored; and every stored job ends once the faults are over.
 func TestFuzzDurableJobs(t *testing.T) {
 	setChecks(t, 600)
-	rapid.Check(t, func(rt *rapid.T) {
-		share := func(name string) float64 { return float64(rapid.IntRange(0, 6).Draw(rt, name)) / 100 }
-		w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
-			lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: 4 * share("failing"),
-		})
-		w.longest = rapid.SampledFrom([]int{100, 800}).Draw(rt, "longest")
-		w.takeOver()
-		w.run(200 * ms)
-		for range rapid.IntRange(5, 60).Draw(rt, "steps") {
-			injectDurableStep(rt, w)
-			w.run(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * ms)
-			if len(w.violations) > 0 {
-				rt.Fatalf("invariants broken: %v", w.violations)
-			}
-		}
-		w.durableStore.unavailable = false
-		w.faults = worldFaults{}
-		w.takeOver()
-		w.runUntilJobsEnd()
-		must.SliceEmpty(rt, w.violations, must.Sprint(w.violations))
-		must.SliceEmpty(rt, w.unendedJobs(), must.Sprint(w.unendedJobs()))
-		for range w.durableStore.jobs {
-			w.cancelDurable()
-			w.run(2 * maxStoreDelay * ms)
-		}
-		w.run(time.Second)
-		must.SliceEmpty(rt, w.runningDurable(), must.Sprint(w.runningDurable()))
-		must.SliceEmpty(rt, w.violations, must.Sprint(w.violations))
+	rapid.Check(t, func(rt *rapid.T) { playDurableJobs(rt, nil) })
+}
+
+// playDurableJobs plays one random history of durable jobs.
+func playDurableJobs(rt *rapid.T, trace *worldTrace) {
+	share := func(name string) float64 { return float64(rapid.IntRange(0, 6).Draw(rt, name)) / 100 }
+	w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
+		lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: 4 * share("failing"),
 	})
+	w.trace = trace
+	w.longest = rapid.SampledFrom([]int{100, 800}).Draw(rt, "longest")
+	w.takeOver()
+	w.run(200 * ms)
+	for range rapid.IntRange(5, 60).Draw(rt, "steps") {
+		injectDurableStep(rt, w)
+		w.run(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * ms)
+		if len(w.violations) > 0 {
+			rt.Fatalf("invariants broken: %v", w.violations)
+		}
+	}
+	w.durableStore.unavailable = false
+	w.faults = worldFaults{}
+	w.takeOver()
+	w.runUntilJobsEnd()
+	must.SliceEmpty(rt, w.violations, must.Sprint(w.violations))
+	must.SliceEmpty(rt, w.unendedJobs(), must.Sprint(w.unendedJobs()))
+	for range w.durableStore.jobs {
+		w.cancelDurable()
+		w.run(2 * maxStoreDelay * ms)
+	}
+	w.run(time.Second)
+	must.SliceEmpty(rt, w.runningDurable(), must.Sprint(w.runningDurable()))
+	must.SliceEmpty(rt, w.violations, must.Sprint(w.violations))
 }
 
 // runUntilJobsEnd lets time pass until all stored jobs have ended: up to 4 s for each job, and the
--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -14,30 +14,34 @@
 // silent; owners that die, freeze or are cut off while another takes over; callers that leave or
 // send again. A task must never run twice at one time, and a started job must not be refused.
 func TestFuzzOwnership(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		share := func(name string) float64 { return float64(rapid.IntRange(0, 25).Draw(rt, name)) / 100 }
-		w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
-			lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: share("failing"),
-			broken: share("broken"),
-		})
-		w.longest = rapid.SampledFrom([]int{100, 800, 2500}).Draw(rt, "longest")
-		if rapid.Bool().Draw(rt, "lending") {
-			w.addOtherOwner(rapid.IntRange(1, 3).Draw(rt, "others"))
-		}
-		w.takeOver()
-		w.run(200 * ms)
-		for range rapid.IntRange(5, 80).Draw(rt, "steps") {
-			injectEvent(rt, w)
-			w.run(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * ms)
-			if len(w.violations) > 0 {
-				rt.Fatalf("broken: %v", w.violations)
-			}
-		}
-		w.run(5 * time.Second)
+	rapid.Check(t, func(rt *rapid.T) { playOwnership(rt, nil) })
+}
+
+// playOwnership plays one random history of faults.
+func playOwnership(rt *rapid.T, trace *worldTrace) {
+	share := func(name string) float64 { return float64(rapid.IntRange(0, 25).Draw(rt, name)) / 100 }
+	w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
+		lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: share("failing"),
+		broken: share("broken"),
+	})
+	w.trace = trace
+	w.longest = rapid.SampledFrom([]int{100, 800, 2500}).Draw(rt, "longest")
+	if rapid.Bool().Draw(rt, "lending") {
+		w.addOtherOwner(rapid.IntRange(1, 3).Draw(rt, "others"))
+	}
+	w.takeOver()
+	w.run(200 * ms)
+	for range rapid.IntRange(5, 80).Draw(rt, "steps") {
+		injectEvent(rt, w)
+		w.run(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * ms)
 		if len(w.violations) > 0 {
 			rt.Fatalf("broken: %v", w.violations)
 		}
-	})
+	}
+	w.run(5 * time.Second)
+	if len(w.violations) > 0 {
+		rt.Fatalf("broken: %v", w.violations)
+	}
 }
 
 func injectEvent(rt *rapid.T, w *world) {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -70,6 +70,8 @@
 	singleOwner bool
 	// restarts makes targets restart under their ID, and report their incarnation and capacity.
 	restarts bool
+	// trace records the world's events and effects; nil if nobody compares them.
+	trace *worldTrace
 }
 
 // worldFaults holds the shares, from 0 to 1, of orders that meet each fault, and of runs that fail.
@@ -230,6 +232,7 @@
 		}
 		next := heap.Pop(&w.queue).(pendingEvent)
 		w.now = next.at
+		w.trace.addEvent(next)
 		next.do()
 	}
 }
@@ -330,6 +333,7 @@
 
 func (w *world) applyEffects(o *fakeOwner) {
 	for _, effect := range o.state.Effects(w.now) {
+		w.trace.addEffect(w, o, effect)
 		switch e := effect.(type) {
 		case Answer:
 			w.handleAnswer(o, e)
