Reserve for a suspect only a target that its adviser allows

Cause: a task under which a target was lost waits for an empty target, and the one with the fewest runs was reserved for it, whether or not its adviser had left that target out. The task then never started there, was offered no other target, and held the isolation that other suspects of the service need, so these waited for ever too. Change: only a target with a valid ticket is reserved, and a reservation ends once its target takes no tasks, is too small or is excluded by the adviser. No task can start twice through this: nothing was started at all.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -65,6 +65,9 @@
 	return now < a.tickets[target].until
 }
 
+// excludes reports whether the adviser left a target out when it was last asked about it.
+func (a *advice) excludes(target string) bool { return a != nil && a.excludedAt[target] > 0 }
+
 // ticketFor returns the ticket for a target; empty without advice.
 func (a *advice) ticketFor(target string) string {
 	if a == nil {
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -283,3 +283,29 @@
 	b.s.ClaimConfirmed(b.now, b.now)
 	must.Eq(t, usable, b.s.targets["b"].state)
 }
+
+// A suspect waits only for a target that its adviser allows, and for another one once the adviser
+// excludes that.
+func TestSuspectWaitsForTargetThatAdviserAllows(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.s.FinishResume(b.now)
+	b.addUsableTarget("b", 1)
+	b.submit("other", 1, 1, "")
+	others := pickEffects[StartRun](b.effects())
+	must.SliceLen(t, 1, others)
+	b.addUsableTarget("a", 1)
+	sub := b.durableJob("j", 1)
+	sub.Queue.RequiresAdvice = true
+	b.s.ResumeJob(b.now, sub, Progress{Crashed: map[int][]Crash{0: {{Target: "x"}}}})
+	asks := pickEffects[AskAdviser](b.advance(20 * ms))
+	must.SliceLen(t, 1, asks)
+	b.s.Advised(b.now, asks[0], map[string]string{"b": "tb"}, time.Second, true)
+	must.SliceEmpty(t, pickEffects[StartRun](b.advance(20*ms)))
+	must.Nil(t, b.s.targets["a"].isolated)
+	must.NotNil(t, b.s.targets["b"].isolated)
+	b.s.adviserRequests["j.0.0"] = b.s.jobsByKey["j"].steps[0]
+	b.s.Advised(b.now, AskAdviser{Step: "j.0.0", Targets: []string{"a", "b"}}, map[string]string{"a": "ta"}, time.Second, true)
+	starts := pickEffects[StartRun](b.advance(20 * ms))
+	must.SliceLen(t, 1, starts)
+	must.Eq(t, "a", starts[0].To.ID)
+}
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -59,7 +59,7 @@
 	}
 	var least *target
 	for _, t := range p.targets {
-		if t.isOpen() && t.reservedFor == nil && tk.step.fitsEmpty(t) && s.canRenewLease(now, t) && (least == nil || len(t.runs) < len(least.runs)) {
+		if t.isOpen() && t.reservedFor == nil && tk.step.fitsEmpty(t) && tk.step.advice.allows(now, t.ID) && s.canRenewLease(now, t) && (least == nil || len(t.runs) < len(least.runs)) {
 			least = t
 		}
 	}
@@ -71,8 +71,19 @@
 	s.markChanged(least)
 }
 
+// unreserveUnfit frees the targets that are reserved for suspects of a step and can't take them any
+// more, however empty they get.
+func (s *State) unreserveUnfit(st *step) {
+	for _, tk := range st.pending {
+		if t := tk.reservedTarget; t != nil && (!t.acceptsTasks() || !st.fitsEmpty(t) || st.advice.excludes(t.ID)) {
+			s.unreserveForSuspect(tk)
+		}
+	}
+}
+
 // startReservedSuspects starts the suspects of a step whose reserved target can take them now.
 func (s *State) startReservedSuspects(now time.Duration, j *job, st *step) {
+	s.unreserveUnfit(st)
 	st.pending = slices.DeleteFunc(st.pending, func(tk *task) bool {
 		t := tk.reservedTarget
 		if t == nil || !s.canStart(now, t, j, st, tk) {
