Clear a lasting suspect whose run ended by itself

Cause: a lasting task had lost two targets, the second after 3.8 s, and counted as a suspect until one run would last 8.6 s. Its runs ended by themselves earlier, so it stayed a suspect for ever, and its isolated runs followed each other and held the only isolation of the service, which the suspects of the other job need. Change: a run of a lasting task that the target lists as done or failed, and that was in progress for longer than those under which targets were lost, clears the task, as a completion clears any other task. A stop and a shorter run show nothing and clear nothing. No task can start twice through this.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -353,6 +353,7 @@
 	}
 	switch {
 	case r.task.step.Lasting:
+		s.clearSurvivor(now, r, end.Kind)
 		s.loseRun(now, r, "it ended: "+string(end.Kind))
 	case end.Kind == work.CompletionDone:
 		s.recordCompletion(t, r, end.Number, false)
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -309,3 +309,29 @@
 	must.SliceLen(t, 1, starts)
 	must.Eq(t, "a", starts[0].To.ID)
 }
+
+// A lasting task that runs for longer than it took to lose its targets is no suspect any more once
+// it ends by itself. A stop or an earlier end shows nothing.
+func TestLastingTaskIsClearedByRunThatEnds(t *testing.T) {
+	for _, c := range []struct {
+		ran     time.Duration
+		kind    work.CompletionKind
+		cleared bool
+	}{
+		{600 * ms, work.CompletionFailed, true},
+		{600 * ms, work.CompletionStopped, false},
+		{400 * ms, work.CompletionFailed, false},
+	} {
+		b := newHarness(t, Options{})
+		b.s.FinishResume(b.now)
+		b.addUsableTarget("a", 1)
+		starts := pickEffects[StartRun](b.acceptAndStore(b.jobOfSteps("j", work.Step{Tasks: 1, Lasting: true})))
+		must.SliceLen(t, 1, starts)
+		b.answerStarts(starts)
+		tk := b.s.jobsByKey["j"].tasks[0]
+		tk.losses = []*targetLoss{{Crash: Crash{Target: "x"}, after: 500 * ms, confirmed: true, task: tk}}
+		b.now += c.ran
+		b.answerPoll("a", work.PollAnswer{ClockMS: 5000 + c.ran.Milliseconds(), Completions: []work.Completion{{Number: 1, Run: starts[0].Run, Kind: c.kind}}})
+		must.Eq(t, c.cleared, !tk.isSuspect(), must.Sprintf("%+v", c))
+	}
+}
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/burdockward/burdockward/work"
 )
 
 // A suspect, a task under which a target was lost, runs isolated: it has its target to itself. A
@@ -114,16 +116,33 @@
 // clearLongRun clears a suspect whose run has lasted much longer than the runs under which its
 // targets were lost.
 func (s *State) clearLongRun(now time.Duration, r *run) {
-	if !r.task.isSuspect() || !r.listed {
+	if !r.task.isSuspect() || !r.listed || now-r.ordered <= 2*r.task.longestBeforeLoss()+survivorSlack {
 		return
 	}
+	s.clearSuspect(now, r)
+}
+
+// clearSurvivor clears a suspect whose run ended by itself after its targets would have been lost:
+// a lasting task has no completion that shows that it is done.
+func (s *State) clearSurvivor(now time.Duration, r *run, kind work.CompletionKind) {
+	ended := kind == work.CompletionDone || kind == work.CompletionFailed
+	if ended && r.task.isSuspect() && now-r.ordered > r.task.longestBeforeLoss() {
+		s.clearSuspect(now, r)
+	}
+}
+
+// longestBeforeLoss is the longest time for which a run of the task was in progress when the loss of
+// its target was noticed.
+func (t *task) longestBeforeLoss() time.Duration {
 	longest := time.Duration(0)
-	for _, loss := range r.task.losses {
+	for _, loss := range t.losses {
 		longest = max(longest, loss.after)
 	}
-	if now-r.ordered <= 2*longest+survivorSlack {
-		return
-	}
+	return longest
+}
+
+// clearSuspect drops the losses that count against the task of a run.
+func (s *State) clearSuspect(now time.Duration, r *run) {
 	r.task.losses = nil
 	r.endIsolation()
 	s.emit(LogEvent{Message: "task cleared", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: r.target.ID, Age: now - r.ordered})
