Ask an idle target that the registry has dropped before its next task

Cause: idle targets are not polled, so of three targets that were lost within 200 ms only the one with runs was noticed. The task was ordered on the other two, one after the other, after the registry had dropped them, and their losses were noticed too late to count as one. Change: a target that is idle when its entry is found missing is polled at once, and takes no task until it has answered; meanwhile it counts as arriving, so that nobody is refused for it. Where the registry is away, that is one poll for each idle target. No task could start twice through this: the target refuses nothing that it does not run. TestUnlistedTargetIsRemoved expected the start before any answer; it now answers that poll first, and all its checks stay.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -251,7 +251,7 @@
 		s.setCapacity(t, *answer.Capacity)
 	}
 	s.clearTargetLoss(t)
-	t.failedPolls = 0
+	t.failedPolls, t.doubtful = 0, false
 	t.fenced = true
 	t.ackedCompletion = t.ackSent
 	t.answeredPollSentAt = t.poll.SentAt
@@ -437,7 +437,7 @@
 		if s.canRenewLease(now, t) {
 			s.renewLease(now, t, &poll)
 		}
-	case t.ackedCompletion < poll.AckUpTo:
+	case t.ackedCompletion < poll.AckUpTo, t.doubtful:
 	default:
 		return
 	}
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -335,3 +335,17 @@
 		must.Eq(t, c.cleared, !tk.isSuspect(), must.Sprintf("%+v", c))
 	}
 }
+
+// An idle target that the registry has dropped gets no task before it has answered once more.
+func TestUnlistedIdleTargetIsAskedFirst(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.addUsableTarget("a", 1)
+	must.SliceEmpty(t, pickEffects[Poll](b.effects()))
+	b.s.TargetUnlisted(b.now, "a")
+	b.submit("j", 1, 1, "")
+	effects := b.effects()
+	must.SliceLen(t, 1, pickEffects[Poll](effects))
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000})
+	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
+}
--- a/scheduler/load_test.go
+++ b/scheduler/load_test.go
@@ -328,6 +328,8 @@
 			b.addUsableTarget("a", 4)
 			b.s.TargetUnlisted(b.now, "a")
 			b.submit("j", 1, 1, "")
+			must.SliceLen(t, 1, pickEffects[Poll](b.effects()))
+			b.answerPoll("a", work.PollAnswer{ClockMS: 5000})
 			starts := pickEffects[StartRun](b.effects())
 			must.SliceLen(t, 1, starts)
 			b.s.HandleStartAnswer(b.now, "a", starts[0].Run, doneAnswer(5000))
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -66,7 +66,7 @@
 
 // acceptsTasks reports whether a target takes any new tasks at all.
 func (t *target) acceptsTasks() bool {
-	return t.state == usable && !t.Draining && !t.retired && !t.pool.blocked
+	return t.state == usable && !t.Draining && !t.retired && !t.doubtful && !t.pool.blocked
 }
 
 // markChanged updates a target's index entry and has the next Effects check whether to poll it.
@@ -209,9 +209,10 @@
 	return total
 }
 
-// isArriving reports whether a target is being taken over and will take tasks.
+// isArriving reports whether a target is being taken over, or asked whether it is still there, and
+// will take tasks.
 func (t *target) isArriving() bool {
-	return t.state == adopting && t.failedPolls == 0 && !t.Draining && !t.retired && !t.pool.blocked
+	return (t.state == adopting || t.state == usable && t.doubtful) && t.failedPolls == 0 && !t.Draining && !t.retired && !t.pool.blocked
 }
 
 // supply returns the processor that tasks of a given size can have now, and the processor that runs
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -56,6 +56,8 @@
 	// retired says that it has been missing for too long and takes no new tasks.
 	unlistedSince time.Duration
 	retired       bool
+	// doubtful says that an idle target was found missing and has not answered since.
+	doubtful bool
 	// warmAt is when the target reaches its full speed after its start.
 	warmAt time.Duration
 	free   work.Resources
@@ -248,7 +250,7 @@
 		t.registryCapacity = entry.Capacity
 		s.setCapacity(t, entry.Capacity)
 	}
-	t.unlistedSince, t.retired = 0, false
+	t.unlistedSince, t.retired, t.doubtful = 0, false, false
 	t.warmAt = now + entry.WarmUpLeft
 	entry.Capacity, entry.Incarnation = t.Capacity, t.Incarnation
 	t.Target = entry
@@ -256,11 +258,14 @@
 }
 
 // TargetUnlisted records that the registry has no entry of a target any more. The target stays
-// known while it answers, as entries also lapse while the registry is away.
+// known while it answers, as entries also lapse while the registry is away. An idle target is asked
+// at once: nothing else would show that it is gone before a task is lost there.
 func (s *State) TargetUnlisted(now time.Duration, id string) {
 	if t := s.targets[id]; t != nil && t.unlistedSince == 0 {
 		t.unlistedSince = now
 		s.emit(LogEvent{Message: "target is not listed", Target: id})
+		t.doubtful = t.state == usable && !t.pollPending
+		s.markChanged(t)
 	}
 }
 
