Do not count a run as isolated beside runs of another owner

Cause: an owner that did not know of its successor yet had started a suspect alone on a target. The successor stopped that run and started tasks there, one of which crashed the target. The target still answered a poll of the old owner with the list of the new runs, and the old owner nonetheless took the loss for that of an isolated run, which confirms a suspect. Change: once a target has listed a run that this owner has not ordered, its loss is not that of an isolated run of this owner. An owner that never gets such a list is not covered.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -307,6 +307,7 @@
 		}
 		return
 	}
+	t.markSharing()
 	if !s.continueListedRun(now, t, listed) {
 		s.stopUnknownRun(now, t, listed.Run)
 	}
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -193,7 +193,7 @@
 		s.rememberLosses(now, tk)
 		return
 	}
-	loss := &targetLoss{Crash: Crash{Target: t.ID, Incarnation: t.Incarnation, Isolated: r.isolated && r.state == running}, at: now, after: now - r.ordered, task: tk}
+	loss := &targetLoss{Crash: Crash{Target: t.ID, Incarnation: t.Incarnation, Isolated: r.isolated && !r.sharing && r.state == running}, at: now, after: now - r.ordered, task: tk}
 	tk.step.hasSuspects = true
 	tk.losses = append(tk.currentLosses(), loss)
 	s.crashes.unresolved[t.ID] = append(s.crashes.unresolved[t.ID], loss)
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -349,3 +349,20 @@
 	b.answerPoll("a", work.PollAnswer{ClockMS: 5000})
 	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
 }
+
+// A run does not count as isolated once its target has listed a run of another owner.
+func TestRunBesideOtherOwnersRunIsNotIsolated(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		b := newRackHarness(t, 8)
+		starts := b.startStoredJob("j", 1)
+		b.confirmStarts(starts)
+		starts = pickEffects[StartRun](b.loseTargets(starts[0].To.ID))
+		must.SliceLen(t, 1, starts)
+		b.confirmStarts(starts)
+		if listed {
+			b.answerPoll(starts[0].To.ID, work.PollAnswer{ClockMS: 5020, Running: listing(starts[0].Run, work.RunID{Task: "theirs.0.0.0", Number: 1 << 20})})
+			b.effects()
+		}
+		must.Eq(t, !listed, len(pickEffects[JobEnded](b.loseTargets(starts[0].To.ID))) == 1)
+	}
+}
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -113,6 +113,14 @@
 // maxIsolated is how many targets of the pool may be isolated or reserved for suspects at a time.
 func (p *pool) maxIsolated() int { return max(int(isolationShare*float64(len(p.targets))), 1) }
 
+// markSharing notes that the target runs what this owner has not ordered. Its loss shows nothing of
+// this owner's runs, even of an isolated one.
+func (t *target) markSharing() {
+	for _, r := range t.runs {
+		r.sharing = true
+	}
+}
+
 // clearLongRun clears a suspect whose run has lasted much longer than the runs under which its
 // targets were lost.
 func (s *State) clearLongRun(now time.Duration, r *run) {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -147,7 +147,8 @@
 	// cold runs began while their target was still slow after its start.
 	cold bool
 	// listed runs were listed by a poll; isolated runs have their target to themselves.
-	listed, isolated bool
+	// sharing says that its target listed runs of others since it was ordered.
+	listed, isolated, sharing bool
 	// adopted runs were started by a previous owner; ordered is then when this owner took them
 	// over.
 	adopted bool
