Count one lost target for each run

Cause: a run whose start has no answer is kept until its stop is confirmed, also where its target restarts, since either incarnation may have started it. Each further restart recorded one more loss for the same run, until the third failed the job. Change: a run counts one loss; if its target answers again in the same incarnation, which clears the loss, a later one counts. No task can start twice through this.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -180,21 +180,24 @@
 }
 
 // recordTaskLoss records the loss of a run's target against the run's task, or as the task's one
-// correlated loss. The loss of a draining target doesn't count.
+// correlated loss. The loss of a draining target doesn't count. A run that either of two incarnations
+// may have started was in one of them at most, so it counts one loss however often its target
+// restarts.
 func (s *State) recordTaskLoss(now time.Duration, r *run) {
 	t, tk := r.target, r.task
-	if tk.done || tk.job.dropped || s.leaving || t.Draining || !t.presumedLost {
+	if tk.done || tk.job.dropped || s.leaving || t.Draining || !t.presumedLost || r.loss != nil && !r.loss.cleared {
 		return
 	}
 	if tk.correlatedLosses == 0 && s.isCorrelated(t, tk.job) {
 		tk.correlatedLosses++
+		r.loss = &targetLoss{task: tk}
 		tk.job.record(now, "target lost with others", tk.name, t.ID, "")
 		s.storeLoss(tk, Crash{Target: t.ID, Incarnation: t.Incarnation, Correlated: true})
 		s.rememberLosses(now, tk)
 		return
 	}
 	loss := &targetLoss{Crash: Crash{Target: t.ID, Incarnation: t.Incarnation, Isolated: r.isolated && !r.sharing && r.state == running}, at: now, after: now - r.ordered, task: tk}
-	tk.step.hasSuspects = true
+	r.loss, tk.step.hasSuspects = loss, true
 	tk.losses = append(tk.currentLosses(), loss)
 	s.crashes.unresolved[t.ID] = append(s.crashes.unresolved[t.ID], loss)
 	tk.job.record(now, "target lost under it", tk.name, t.ID, fmt.Sprintf("%d losses in total", len(tk.losses)))
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -366,3 +366,19 @@
 		must.Eq(t, !listed, len(pickEffects[JobEnded](b.loseTargets(starts[0].To.ID))) == 1)
 	}
 }
+
+// A run whose start has no answer counts one loss, however often its target restarts before the run
+// is known to be over.
+func TestRestartsCountOneLossForEachRun(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.s.FinishResume(b.now)
+	b.listTarget(work.Target{ID: "a", Capacity: work.Resources{CPU: 4}, Incarnation: 100})
+	b.effects()
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Incarnation: 100})
+	must.SliceLen(t, 1, b.startStoredJob("j", 1))
+	for restart := range int64(4) {
+		b.answerPoll("a", work.PollAnswer{ClockMS: 10, Incarnation: 200 + restart})
+		b.advance(200 * ms)
+		must.SliceLen(t, 1, b.s.jobsByKey["j"].tasks[0].currentLosses())
+	}
+}
--- a/scheduler/failing_worlds_test.go
+++ b/scheduler/failing_worlds_test.go
@@ -41,3 +41,8 @@
 func TestRepeatedJobWaitsAfterLostTargets(t *testing.T) {
 	replayWorld(t, "182303", func(rt *rapid.T) { playCrashing(rt, true, nil) })
 }
+
+// No durable job fails as poisoned for one run at a target that restarts again and again.
+func TestRestartsOfOneTargetPoisonJob(t *testing.T) {
+	replayWorld(t, "1226759", func(rt *rapid.T) { playCrashing(rt, true, nil) })
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -149,6 +149,8 @@
 	// listed runs were listed by a poll; isolated runs have their target to themselves.
 	// sharing says that its target listed runs of others since it was ordered.
 	listed, isolated, sharing bool
+	// loss is the loss of its target that was recorded for the run; nil if none was.
+	loss *targetLoss
 	// adopted runs were started by a previous owner; ordered is then when this owner took them
 	// over.
 	adopted bool
