Confirm a suspect only by runs that were known to have started

Cause: the task was ordered on a target that was gone already, and later ran isolated on one that another event ended. Two losses, the last of them isolated, fail a job, and the first counted although the target never answered the start: it shows nothing of the task. Change: the two losses that confirm a suspect must be of runs that were known to have started. The bound of three lost targets stays, so a task that ends its targets before they answer is still stopped there. A loss that is read from the store counts as before, since the store does not say whether the run had started. No task can start twice through this.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -22,11 +22,12 @@
 
 // Parameters of losses and poison tasks.
 const (
-	// lossesToFail is how many targets must have been lost under a task, the last of them while
-	// the task ran isolated, for its job to fail.
+	// lossesToFail is how many targets must have been lost under a task that was known to run there,
+	// the last of them while it ran isolated, for its job to fail. A target that is lost before it
+	// answers a start may have been gone before.
 	lossesToFail = 2
 	// maxLosses is how many targets must have been lost under a task for its job to fail even if
-	// the task did not run isolated. A correlated loss is not among them.
+	// the task did not run isolated, or was not known to run. A correlated loss is not among them.
 	maxLosses = 3
 	// correlationWindow is how far apart the losses of targets that have one cause show: idle
 	// targets are polled only when they are used.
@@ -52,6 +53,8 @@
 	Crash
 	// at is when the loss was noticed; after is how long the run had been in progress by then.
 	at, after time.Duration
+	// begun says that the run was known to have started.
+	begun bool
 	// confirmed says that the incarnation has certainly ended, cleared that it goes on.
 	confirmed, cleared bool
 	task               *task
@@ -196,7 +199,7 @@
 		s.rememberLosses(now, tk)
 		return
 	}
-	loss := &targetLoss{Crash: Crash{Target: t.ID, Incarnation: t.Incarnation, Isolated: r.isolated && !r.sharing && r.state == running}, at: now, after: now - r.ordered, task: tk}
+	loss := &targetLoss{Crash: Crash{Target: t.ID, Incarnation: t.Incarnation, Isolated: r.isolated && !r.sharing && r.state == running}, at: now, after: now - r.ordered, begun: r.state == running, task: tk}
 	r.loss, tk.step.hasSuspects = loss, true
 	tk.losses = append(tk.currentLosses(), loss)
 	s.crashes.unresolved[t.ID] = append(s.crashes.unresolved[t.ID], loss)
@@ -241,7 +244,11 @@
 	if tk.job.ended || len(losses) < lossesToFail || tk.hasUnresolvedLoss() {
 		return
 	}
-	if !losses[len(losses)-1].Isolated && len(losses) < maxLosses {
+	begun := 0
+	for _, loss := range losses {
+		begun += boolToInt(loss.begun)
+	}
+	if len(losses) < maxLosses && (begun < lossesToFail || !losses[len(losses)-1].Isolated) {
 		return
 	}
 	targets := make([]string, len(losses))
@@ -307,7 +314,7 @@
 			tk.correlatedLosses++
 			continue
 		}
-		loss := &targetLoss{Crash: c, at: now, task: tk}
+		loss := &targetLoss{Crash: c, at: now, begun: true, task: tk}
 		tk.losses, tk.step.hasSuspects = append(tk.losses, loss), true
 		s.crashes.unresolved[c.Target] = append(s.crashes.unresolved[c.Target], loss)
 	}
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -382,3 +382,18 @@
 		must.SliceLen(t, 1, b.s.jobsByKey["j"].tasks[0].currentLosses())
 	}
 }
+
+// The loss of a target that has not answered a task's start counts only towards maxLosses.
+func TestUnansweredStartIsNoEvidenceForIsolatedLoss(t *testing.T) {
+	b := newRackHarness(t, 12)
+	starts := b.startStoredJob("j", 1)
+	for lost := 1; lost <= maxLosses; lost++ {
+		must.SliceLen(t, 1, starts)
+		if lost > 1 {
+			b.confirmStarts(starts)
+		}
+		effects := b.loseTargets(starts[0].To.ID)
+		must.Eq(t, lost == maxLosses, len(pickEffects[JobEnded](effects)) == 1)
+		starts = pickEffects[StartRun](effects)
+	}
+}
--- a/scheduler/failing_worlds_test.go
+++ b/scheduler/failing_worlds_test.go
@@ -46,3 +46,8 @@
 func TestRestartsOfOneTargetPoisonJob(t *testing.T) {
 	replayWorld(t, "1226759", func(rt *rapid.T) { playCrashing(rt, true, nil) })
 }
+
+// A caller's job does not fail as poisoned for one lost target and one that was gone before.
+func TestTargetGoneBeforePoisonsJob(t *testing.T) {
+	replayWorld(t, "1118918", func(rt *rapid.T) { playOwnership(rt, nil) })
+}
