Fail a poison job only once the claim is confirmed as of its last loss

Cause: its owner had a successor and did not know of it. The successor had stopped the isolated run of the suspect and had started tasks of its own on that target, one of which crashed it. The old owner got no answer from the target after that and took its loss for that of an isolated run, which is the last evidence that fails a job. Change: where claims are confirmed, the verdict waits for a confirmation as of the loss; until then the task isn't started, and once a loss is cleared it goes on. This asks the store once for each verdict. Weighed: to count no loss of an owner that may be behind, which would leave poison tasks running. No task can start twice through this.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -85,6 +85,8 @@
 	events []targetLossEvent
 	// unresolved holds the losses by target, as long as they may be confirmed or cleared.
 	unresolved map[string][]*targetLoss
+	// awaitingClaim holds the tasks whose jobs fail once the claim is confirmed.
+	awaitingClaim []*task
 	// endedTasks holds tasks of callers' jobs that have ended, by task name. poisoned holds why
 	// jobs failed as poisoned, by job key.
 	endedTasks map[string]endedTask
@@ -238,17 +240,46 @@
 	return rack >= correlatedTargets || all >= correlatedTargets && float64(all) >= correlatedShare*float64(len(t.pool.targets))
 }
 
-// failIfPoisoned fails the job of a task that has crashed as many targets as it may.
-func (s *State) failIfPoisoned(now time.Duration, tk *task) {
-	losses := tk.currentLosses()
-	if tk.job.ended || len(losses) < lossesToFail || tk.hasUnresolvedLoss() {
-		return
+// isPoison reports whether a task has crashed as many targets as it may.
+func (t *task) isPoison() bool {
+	losses := t.currentLosses()
+	if len(losses) < lossesToFail || t.hasUnresolvedLoss() {
+		return false
 	}
 	begun := 0
 	for _, loss := range losses {
 		begun += boolToInt(loss.begun)
 	}
-	if len(losses) < maxLosses && (begun < lossesToFail || !losses[len(losses)-1].Isolated) {
+	return len(losses) >= maxLosses || begun >= lossesToFail && losses[len(losses)-1].Isolated
+}
+
+// hadClaimAt reports whether the targets are known to have been this owner's at a time: a successor
+// that this owner doesn't know of may have run other tasks there.
+func (s *State) hadClaimAt(at time.Duration) bool {
+	return !s.options.ConfirmClaims || s.claimConfirmedAt >= at
+}
+
+// retryVerdicts fails the jobs of poison tasks whose verdict waited for the claim.
+func (s *State) retryVerdicts(now time.Duration) {
+	waiting := s.crashes.awaitingClaim
+	s.crashes.awaitingClaim = nil
+	for _, tk := range waiting {
+		s.failIfPoisoned(now, tk)
+	}
+}
+
+// failIfPoisoned fails the job of a task that has crashed as many targets as it may. The task isn't
+// started again while that waits for the claim.
+func (s *State) failIfPoisoned(now time.Duration, tk *task) {
+	if tk.job.ended || !tk.isPoison() {
+		return
+	}
+	losses := tk.currentLosses()
+	if !s.hadClaimAt(losses[len(losses)-1].at) {
+		if !slices.Contains(s.crashes.awaitingClaim, tk) {
+			s.crashes.awaitingClaim = append(s.crashes.awaitingClaim, tk)
+		}
+		s.askForClaim(now)
 		return
 	}
 	targets := make([]string, len(losses))
@@ -322,6 +353,7 @@
 
 // tickLosses confirms or clears losses by time, and forgets old ones.
 func (s *State) tickLosses(now time.Duration) {
+	s.retryVerdicts(now)
 	c := &s.crashes
 	c.events = slices.DeleteFunc(c.events, func(e targetLossEvent) bool { return now-e.at > correlationWindow+lossTimeout })
 	for _, target := range slices.Sorted(maps.Keys(c.unresolved)) {
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -397,3 +397,28 @@
 		starts = pickEffects[StartRun](effects)
 	}
 }
+
+// An owner that may have a successor fails no job for a target that the successor may have used. The
+// task isn't started meanwhile.
+func TestPoisonVerdictWaitsForClaim(t *testing.T) {
+	b := newHarness(t, Options{ConfirmClaims: true})
+	b.s.FinishResume(b.now)
+	for i := range 8 {
+		b.s.ListedAtStart(fmt.Sprintf("t%02d", i))
+		b.addRackTarget(i)
+	}
+	starts := b.startStoredJob("j", 1)
+	for range lossesToFail {
+		must.SliceLen(t, 1, starts)
+		b.confirmStarts(starts)
+		starts = pickEffects[StartRun](b.loseTargets(starts[0].To.ID))
+	}
+	before := b.now - time.Second
+	b.s.ClaimConfirmed(b.now, before)
+	effects := b.advance(time.Second)
+	must.SliceNotEmpty(t, pickEffects[ConfirmClaim](effects))
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	must.SliceEmpty(t, pickEffects[JobEnded](effects))
+	b.s.ClaimConfirmed(b.now, b.now)
+	must.SliceLen(t, 1, pickEffects[JobEnded](b.effects()))
+}
--- a/scheduler/failing_worlds_test.go
+++ b/scheduler/failing_worlds_test.go
@@ -51,3 +51,8 @@
 func TestTargetGoneBeforePoisonsJob(t *testing.T) {
 	replayWorld(t, "1118918", func(rt *rapid.T) { playOwnership(rt, nil) })
 }
+
+// No harmless job fails as poisoned at an owner that doesn't know of its successor.
+func TestSuccessorUsesTargetOfIsolatedRun(t *testing.T) {
+	replayWorld(t, "2022369", func(rt *rapid.T) { playCrashing(rt, true, nil) })
+}
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -122,6 +122,7 @@
 // ClaimConfirmed reports that the claim was this owner's as of a given time.
 func (s *State) ClaimConfirmed(now, asOf time.Duration) {
 	s.claimConfirmedAt = max(s.claimConfirmedAt, asOf)
+	s.retryVerdicts(now)
 	s.retryAwaitingClaim(now)
 }
 
@@ -151,11 +152,16 @@
 	if !slices.Contains(s.targetsAwaitingClaim, t) {
 		s.targetsAwaitingClaim = append(s.targetsAwaitingClaim, t)
 	}
+	s.askForClaim(now)
+	return false
+}
+
+// askForClaim asks for a confirmation of the claim, unless it did so just now.
+func (s *State) askForClaim(now time.Duration) {
 	if s.claimAskedAt == 0 || now-s.claimAskedAt >= claimRetryInterval {
 		s.claimAskedAt = now
 		s.emit(ConfirmClaim{})
 	}
-	return false
 }
 
 // awaitsClaim reports whether a target needs nothing but the confirmed claim to be used.
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -14,7 +14,7 @@
 // if callers wait for its job and it has lost only one target so far.
 func (s *State) canStartSuspect(t *target, st *step, tk *task) bool {
 	switch {
-	case tk.hasUnresolvedLoss():
+	case tk.hasUnresolvedLoss() || slices.Contains(s.crashes.awaitingClaim, tk):
 		return false
 	case t.emptyExceptGang(st) && (t.isolated == tk || t.pool.isolations < t.pool.maxIsolated()):
 		return true
