Let two targets that crash by themselves under one task poison its job

In that world no job crashes a target: two targets were ended by the world itself while the same task was known to run there, the second time alone. By the documented rule that fails a job, and an owner can't tell it from a task that crashes its targets, so the check was wrong. The worlds of crashing tasks have had an exception since they began: there one lost target under any task of a job allows the verdict. Change: where the world crashes a target, the loss counts for the tasks that run there at that moment, and only two losses under the same task allow the verdict, which is as many as the rule needs; one loss, losses of different tasks, silent and hung targets still allow nothing in these worlds.

--- a/scheduler/failing_worlds_test.go
+++ b/scheduler/failing_worlds_test.go
@@ -56,3 +56,8 @@
 func TestSuccessorUsesTargetOfIsolatedRun(t *testing.T) {
 	replayWorld(t, "2022369", func(rt *rapid.T) { playCrashing(rt, true, nil) })
 }
+
+// A caller's job fails as poisoned if two targets crashed while the same task ran there.
+func TestTwoLostTargetsPoisonJob(t *testing.T) {
+	replayWorld(t, "35134428", func(rt *rapid.T) { playOwnership(rt, nil) })
+}
--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -66,6 +66,7 @@
 	case "overtake":
 		w.rejoinBeforeSubmit(rapid.IntRange(1, 6).Draw(rt, "tasks"), time.Duration(rapid.IntRange(0, 60).Draw(rt, "turn"))*ms)
 	case "crash":
+		target.countLostRuns()
 		target.crash()
 	case "hang":
 		target.hung = true
