--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -253,7 +253,7 @@
 		s.setCapacity(t, *answer.Capacity)
 	}
 	s.clearTargetLoss(t)
-	t.failedPolls = 0
+	t.failedPolls, t.doubtful = 0, false
 	if !t.fenced {
 		t.fenced, t.fencedAt = true, now
 	}
@@ -311,6 +311,7 @@
 		}
 		return
 	}
+	t.markSharing()
 	if !s.continueListedRun(now, t, listed) {
 		s.stopUnknownRun(now, t, listed.Run)
 	}
@@ -358,6 +359,7 @@
 	}
 	switch {
 	case r.task.step.Lasting:
+		s.clearSurvivor(now, r, end.Kind)
 		s.loseRun(now, r, "it ended: "+string(end.Kind))
 	case end.Kind == work.CompletionDone:
 		s.recordCompletion(t, r, end.Number, false)
@@ -447,7 +449,7 @@
 		} else {
 			s.noteRenewalWithheld(now, t)
 		}
-	case t.ackedCompletion < poll.AckUpTo:
+	case t.ackedCompletion < poll.AckUpTo, t.doubtful:
 	default:
 		return
 	}
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -22,11 +22,12 @@
 
 // Parameters of losses and poison tasks.
 const (
-	// lossesToFail is how many targets must have been lost under a task, the last of them while
-	// the task ran isolated, for its job to fail.
+	// lossesToFail is how many targets must have been lost under a task that was known to run there,
+	// the last of them while it ran isolated, for its job to fail. A target that is lost before it
+	// answers a start may have been gone before.
 	lossesToFail = 2
 	// maxLosses is how many targets must have been lost under a task for its job to fail even if
-	// the task did not run isolated. A correlated loss is not among them.
+	// the task did not run isolated, or was not known to run. A correlated loss is not among them.
 	maxLosses = 3
 	// correlationWindow is how far apart the losses of targets that have one cause show: idle
 	// targets are polled only when they are used.
@@ -52,6 +53,8 @@
 	Crash
 	// at is when the loss was noticed; after is how long the run had been in progress by then.
 	at, after time.Duration
+	// begun says that the run was known to have started.
+	begun bool
 	// confirmed says that the incarnation has certainly ended, cleared that it goes on.
 	confirmed, cleared bool
 	task               *task
@@ -82,6 +85,8 @@
 	events []targetLossEvent
 	// unresolved holds the losses by target, as long as they may be confirmed or cleared.
 	unresolved map[string][]*targetLoss
+	// awaitingClaim holds the tasks whose jobs fail once the claim is confirmed.
+	awaitingClaim []*task
 	// endedTasks holds tasks of callers' jobs that have ended, by task name. poisoned holds why
 	// jobs failed as poisoned, by job key.
 	endedTasks map[string]endedTask
@@ -180,21 +185,24 @@
 }
 
 // recordTaskLoss records the loss of a run's target against the run's task, or as the task's one
-// correlated loss. The loss of a draining target doesn't count.
+// correlated loss. The loss of a draining target doesn't count. A run that either of two incarnations
+// may have started was in one of them at most, so it counts one loss however often its target
+// restarts.
 func (s *State) recordTaskLoss(now time.Duration, r *run) {
 	t, tk := r.target, r.task
-	if tk.done || tk.job.dropped || s.leaving || t.Draining || !t.presumedLost {
+	if tk.done || tk.job.dropped || s.leaving || t.Draining || !t.presumedLost || r.loss != nil && !r.loss.cleared {
 		return
 	}
 	if tk.correlatedLosses == 0 && s.isCorrelated(t, tk.job) {
 		tk.correlatedLosses++
+		r.loss = &targetLoss{task: tk}
 		tk.job.record(now, "target lost with others", tk.name, t.ID, "")
 		s.storeLoss(tk, Crash{Target: t.ID, Incarnation: t.Incarnation, Correlated: true})
 		s.rememberLosses(now, tk)
 		return
 	}
-	loss := &targetLoss{Crash: Crash{Target: t.ID, Incarnation: t.Incarnation, Isolated: r.isolated && r.state == running}, at: now, after: now - r.ordered, task: tk}
-	tk.step.hasSuspects = true
+	loss := &targetLoss{Crash: Crash{Target: t.ID, Incarnation: t.Incarnation, Isolated: r.isolated && !r.sharing && r.state == running}, at: now, after: now - r.ordered, begun: r.state == running, task: tk}
+	r.loss, tk.step.hasSuspects = loss, true
 	tk.losses = append(tk.currentLosses(), loss)
 	s.crashes.unresolved[t.ID] = append(s.crashes.unresolved[t.ID], loss)
 	tk.job.record(now, "target lost under it", tk.name, t.ID, fmt.Sprintf("%d losses in total", len(tk.losses)))
@@ -232,13 +240,46 @@
 	return rack >= correlatedTargets || all >= correlatedTargets && float64(all) >= correlatedShare*float64(len(t.pool.targets))
 }
 
-// failIfPoisoned fails the job of a task that has crashed as many targets as it may.
+// isPoison reports whether a task has crashed as many targets as it may.
+func (t *task) isPoison() bool {
+	losses := t.currentLosses()
+	if len(losses) < lossesToFail || t.hasUnresolvedLoss() {
+		return false
+	}
+	begun := 0
+	for _, loss := range losses {
+		begun += boolToInt(loss.begun)
+	}
+	return len(losses) >= maxLosses || begun >= lossesToFail && losses[len(losses)-1].Isolated
+}
+
+// hadClaimAt reports whether the targets are known to have been this owner's at a time: a successor
+// that this owner doesn't know of may have run other tasks there.
+func (s *State) hadClaimAt(at time.Duration) bool {
+	return !s.options.ConfirmClaims || s.claimConfirmedAt >= at
+}
+
+// retryVerdicts fails the jobs of poison tasks whose verdict waited for the claim.
+func (s *State) retryVerdicts(now time.Duration) {
+	waiting := s.crashes.awaitingClaim
+	s.crashes.awaitingClaim = nil
+	for _, tk := range waiting {
+		s.failIfPoisoned(now, tk)
+	}
+}
+
+// failIfPoisoned fails the job of a task that has crashed as many targets as it may. The task isn't
+// started again while that waits for the claim.
 func (s *State) failIfPoisoned(now time.Duration, tk *task) {
-	losses := tk.currentLosses()
-	if tk.job.ended || len(losses) < lossesToFail || tk.hasUnresolvedLoss() {
+	if tk.job.ended || !tk.isPoison() {
 		return
 	}
-	if !losses[len(losses)-1].Isolated && len(losses) < maxLosses {
+	losses := tk.currentLosses()
+	if !s.hadClaimAt(losses[len(losses)-1].at) {
+		if !slices.Contains(s.crashes.awaitingClaim, tk) {
+			s.crashes.awaitingClaim = append(s.crashes.awaitingClaim, tk)
+		}
+		s.askForClaim(now)
 		return
 	}
 	targets := make([]string, len(losses))
@@ -304,7 +345,7 @@
 			tk.correlatedLosses++
 			continue
 		}
-		loss := &targetLoss{Crash: c, at: now, task: tk}
+		loss := &targetLoss{Crash: c, at: now, begun: true, task: tk}
 		tk.losses, tk.step.hasSuspects = append(tk.losses, loss), true
 		s.crashes.unresolved[c.Target] = append(s.crashes.unresolved[c.Target], loss)
 	}
@@ -312,6 +353,7 @@
 
 // tickLosses confirms or clears losses by time, and forgets old ones.
 func (s *State) tickLosses(now time.Duration) {
+	s.retryVerdicts(now)
 	c := &s.crashes
 	c.events = slices.DeleteFunc(c.events, func(e targetLossEvent) bool { return now-e.at > correlationWindow+lossTimeout })
 	for _, target := range slices.Sorted(maps.Keys(c.unresolved)) {
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -283,3 +283,142 @@
 	b.s.ClaimConfirmed(b.now, b.now)
 	must.Eq(t, usable, b.s.targets["b"].state)
 }
+
+// A suspect waits only for a target that its adviser allows, and for another one once the adviser
+// excludes that.
+func TestSuspectWaitsForTargetThatAdviserAllows(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.s.FinishResume(b.now)
+	b.addUsableTarget("b", 1)
+	b.submit("other", 1, 1, "")
+	others := pickEffects[StartRun](b.effects())
+	must.SliceLen(t, 1, others)
+	b.addUsableTarget("a", 1)
+	sub := b.durableJob("j", 1)
+	sub.Queue.RequiresAdvice = true
+	b.s.ResumeJob(b.now, sub, Progress{Crashed: map[int][]Crash{0: {{Target: "x"}}}})
+	asks := pickEffects[AskAdviser](b.advance(20 * ms))
+	must.SliceLen(t, 1, asks)
+	b.s.Advised(b.now, asks[0], map[string]string{"b": "tb"}, time.Second, true)
+	must.SliceEmpty(t, pickEffects[StartRun](b.advance(20*ms)))
+	must.Nil(t, b.s.targets["a"].isolated)
+	must.NotNil(t, b.s.targets["b"].isolated)
+	b.s.adviserRequests["j.0.0"] = b.s.jobsByKey["j"].steps[0]
+	b.s.Advised(b.now, AskAdviser{Step: "j.0.0", Targets: []string{"a", "b"}}, map[string]string{"a": "ta"}, time.Second, true)
+	starts := pickEffects[StartRun](b.advance(20 * ms))
+	must.SliceLen(t, 1, starts)
+	must.Eq(t, "a", starts[0].To.ID)
+}
+
+// A lasting task that runs for longer than it took to lose its targets is no suspect any more once
+// it ends by itself. A stop or an earlier end shows nothing.
+func TestLastingTaskIsClearedByRunThatEnds(t *testing.T) {
+	for _, c := range []struct {
+		ran     time.Duration
+		kind    work.CompletionKind
+		cleared bool
+	}{
+		{600 * ms, work.CompletionFailed, true},
+		{600 * ms, work.CompletionStopped, false},
+		{400 * ms, work.CompletionFailed, false},
+	} {
+		b := newHarness(t, Options{})
+		b.s.FinishResume(b.now)
+		b.addUsableTarget("a", 1)
+		starts := pickEffects[StartRun](b.acceptAndStore(b.jobOfSteps("j", work.Step{Tasks: 1, Lasting: true})))
+		must.SliceLen(t, 1, starts)
+		b.answerStarts(starts)
+		tk := b.s.jobsByKey["j"].tasks[0]
+		tk.losses = []*targetLoss{{Crash: Crash{Target: "x"}, after: 500 * ms, confirmed: true, task: tk}}
+		b.now += c.ran
+		b.answerPoll("a", work.PollAnswer{ClockMS: 5000 + c.ran.Milliseconds(), Completions: []work.Completion{{Number: 1, Run: starts[0].Run, Kind: c.kind}}})
+		must.Eq(t, c.cleared, !tk.isSuspect(), must.Sprintf("%+v", c))
+	}
+}
+
+// An idle target that the registry has dropped gets no task before it has answered once more.
+func TestUnlistedIdleTargetIsAskedFirst(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.addUsableTarget("a", 1)
+	must.SliceEmpty(t, pickEffects[Poll](b.effects()))
+	b.s.TargetUnlisted(b.now, "a")
+	b.submit("j", 1, 1, "")
+	effects := b.effects()
+	must.SliceLen(t, 1, pickEffects[Poll](effects))
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000})
+	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
+}
+
+// A run does not count as isolated once its target has listed a run of another owner.
+func TestRunBesideOtherOwnersRunIsNotIsolated(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		b := newRackHarness(t, 8)
+		starts := b.startStoredJob("j", 1)
+		b.confirmStarts(starts)
+		starts = pickEffects[StartRun](b.loseTargets(starts[0].To.ID))
+		must.SliceLen(t, 1, starts)
+		b.confirmStarts(starts)
+		if listed {
+			b.answerPoll(starts[0].To.ID, work.PollAnswer{ClockMS: 5020, Running: listing(starts[0].Run, work.RunID{Task: "theirs.0.0.0", Number: 1 << 20})})
+			b.effects()
+		}
+		must.Eq(t, !listed, len(pickEffects[JobEnded](b.loseTargets(starts[0].To.ID))) == 1)
+	}
+}
+
+// A run whose start has no answer counts one loss, however often its target restarts before the run
+// is known to be over.
+func TestRestartsCountOneLossForEachRun(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.s.FinishResume(b.now)
+	b.listTarget(work.Target{ID: "a", Capacity: work.Resources{CPU: 4}, Incarnation: 100})
+	b.effects()
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Incarnation: 100})
+	must.SliceLen(t, 1, b.startStoredJob("j", 1))
+	for restart := range int64(4) {
+		b.answerPoll("a", work.PollAnswer{ClockMS: 10, Incarnation: 200 + restart})
+		b.advance(200 * ms)
+		must.SliceLen(t, 1, b.s.jobsByKey["j"].tasks[0].currentLosses())
+	}
+}
+
+// The loss of a target that has not answered a task's start counts only towards maxLosses.
+func TestUnansweredStartIsNoEvidenceForIsolatedLoss(t *testing.T) {
+	b := newRackHarness(t, 12)
+	starts := b.startStoredJob("j", 1)
+	for lost := 1; lost <= maxLosses; lost++ {
+		must.SliceLen(t, 1, starts)
+		if lost > 1 {
+			b.confirmStarts(starts)
+		}
+		effects := b.loseTargets(starts[0].To.ID)
+		must.Eq(t, lost == maxLosses, len(pickEffects[JobEnded](effects)) == 1)
+		starts = pickEffects[StartRun](effects)
+	}
+}
+
+// An owner that may have a successor fails no job for a target that the successor may have used. The
+// task isn't started meanwhile.
+func TestPoisonVerdictWaitsForClaim(t *testing.T) {
+	b := newHarness(t, Options{ConfirmClaims: true})
+	b.s.FinishResume(b.now)
+	for i := range 8 {
+		b.s.ListedAtStart(fmt.Sprintf("t%02d", i))
+		b.addRackTarget(i)
+	}
+	starts := b.startStoredJob("j", 1)
+	for range lossesToFail {
+		must.SliceLen(t, 1, starts)
+		b.confirmStarts(starts)
+		starts = pickEffects[StartRun](b.loseTargets(starts[0].To.ID))
+	}
+	before := b.now - time.Second
+	b.s.ClaimConfirmed(b.now, before)
+	effects := b.advance(time.Second)
+	must.SliceNotEmpty(t, pickEffects[ConfirmClaim](effects))
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	must.SliceEmpty(t, pickEffects[JobEnded](effects))
+	b.s.ClaimConfirmed(b.now, b.now)
+	must.SliceLen(t, 1, pickEffects[JobEnded](b.effects()))
+}
--- /dev/null
+++ b/scheduler/failing_worlds_test.go
@@ -0,0 +1,63 @@
+package scheduler
+
+import (
+	"flag"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// replayWorld plays one world from its seed, with all checks of its fuzz test.
+func replayWorld(t *testing.T, seed string, play func(rt *rapid.T)) {
+	t.Helper()
+	setChecks(t, 1)
+	must.NoError(t, flag.Set("rapid.seed", seed))
+	defer func() { _ = flag.Set("rapid.seed", "1") }()
+	rapid.Check(t, play)
+}
+
+// No task of a caller's job fails it as poisoned where other jobs crash all targets.
+func TestCallersJobIsPoisonedByOthers(t *testing.T) {
+	replayWorld(t, "1312393", func(rt *rapid.T) { playOwnership(rt, nil) })
+}
+
+// No harmless job fails as poisoned beside jobs that crash their targets.
+func TestHarmlessJobIsPoisonedBesidePoisonJobs(t *testing.T) {
+	replayWorld(t, "34898", func(rt *rapid.T) { playCrashing(rt, true, nil) })
+}
+
+// Every durable job ends once the faults are over.
+func TestDurableJobsWaitForever(t *testing.T) {
+	replayWorld(t, "514593", func(rt *rapid.T) { playDurableJobs(rt, nil) })
+}
+
+// Every durable job ends once the faults are over, in a world with several takeovers.
+func TestDurableJobWaitsAfterTakeovers(t *testing.T) {
+	replayWorld(t, "233222", func(rt *rapid.T) { playDurableJobs(rt, nil) })
+}
+
+// A repeated job ends after its targets were lost.
+func TestRepeatedJobWaitsAfterLostTargets(t *testing.T) {
+	replayWorld(t, "182303", func(rt *rapid.T) { playCrashing(rt, true, nil) })
+}
+
+// No durable job fails as poisoned for one run at a target that restarts again and again.
+func TestRestartsOfOneTargetPoisonJob(t *testing.T) {
+	replayWorld(t, "1226759", func(rt *rapid.T) { playCrashing(rt, true, nil) })
+}
+
+// A caller's job does not fail as poisoned for one lost target and one that was gone before.
+func TestTargetGoneBeforePoisonsJob(t *testing.T) {
+	replayWorld(t, "1118918", func(rt *rapid.T) { playOwnership(rt, nil) })
+}
+
+// No harmless job fails as poisoned at an owner that doesn't know of its successor.
+func TestSuccessorUsesTargetOfIsolatedRun(t *testing.T) {
+	replayWorld(t, "2022369", func(rt *rapid.T) { playCrashing(rt, true, nil) })
+}
+
+// A caller's job fails as poisoned if two targets crashed while the same task ran there.
+func TestTwoLostTargetsPoisonJob(t *testing.T) {
+	replayWorld(t, "35134428", func(rt *rapid.T) { playOwnership(rt, nil) })
+}
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/burdockward/burdockward/work"
 )
 
 // A suspect, a task under which a target was lost, runs isolated: it has its target to itself. A
@@ -12,7 +14,7 @@
 // if callers wait for its job and it has lost only one target so far.
 func (s *State) canStartSuspect(t *target, st *step, tk *task) bool {
 	switch {
-	case tk.hasUnresolvedLoss():
+	case tk.hasUnresolvedLoss() || slices.Contains(s.crashes.awaitingClaim, tk):
 		return false
 	case t.emptyExceptGang(st) && (t.isolated == tk || t.pool.isolations < t.pool.maxIsolated()):
 		return true
@@ -59,7 +61,7 @@
 	}
 	var least *target
 	for _, t := range p.targets {
-		if t.isOpen() && t.reservedFor == nil && tk.step.fitsEmpty(t) && s.canRenewLease(now, t) && (least == nil || len(t.runs) < len(least.runs)) {
+		if t.isOpen() && t.reservedFor == nil && tk.step.fitsEmpty(t) && tk.step.advice.allows(now, t.ID) && s.canRenewLease(now, t) && (least == nil || len(t.runs) < len(least.runs)) {
 			least = t
 		}
 	}
@@ -71,8 +73,19 @@
 	s.markChanged(least)
 }
 
+// unreserveUnfit frees the targets that are reserved for suspects of a step and can't take them any
+// more, however empty they get.
+func (s *State) unreserveUnfit(st *step) {
+	for _, tk := range st.pending {
+		if t := tk.reservedTarget; t != nil && (!t.acceptsTasks() || !st.fitsEmpty(t) || st.advice.excludes(t.ID)) {
+			s.unreserveForSuspect(tk)
+		}
+	}
+}
+
 // startReservedSuspects starts the suspects of a step whose reserved target can take them now.
 func (s *State) startReservedSuspects(now time.Duration, j *job, st *step) {
+	s.unreserveUnfit(st)
 	st.pending = slices.DeleteFunc(st.pending, func(tk *task) bool {
 		t := tk.reservedTarget
 		if t == nil || !s.canStart(now, t, j, st, tk) {
@@ -100,19 +113,44 @@
 // maxIsolated is how many targets of the pool may be isolated or reserved for suspects at a time.
 func (p *pool) maxIsolated() int { return max(int(isolationShare*float64(len(p.targets))), 1) }
 
+// markSharing notes that the target runs what this owner has not ordered. Its loss shows nothing of
+// this owner's runs, even of an isolated one.
+func (t *target) markSharing() {
+	for _, r := range t.runs {
+		r.sharing = true
+	}
+}
+
 // clearLongRun clears a suspect whose run has lasted much longer than the runs under which its
 // targets were lost.
 func (s *State) clearLongRun(now time.Duration, r *run) {
-	if !r.task.isSuspect() || !r.listed {
+	if !r.task.isSuspect() || !r.listed || now-r.ordered <= 2*r.task.longestBeforeLoss()+survivorSlack {
 		return
 	}
+	s.clearSuspect(now, r)
+}
+
+// clearSurvivor clears a suspect whose run ended by itself after its targets would have been lost:
+// a lasting task has no completion that shows that it is done.
+func (s *State) clearSurvivor(now time.Duration, r *run, kind work.CompletionKind) {
+	ended := kind == work.CompletionDone || kind == work.CompletionFailed
+	if ended && r.task.isSuspect() && now-r.ordered > r.task.longestBeforeLoss() {
+		s.clearSuspect(now, r)
+	}
+}
+
+// longestBeforeLoss is the longest time for which a run of the task was in progress when the loss of
+// its target was noticed.
+func (t *task) longestBeforeLoss() time.Duration {
 	longest := time.Duration(0)
-	for _, loss := range r.task.losses {
+	for _, loss := range t.losses {
 		longest = max(longest, loss.after)
 	}
-	if now-r.ordered <= 2*longest+survivorSlack {
-		return
-	}
+	return longest
+}
+
+// clearSuspect drops the losses that count against the task of a run.
+func (s *State) clearSuspect(now time.Duration, r *run) {
 	r.task.losses = nil
 	r.endIsolation()
 	s.emit(LogEvent{Message: "task cleared", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: r.target.ID, Age: now - r.ordered})
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -56,6 +56,8 @@
 	// retired says that it has been missing for too long and takes no new tasks.
 	unlistedSince time.Duration
 	retired       bool
+	// doubtful says that an idle target was found missing and has not answered since.
+	doubtful bool
 	// warmAt is when the target reaches its full speed after its start.
 	warmAt time.Duration
 	free   work.Resources
@@ -153,7 +155,10 @@
 	// cold runs began while their target was still slow after its start.
 	cold bool
 	// listed runs were listed by a poll; isolated runs have their target to themselves.
-	listed, isolated bool
+	// sharing says that its target listed runs of others since it was ordered.
+	listed, isolated, sharing bool
+	// loss is the loss of its target that was recorded for the run; nil if none was.
+	loss *targetLoss
 	// endListed is set once the target has listed the run's completion; route is how the answered
 	// start order went.
 	endListed bool
@@ -227,7 +232,7 @@
 		t.registryCapacity = entry.Capacity
 		s.setCapacity(t, entry.Capacity)
 	}
-	t.unlistedSince, t.retired = 0, false
+	t.unlistedSince, t.retired, t.doubtful = 0, false, false
 	t.warmAt = now + entry.WarmUpLeft
 	entry.Capacity, entry.Incarnation = t.Capacity, t.Incarnation
 	t.Target = entry
@@ -235,11 +240,14 @@
 }
 
 // TargetUnlisted records that the registry has no entry of a target any more. The target stays
-// known while it answers, as entries also lapse while the registry is away.
+// known while it answers, as entries also lapse while the registry is away. An idle target is asked
+// at once: nothing else would show that it is gone before a task is lost there.
 func (s *State) TargetUnlisted(now time.Duration, id string) {
 	if t := s.targets[id]; t != nil && t.unlistedSince == 0 {
 		t.unlistedSince = now
 		s.emit(LogEvent{Message: "target is not listed", Target: id})
+		t.doubtful = t.state == usable && !t.pollPending
+		s.markChanged(t)
 	}
 }
 
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -66,10 +66,14 @@
 	poisonJobs map[string]bool
 	crashed    map[string]int
 	lostUnder  map[string]bool
+	// lostRuns counts, for each task, the targets that crashed by themselves while it ran there.
+	lostRuns map[string]int
 	// singleOwner ends the previous owner when another takes over.
 	singleOwner bool
 	// restarts makes targets restart under their ID, and report their incarnation and capacity.
 	restarts bool
+	// trace records the world's events and effects; nil if nobody compares them.
+	trace *worldTrace
 }
 
 // worldFaults holds the shares, from 0 to 1, of orders that meet each fault, and of runs that fail.
@@ -80,35 +84,6 @@
 	failing float64
 }
 
-type pendingEvent struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-// eventQueue is a heap of events by time, and in order of creation for the same time.
-type eventQueue []pendingEvent
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(pendingEvent)) }
-
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 // fakeOwner is an owner's process.
 type fakeOwner struct {
 	state *State
@@ -184,7 +159,7 @@
 		ackedFailures: map[string]int{}, failedRuns: map[string]int{}, done: map[string]bool{}, saved: map[string]map[string]bool{}, gangs: map[string]*fakeGang{}, tickets: map[string]time.Duration{},
 	}
 	w.acknowledgedBy = map[string]string{}
-	w.poisonJobs, w.crashed, w.lostUnder = map[string]bool{}, map[string]int{}, map[string]bool{}
+	w.poisonJobs, w.crashed, w.lostUnder, w.lostRuns = map[string]bool{}, map[string]int{}, map[string]bool{}, map[string]int{}
 	for range targets {
 		w.addTarget()
 	}
@@ -230,6 +205,7 @@
 		}
 		next := heap.Pop(&w.queue).(pendingEvent)
 		w.now = next.at
+		w.trace.addEvent(next)
 		next.do()
 	}
 }
@@ -330,6 +306,7 @@
 
 func (w *world) applyEffects(o *fakeOwner) {
 	for _, effect := range o.state.Effects(w.now) {
+		w.trace.addEffect(w, o, effect)
 		switch e := effect.(type) {
 		case Answer:
 			w.handleAnswer(o, e)
