Let the world of VMs follow the code for requests and gone callers

Need: the simulated VMs follow package link, node and owner, which now number requests, give them the end of their own keepalive, name the caller's entry VM in a part, and drop jobs of callers that are gone.

--- a/scheduler/newer_faults_calls_test.go
+++ b/scheduler/newer_faults_calls_test.go
@@ -56,6 +56,8 @@
 	entry     string
 	timestamp time.Duration
 	sub       Submission
+	// request is the request's number at the entry VM.
+	request uint64
 	// previous is the owner's process that got the earlier request, ago the time since then.
 	previous uint64
 	ago      time.Duration
@@ -78,6 +80,8 @@
 const maxTries = 4
 
 func (v *vm) runWhileAlive(view *ownerView, o order, done func(work.Outcome)) *remoteCall {
+	v.lastRequest++
+	o.request = v.lastRequest
 	c := &remoteCall{from: v, view: view, order: o, age: o.sub.Age, began: v.w.now, done: done}
 	view.calls = append(view.calls, c)
 	c.attempt()
@@ -168,12 +172,16 @@
 		return
 	}
 	owner.recordKeepalive(o.entry, until, nil)
-	owner.submit(o.submission(), conn, reply)
+	owner.submit(o.submission(v), conn, reply)
 }
 
-func (o order) submission() Submission {
+// submission follows node.submissionFromOrder at the owner's VM.
+func (o order) submission(v *vm) Submission {
 	sub := o.sub
-	sub.Entry = o.entry
+	sub.Entry, sub.Request, sub.Expires = o.entry, o.request, o.timestamp+keepaliveLifetime
+	if sub.Origin == v.entryID() {
+		sub.Origin = ""
+	}
 	return sub
 }
 
@@ -183,13 +191,13 @@
 		if owner := v.current; owner != nil && presence != Present && o.previous == v.incarnation {
 			until := o.timestamp + keepaliveLifetime
 			owner.recordKeepalive(o.entry, until, nil)
-			owner.rejoin(o.submission(), o.ago, v.w.now < until, conn, func(outcome work.Outcome, _ Presence) { reply(outcome) })
+			owner.rejoin(o.submission(v), o.ago, v.w.now < until, conn, func(outcome work.Outcome, _ Presence) { reply(outcome) })
 			return
 		}
 		reply(outcome)
 	}
 	if v.outgoing != nil {
-		v.outgoing.rejoin(o.submission(), o.ago, false, conn, askCurrent)
+		v.outgoing.rejoin(o.submission(v), o.ago, false, conn, askCurrent)
 		return
 	}
 	askCurrent(work.Outcome{Result: work.Unknown}, Forgotten)
@@ -233,6 +241,10 @@
 	arrived := w.now
 	o.submissions = append(o.submissions, func(now time.Duration) {
 		c.handled = true
+		if c.over || conn != nil && conn.left {
+			c.settle(work.Outcome{Result: work.Unknown, Reason: "the caller left"})
+			return
+		}
 		c.ref = o.addWaiter(&sub, c)
 		o.lastWait = now - arrived
 		sub.Age += now - arrived
--- a/scheduler/newer_faults_entry_test.go
+++ b/scheduler/newer_faults_entry_test.go
@@ -57,13 +57,14 @@
 
 // entryRequest follows entry.Dispatch.
 type entryRequest struct {
-	vm        *vm
-	client    *client
-	arrived   time.Duration
-	over      bool
-	remote    *remoteCall
-	local     *call
-	refusedBy map[int]bool
+	vm      *vm
+	client  *client
+	arrived time.Duration
+	// gone says that the caller's connection had ended before the request was read.
+	gone, over bool
+	remote     *remoteCall
+	local      *call
+	refusedBy  map[int]bool
 }
 
 // connectionLost has the caller send again: its connection broke.
@@ -92,12 +93,19 @@
 	})
 }
 
-// reset breaks the caller's connection: both ends notice.
+// reset breaks the caller's connection: both ends notice. The caller sends a request that was not
+// read again at once.
 func (r *entryRequest) reset() {
-	if r.client.request == r {
-		r.leave()
-		r.client.retry(retryInterval)
+	if r.client.request != r {
+		return
 	}
+	r.gone = r.arrived == 0
+	r.leave()
+	if r.gone {
+		r.client.retry(10 * ms)
+		return
+	}
+	r.client.retry(retryInterval)
 }
 
 func (r *entryRequest) answer(outcome work.Outcome) {
@@ -127,6 +135,9 @@
 }
 
 func (r *entryRequest) dispatch() {
+	if r.gone {
+		return
+	}
 	if r.arrived == 0 {
 		r.arrived = r.vm.w.now
 	}
--- a/scheduler/newer_faults_world_test.go
+++ b/scheduler/newer_faults_world_test.go
@@ -85,6 +85,7 @@
 	views                             map[uint64]*ownerView
 	givenUp                           map[string]time.Duration
 	lastLoadRequest                   time.Duration
+	lastRequest                       uint64
 	requests                          []*entryRequest
 }
 
