Play as many histories as each scheduler test asks for

Whoever ran the scheduler's tests together saw the fuzz tests after the first one play 100 histories, whatever their number: TestFuzzDurableJobs 100 instead of 600, TestFuzzCapacity 100 instead of 300, and TestTargetRestartsBesidePreviousOwner 100 beginning with seed 129 instead of that one. setChecks leaves the number alone where the command line sets it, but flag.Visit also lists a flag that an earlier test has set. It now looks once, before any test sets the flag.

--- a/scheduler/durable_world_test.go
+++ b/scheduler/durable_world_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -238,12 +239,18 @@
 	}
 }
 
+// checksAsked reports whether the command line sets how many histories tests play. It looks once,
+// because a flag that a test has set looks the same.
+var checksAsked = sync.OnceValue(func() bool {
+	asked := false
+	flag.Visit(func(f *flag.Flag) { asked = asked || f.Name == "rapid.checks" })
+	return asked
+})
+
 // setChecks sets how many histories the test plays, unless the command line does.
 func setChecks(t *testing.T, count int) {
 	t.Helper()
-	asked := false
-	flag.Visit(func(f *flag.Flag) { asked = asked || f.Name == "rapid.checks" })
-	if asked {
+	if checksAsked() {
 		return
 	}
 	must.NoError(t, flag.Set("rapid.checks", strconv.Itoa(count)))
