Poll a target that may have restarted before it gets a start

Callers saw: a task of a durable job ran twice at one time. A previous owner that didn't know of its successor started it at an idle target that had restarted under its ID, while the successor, which had taken the job over without knowing of that target, started it elsewhere.

Cause: an owner took its knowledge of an idle target for current, however old it was. Nothing polls an idle target, so a restart shows only in the answer to the next order, and the new incarnation knows no fencing token and carries that order out. The confirmed claim guards restarts that are known of, and this one wasn't. In the failing world the target went down 0.6 s before owner 1 ordered the runs, came up 3 ms after the orders were sent, and began one; owner 2, without this target, began the same task 13 ms later.

Fix: a target that names its incarnation gets a start, or a copy of one, only up to 150 ms after the sending of the last poll that it answered; with 120 ms on the way that is below the 300 ms that a restart takes, so that the start reaches the known incarnation or none. Otherwise the target is polled first, also where another poll waits there, and a new incarnation needs the confirmed claim as before. The owner doesn't send a start whose time is over. The answer that first names an incarnation now counts with the time of its poll, not with zero. Targets without incarnation get no further message and no delay.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -391,11 +391,11 @@
 	}
 }
 
-// sendStart starts a run on a target, unless the decision to do so is older than maxStartAge.
+// sendStart starts a run on a target, unless the decision is older than maxStartAge or SendBy is over.
 func (o *Owner) sendStart(ctx context.Context, e scheduler.StartRun, decided time.Duration) {
 	token, began := o.token.Load(), bootclock.Now()
 	answer := work.OrderAnswer{Verdict: work.VerdictStaleToken}
-	if began-decided <= maxStartAge {
+	if began-decided <= maxStartAge && (e.SendBy == 0 || began <= e.SendBy) {
 		answer = o.targets.Start(ctx, e.To, e.StartOrder, token)
 	}
 	answer.Verdict = scheduler.ResolveVerdict(answer.Verdict, token, o.token.Load())
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -256,3 +256,17 @@
 	o.sendStart(t.Context(), stale, bootclock.Now())
 	must.SliceLen(t, 2, target.startedRuns())
 }
+
+// A start whose target may have restarted by now isn't sent.
+func TestStartIsNotSentAfterItsTime(t *testing.T) {
+	target := newFencingTarget()
+	o := runOwner(t, target)
+	must.Eq(t, work.Completed, (<-submit(t, o, "1")).Result)
+	start := scheduler.StartRun{To: work.TargetAddress{ID: targetID}, StartOrder: work.StartOrder{Run: work.RunID{Task: "late", Number: 9}}}
+	start.SendBy = bootclock.Now() - time.Millisecond
+	o.sendStart(t.Context(), start, bootclock.Now())
+	must.SliceLen(t, 1, target.startedRuns())
+	start.SendBy = bootclock.Now() + time.Minute
+	o.sendStart(t.Context(), start, bootclock.Now())
+	must.SliceLen(t, 2, target.startedRuns())
+}
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -221,7 +221,7 @@
 	if isUnanswered(verdict) && t.pollCopies.unanswered > 0 && now-at < t.firstPollWait+answerTimeout {
 		return
 	}
-	t.pollPending = false
+	t.pollPending, t.incarnationAskedAt = false, 0
 	s.markChanged(t)
 	switch verdict {
 	case work.VerdictDone:
@@ -244,6 +244,7 @@
 // applyPoll takes what a target reports in a poll's answer: its incarnation and capacity, new
 // completions, and the runs in progress.
 func (s *State) applyPoll(now time.Duration, t *target, answer work.PollAnswer) {
+	sentAt := t.poll.SentAt
 	if !s.acceptIncarnation(now, t, answer.Incarnation) {
 		return
 	}
@@ -254,7 +255,7 @@
 	t.failedPolls = 0
 	t.fenced = true
 	t.ackedCompletion = t.ackSent
-	t.answeredPollSentAt = t.poll.SentAt
+	t.answeredPollSentAt = sentAt
 	t.lease.update(answer.ClockMS, now)
 	for _, end := range answer.Completions {
 		if end.Number > t.lastCompletion {
@@ -406,14 +407,14 @@
 
 // pollIfNeeded sends a target the poll that it needs, if any and if none is on its way.
 func (s *State) pollIfNeeded(now time.Duration, t *target) {
-	if t.pollPending || t.failedPolls >= silentPolls && now < t.poll.SentAt+silentPollInterval {
+	if t.pollPending && !t.isHeldBack(now) || t.failedPolls >= silentPolls && now < t.poll.SentAt+silentPollInterval {
 		return
 	}
 	if t.awaitsClaim(s) && now < t.poll.SentAt+claimRetryInterval {
 		return
 	}
 	unrecorded := len(t.unrecorded) > 0
-	if unrecorded && now < t.poll.SentAt+unrecordedPollInterval {
+	if unrecorded && t.incarnationAskedAt == 0 && now < t.poll.SentAt+unrecordedPollInterval {
 		return
 	}
 	poll := Poll{To: t.address(), SentAt: now, AckUpTo: t.acknowledgeable()}
@@ -430,13 +431,13 @@
 		s.renewLease(now, t, &poll)
 	case t.state == adopting:
 	case len(t.runs) > 0:
-		if t.failedPolls == 0 && !unrecorded {
+		if t.failedPolls == 0 && !unrecorded && t.incarnationAskedAt == 0 {
 			poll.Wait = s.pollWait(now)
 		}
 		if s.canRenewLease(now, t) {
 			s.renewLease(now, t, &poll)
 		}
-	case t.ackedCompletion < poll.AckUpTo:
+	case t.ackedCompletion < poll.AckUpTo, t.incarnationAskedAt != 0:
 	default:
 		return
 	}
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -74,7 +74,7 @@
 	t.lease = lease{}
 	t.lastCompletion, t.ackedCompletion, t.ackSent = 0, 0, 0
 	t.poll, t.pollPending, t.answeredPollSentAt, t.lastAnswer, t.failedPolls = Poll{}, false, 0, 0, 0
-	t.state, t.fenced, t.blockedUntil = adopting, false, 0
+	t.state, t.fenced, t.blockedUntil, t.incarnationAskedAt = adopting, false, 0, 0
 	t.health = newHealth()
 	s.recordFirstSeen(now, t)
 	clear(t.unrecorded)
@@ -92,6 +92,63 @@
 	s.markChanged(t)
 }
 
+// A target that names its incarnation may restart under its ID, which nobody notices while it is
+// idle, and then obeys any owner. So it gets a start only while it can't have restarted since it
+// answered, and is polled first otherwise. A target without incarnation has another ID after a
+// restart, and refuses orders that name the old one.
+
+const (
+	// minRestartTime is the least time from the end of an incarnation to the start of the next one.
+	minRestartTime = 300 * time.Millisecond
+	// maxOrderTime is how long an order may be on its way to its target once it was sent.
+	maxOrderTime = 120 * time.Millisecond
+	// restartMargin allows for clocks and for the time between the last check and the sending.
+	restartMargin = 30 * time.Millisecond
+	// incarnationProofTime is for how long after it was sent an answered poll shows that a start
+	// that is sent reaches the incarnation that answered, or none.
+	incarnationProofTime = minRestartTime - maxOrderTime - restartMargin
+	// maxIncarnationAsks bounds the targets that are asked for their incarnation at a time.
+	maxIncarnationAsks = 32
+)
+
+// incarnationKnownUntil is until when a start may be sent to a target; 0 for no limit.
+func (t *target) incarnationKnownUntil() time.Duration {
+	if t.Incarnation == 0 {
+		return 0
+	}
+	return t.answeredPollSentAt + incarnationProofTime
+}
+
+// mayHaveRestarted reports whether a start that is sent now might reach a later incarnation than
+// the known one.
+func (t *target) mayHaveRestarted(now time.Duration) bool {
+	return t.Incarnation != 0 && now > t.incarnationKnownUntil()
+}
+
+// askIncarnation has a target polled at once that a task would fit. As many targets as tasks may
+// wait are asked at a time; one that doesn't answer soon makes way for others.
+func (s *State) askIncarnation(now time.Duration, t *target, tasks int) {
+	s.awaitsIncarnation = true
+	if t.incarnationAskedAt != 0 {
+		return
+	}
+	s.targetsAsked = slices.DeleteFunc(s.targetsAsked, func(other *target) bool {
+		return other.incarnationAskedAt == 0 || now-other.incarnationAskedAt >= maxResendInterval
+	})
+	if len(s.targetsAsked) >= min(max(tasks, len(s.waiting)), maxIncarnationAsks) {
+		return
+	}
+	t.incarnationAskedAt = now
+	s.targetsAsked = append(s.targetsAsked, t)
+	s.checkPoll(t)
+}
+
+// isHeldBack reports whether the answer to the pending poll may be held back although the target's
+// incarnation is asked for, so that another poll must replace it.
+func (t *target) isHeldBack(now time.Duration) bool {
+	return t.incarnationAskedAt != 0 && t.poll.Wait > 0 && now > t.poll.SentAt
+}
+
 // noLeaseEnd is the lease end of a run that either of two incarnations may have started: the
 // present one's clock does not show when it is over.
 const noLeaseEnd = math.MaxInt64
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -17,6 +17,7 @@
 		// rest.
 		s.requireCordonConfirmation(now)
 	}
+	s.awaitsIncarnation = false
 	failed := failedPlacements{}
 	remaining := s.waiting[:0]
 	reordered := false
@@ -92,7 +93,9 @@
 		}
 		if len(st.pending) > 0 {
 			s.askAdviser(now, j, st)
-			s.delegateStep(now, j, st)
+			if !s.awaitsIncarnation {
+				s.delegateStep(now, j, st)
+			}
 		}
 	}
 }
@@ -113,6 +116,9 @@
 			if unconstrained && !st.pending[0].isSuspect() {
 				failed.add(j.pool, st.PerTask)
 			}
+			if s.awaitsIncarnation {
+				return
+			}
 			if st.hasSuspects && j.isDurable() {
 				s.reserveForSuspect(now, st.pending[0])
 			}
@@ -144,6 +150,10 @@
 	if !st.canRunBeside(t) || t.runs[tk.name] != nil || t.reservedFor != nil && t.reservedFor != st || !s.canRenewLease(now, t) {
 		return false
 	}
+	if t.mayHaveRestarted(now) {
+		s.askIncarnation(now, t, len(st.pending))
+		return false
+	}
 	if t.isSlow() && !t.health.suspected {
 		return now+time.Duration(t.health.speed*float64(st.expectedRuntime)) <= j.objective || len(t.runs) == 0
 	}
@@ -197,7 +207,7 @@
 // sendStart sends one copy of a run's start order.
 func (s *State) sendStart(now time.Duration, r *run) {
 	r.copies.add(now)
-	s.emit(StartRun{To: r.target.address(), StartOrder: work.StartOrder{
+	s.emit(StartRun{To: r.target.address(), SendBy: r.target.incarnationKnownUntil(), StartOrder: work.StartOrder{
 		Run: r.RunID, Payload: r.task.job.sub.Job.Payload, SavedState: r.resumeFrom, Ticket: r.ticket, LeaseUntilMS: r.leaseUntil,
 	}})
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -75,6 +75,11 @@
 	if s.targets[t.ID] == t {
 		t.pool.insert(t)
 	}
+	s.checkPoll(t)
+}
+
+// checkPoll has the next Effects check whether to poll a target.
+func (s *State) checkPoll(t *target) {
 	if !t.dirty {
 		t.dirty = true
 		s.dirty = append(s.dirty, t)
--- a/scheduler/resend.go
+++ b/scheduler/resend.go
@@ -201,7 +201,7 @@
 
 // resendDueStart sends a start again that has had no answer for resendInterval.
 func (s *State) resendDueStart(now time.Duration, r *run) {
-	if r.state == ordered && r.stop == nil && !s.startsBlocked(now) && s.resend.takeDueCopy(now, &r.copies, 0) {
+	if r.state == ordered && r.stop == nil && !s.startsBlocked(now) && !r.target.mayHaveRestarted(now) && s.resend.takeDueCopy(now, &r.copies, 0) {
 		s.sendStart(now, r)
 		if r.copies.count > 2 {
 			s.recordMissedAnswer(now, r.target)
@@ -213,7 +213,7 @@
 // did. No answer to that copy will come, and another copy costs less than to stop the run and start
 // its task elsewhere.
 func (s *State) resendBrokenStart(now time.Duration, r *run) bool {
-	if r.state != ordered || r.stop != nil || s.startsBlocked(now) || r.copies.count >= maxCopies || now-r.ordered >= answerTimeout || !s.resend.takeBudget() {
+	if r.state != ordered || r.stop != nil || s.startsBlocked(now) || r.target.mayHaveRestarted(now) || r.copies.count >= maxCopies || now-r.ordered >= answerTimeout || !s.resend.takeBudget() {
 		return false
 	}
 	s.sendStart(now, r)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -44,6 +44,8 @@
 // StartRun orders the start of a run; the answer goes to HandleStartAnswer.
 type StartRun struct {
 	To work.TargetAddress
+	// SendBy is until when the order may be sent; 0 for no limit. Later its target may have restarted.
+	SendBy time.Duration
 	work.StartOrder
 }
 
@@ -189,6 +191,10 @@
 	// listedAtStart holds the targets that were listed when this owner started.
 	listedAtStart        map[string]bool
 	targetsAwaitingClaim []*target
+	// targetsAsked are those whose incarnation was asked for; awaitsIncarnation says that a task
+	// would fit one of them in the present round of placing.
+	targetsAsked      []*target
+	awaitsIncarnation bool
 	// lastMissedAnswer is when an answer was last found missing; 0 before the first.
 	lastMissedAnswer time.Duration
 	// pendingWrites counts the writes to the store that are not confirmed yet.
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -42,6 +42,9 @@
 	// reported yet when the present one started.
 	incarnations       int
 	incarnationUnknown bool
+	// incarnationAskedAt is when the target was asked whether it is still in its incarnation; 0 once
+	// a poll was answered or has failed since.
+	incarnationAskedAt time.Duration
 	// presumedLost is set from when the target fell silent until it answers again. isolated is the
 	// suspect task that has the target to itself; isolatedRuns counts its runs, more than one for a
 	// gang.
