Don't take a claim whose row is gone for confirmed

What callers could see: an owner used a target that came later, or had restarted, although another VM may have claimed the group before, so that a task might run under both.

Cause: ConfirmOwnership counted a missing row as "still this VM's". A row that is gone says nothing: a successor may have claimed and the row been removed since. Fix: it returns ErrClaimGone, so that such targets wait and the log names the reason. The price: while the row is gone, targets that come later stay unused. Nothing writes the row again, and a claim that expects the old version can't be written either; that was so before, and is left open.

--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -275,6 +275,10 @@
 // ErrNoSuccessor means that no other VM of the failure domain is known.
 var ErrNoSuccessor = errors.New("no successor: no other VM of the failure domain sends heartbeats")
 
+// ErrClaimGone means that the store has no claim of the group. Another VM may have claimed before the
+// row was removed, so that nothing is known of the owner.
+var ErrClaimGone = errors.New("the claim's row is gone from the store")
+
 // ConfirmOwnership asks the store whether this VM's claim is still the newest one of the group.
 func (k *Keeper) ConfirmOwnership(ctx context.Context) (bool, error) {
 	rows, err := k.store.Get(ctx, claimsTable, "", k.options.Group)
@@ -285,7 +289,10 @@
 	if !known || claim.Claim.GetLife() != k.options.Self.Incarnation {
 		return false, nil
 	}
-	return len(rows.Rows) == 0 || rows.Rows[0].Version <= claim.Version, nil
+	if len(rows.Rows) == 0 {
+		return false, ErrClaimGone
+	}
+	return rows.Rows[0].Version <= claim.Version, nil
 }
 
 // ClaimSender sends a claim directly to the VM that it makes the owner of a group.
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -93,7 +93,7 @@
 }
 
 func (s *fakeStore) Get(_ context.Context, _ platform.Table, _, key string) (platform.Rows, error) {
-	if s.err != nil {
+	if s.err != nil || s.version == 0 {
 		return platform.Rows{}, s.err
 	}
 	return platform.Rows{Rows: []platform.Row{{Key: key, Value: s.value, Version: s.version}}}, nil
@@ -270,3 +270,21 @@
 	must.False(t, ShouldClaim(Observation{Current: &held, VM: "v", Incarnation: 1, ClaimAge: 100 * ms, OwnerSilent: 100 * ms}))
 	must.True(t, ShouldClaim(Observation{Current: &held, VM: "v", Incarnation: 1, ClaimAge: time.Second, OwnerSilent: time.Second}))
 }
+
+// A claim whose row is gone isn't confirmed: another VM may have claimed before.
+func TestGoneClaimIsNotConfirmed(t *testing.T) {
+	store := &fakeStore{version: 5}
+	k := newKeeper(store, func([]GroupClaim) {})
+	k.Merge([]GroupClaim{{Group: "g", Version: 5, Claim: &linkpb.Claim{Vm: "v", Life: 1}}})
+	held, err := k.ConfirmOwnership(t.Context())
+	must.NoError(t, err)
+	must.True(t, held)
+	store.version = 6
+	held, err = k.ConfirmOwnership(t.Context())
+	must.NoError(t, err)
+	must.False(t, held)
+	store.version = 0
+	held, err = k.ConfirmOwnership(t.Context())
+	must.ErrorIs(t, err, ErrClaimGone)
+	must.False(t, held)
+}
