Take over no run that a target starts after it obeys this owner

Callers saw: nothing yet; a durable job's task could run twice. Cause: an owner that has a successor and doesn't know of it may get the answer to a poll that its target had accepted before it obeyed the successor, and that lists the successor's runs. It took such a run for one of a previous owner, judged its lease by its own requests, and could start the task at a target that the successor hadn't reached. Class: several holders of one right. Why it works: after its first answer under this owner's token a target starts nothing for previous owners, so that a run listed for the first time later is not theirs; it is stopped, which a successor's token refuses.

--- a/scheduler/durable_test.go
+++ b/scheduler/durable_test.go
@@ -401,3 +401,21 @@
 	must.SliceLen(t, 1, stopped)
 	must.Between(t, minStuckTime, stopped[0]-10*time.Second, minStuckTime+300*ms)
 }
+
+// An owner doesn't take over a run that its target lists for the first time after it has obeyed the
+// owner: a successor has ordered it.
+func TestRunOfSuccessorIsNotTakenOver(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.s.FinishResume(b.now)
+	b.addUsableTarget("a", 1)
+	b.submit("busy", 1, 1, "")
+	busy := pickEffects[StartRun](b.effects())[0]
+	b.s.HandleStartAnswer(b.now, "a", busy.Run, doneAnswer(5000))
+	b.s.ResumeJob(b.now, b.durableJob("j", 1), Progress{})
+	must.SliceEmpty(t, pickEffects[StartRun](b.effects()))
+	b.now += 20 * ms
+	theirs := work.RunID{Task: "j.0.0.0", Number: 1<<20 + 1}
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5020, Running: listing(busy.Run, theirs)})
+	must.Nil(t, b.s.jobsByKey["j"].tasks[0].run)
+	must.SliceLen(t, 1, pickEffects[StopRun](b.effects()))
+}
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -58,14 +58,16 @@
 }
 
 // continueListedRun takes a run of a previous owner that a target lists, and reports whether it
-// may continue.
+// may continue. From its first answer under this owner's token on a target starts no run of previous
+// owners: one that it lists later for the first time is a successor's, which this owner doesn't know
+// of, and whose lease it can't judge.
 func (s *State) continueListedRun(now time.Duration, t *target, listed work.RunningRun) bool {
 	if !isDurableRun(listed.Run) || t.unknownRuns[listed.Run] != nil || s.leaving {
 		return false
 	}
 	if s.allResumed {
 		tk := s.pendingTask(listed.Run.Task)
-		if tk == nil || tk.step.Gang {
+		if tk == nil || tk.step.Gang || t.fencedAt != now {
 			return false
 		}
 		s.continueRun(now, t, tk, listed)
