Take no restart as proof against a run that may have begun after it

Cause: an idle target had restarted unnoticed. A suspect was then started on it, alone, and the new incarnation confirmed the start, since such an answer does not name its incarnation. When a poll showed the restart, it counted as a target lost under the isolated run, and failed the job, though the run was at work. The code beside it already says that either incarnation may have started such a run. Change: a run that the target has not listed is uncertain before the loss is recorded, not only after it; its loss then counts towards the bound of three, but confirms no suspect. A poison task that restarts its target before any list shows it may now end three targets instead of two. No task can start twice through this: the run is stopped as before.

--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -422,3 +422,25 @@
 	b.s.ClaimConfirmed(b.now, b.now)
 	must.SliceLen(t, 1, pickEffects[JobEnded](b.effects()))
 }
+
+// A run that its target has not listed before a restart is noticed may have begun after it, so the
+// restart does not confirm a suspect.
+func TestUnnoticedRestartDoesNotConfirmSuspect(t *testing.T) {
+	for _, seen := range []bool{false, true} {
+		b := newHarness(t, Options{})
+		b.s.FinishResume(b.now)
+		b.listTarget(work.Target{ID: "a", Capacity: work.Resources{CPU: 4}, Incarnation: 100})
+		b.effects()
+		b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Incarnation: 100})
+		b.s.ResumeJob(b.now, b.durableJob("j", 1), Progress{Crashed: map[int][]Crash{0: {{Target: "x"}}}})
+		starts := pickEffects[StartRun](b.advance(40 * ms))
+		must.SliceLen(t, 1, starts)
+		b.confirmStarts(starts)
+		if seen {
+			b.answerPoll("a", work.PollAnswer{ClockMS: 5050, Incarnation: 100, Running: listing(starts[0].Run)})
+			b.effects()
+		}
+		b.answerPoll("a", work.PollAnswer{ClockMS: 10, Incarnation: 200})
+		must.Eq(t, seen, len(pickEffects[JobEnded](b.advance(40*ms))) == 1)
+	}
+}
--- a/scheduler/failing_worlds_test.go
+++ b/scheduler/failing_worlds_test.go
@@ -61,3 +61,8 @@
 func TestTwoLostTargetsPoisonJob(t *testing.T) {
 	replayWorld(t, "35134428", func(rt *rapid.T) { playOwnership(rt, nil) })
 }
+
+// No harmless job fails as poisoned for a run that began after an unnoticed restart of its target.
+func TestRunAfterUnnoticedRestartPoisonsJob(t *testing.T) {
+	replayWorld(t, "81022794", func(rt *rapid.T) { playCrashing(rt, true, nil) })
+}
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -68,6 +68,12 @@
 // incarnation may have started the others; they are stopped in the new one.
 func (s *State) beginIncarnation(now time.Duration, t *target, why string) {
 	s.emit(LogEvent{Message: "target started again", Target: t.ID, Detail: why, Age: now - t.lease.readAt})
+	for _, r := range t.runs {
+		if !r.listed {
+			// The new incarnation may have started it: that the other one ended shows nothing of it.
+			r.state = uncertain
+		}
+	}
 	s.endIncarnation(now, t)
 	t.incarnations++
 	t.incarnationUnknown = true
