Bound the lease of an ended job by its entry VM's keepalive too

Callers saw: a job that they send again 1.3 s after a broken connection may meet its first run. Cause: once an owner that is behind had ended a job, its lease was bounded by the time of that end alone, which may be 0.4 s after the last keepalive counted; the lease then lasted 1.317 s. Evidence: the test of a slow owner now plays its ticks at each phase, and failed before with a first tick after 90 ms. Why it works: the earlier of the two times bounds the lease.

--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -34,11 +34,10 @@
 
 // hasLapsed reports whether an end has certainly passed on the target's clock.
 func (l *lease) hasLapsed(now time.Duration, until int64) bool {
-	least := l.clock + int64(minClockRate*float64((now-l.readAt).Milliseconds()))
-	return l.known && least > until
+	return l.known && l.clockAt(now) > until
 }
 
-// clockAt returns a value that the target's clock doesn't pass before a time.
+// clockAt returns a value that the target's clock has reached by a time, however slow it is.
 func (l *lease) clockAt(at time.Duration) int64 {
 	return l.clock + int64(minClockRate*float64((at-l.readAt).Milliseconds()))
 }
@@ -55,16 +54,17 @@
 // nobody waits for, and for jobs whose caller is connected to this VM: their leases aren't renewed
 // once this process has ended.
 func (s *State) mustEndBy(j *job) time.Duration {
-	switch {
-	case j.isDurable():
+	if j.isDurable() || j.sub.Entry == "" && !j.ended {
 		return noTimeLimit
-	case j.ended:
+	}
+	evidence := noTimeLimit
+	if j.ended {
 		// The caller may have left as long ago as this process may be behind without noticing.
-		return j.endedAt - s.options.PauseThreshold + s.options.ResendDelay - resendMargin
-	case j.sub.Entry == "":
-		return noTimeLimit
+		evidence = j.endedAt - s.options.PauseThreshold
+	}
+	if j.sub.Entry != "" {
+		evidence = min(evidence, s.lastKeepalive(j)-s.options.KeepaliveTimeout)
 	}
-	evidence := s.lastKeepalive(j) - s.options.KeepaliveTimeout
 	return evidence + s.options.ResendDelay - resendMargin
 }
 
--- a/scheduler/overlap_test.go
+++ b/scheduler/overlap_test.go
@@ -39,7 +39,7 @@
 // playLostEntry loses the entry VM of a running job, or of one that lent a part, whose target answers
 // polls but no stops. It returns for how long after the loss the target's lease lasts if its clock is
 // 2 % slow. A lender notices the loss as late as it may and can't tell this owner.
-func playLostEntry(t *testing.T, sub Submission, tick time.Duration) time.Duration {
+func playLostEntry(t *testing.T, sub Submission, firstTick, tick time.Duration) time.Duration {
 	b := newHarness(t, Options{})
 	b.addUsableTarget("a", 4)
 	b.submit("other", 1, 1, "")
@@ -56,7 +56,7 @@
 	clock := func() int64 { return 5000 + int64(0.98*float64((b.now-lost).Milliseconds())) }
 	b.s.HandleStartAnswer(b.now, "a", run.Run, doneAnswer(clock()))
 	until := run.LeaseUntilMS
-	for nextTick := b.now + TickInterval - ms; clock() <= until; b.now += ms {
+	for nextTick := b.now + firstTick; clock() <= until; b.now += ms {
 		b.answerPoll("a", work.PollAnswer{ClockMS: clock(), Running: listing(run.Run, other.Run)})
 		if b.now >= nextTick {
 			b.s.Tick(b.now)
@@ -71,15 +71,17 @@
 
 // The run of a lost entry VM is over before its caller sends the job again.
 func TestRunOfLostEntryVMEndsBeforeItsCallerReturns(t *testing.T) {
-	must.Less(t, resendDelay, playLostEntry(t, Submission{Entry: "e"}, TickInterval))
+	must.Less(t, resendDelay, playLostEntry(t, Submission{Entry: "e"}, TickInterval-ms, TickInterval))
 }
 
 // The same holds at an owner that is behind, but not so far that it counts as paused.
 func TestRunOfLostEntryVMEndsAtSlowOwnerBeforeItsCallerReturns(t *testing.T) {
-	must.Less(t, resendDelay, playLostEntry(t, Submission{Entry: "e"}, 390*ms))
+	for firstTick := 10 * ms; firstTick < 390*ms; firstTick += 20 * ms {
+		must.Less(t, resendDelay, playLostEntry(t, Submission{Entry: "e"}, firstTick, 390*ms), must.Sprint(firstTick))
+	}
 }
 
 // The same holds for a part that another owner has lent.
 func TestPartOfLostEntryVMEndsBeforeItsCallerReturns(t *testing.T) {
-	must.Less(t, resendDelay, playLostEntry(t, Submission{Entry: "lender", Origin: "e", Part: []string{"j.0.0.0"}}, TickInterval))
+	must.Less(t, resendDelay, playLostEntry(t, Submission{Entry: "lender", Origin: "e", Part: []string{"j.0.0.0"}}, TickInterval-ms, TickInterval))
 }
