Answer releases to older builds and to successors of ended owners

Cause: a successor of an older build doesn't say how often its claim was handed over by message, so that it looked as old as the current owner and was told that all targets were released. And an owner that had handed over twice within one process left its first successor waiting for an owner that had ended. Evidence: TestOldSuccessorGetsNothingBeforeHandoverIsKnown and TestSuccessorOfEndedOwnerIsNotKeptWaiting failed before. Why it works: the request says whether it counts; without that the former rule holds, and a claim older than the outgoing owner's has no predecessor here any more.

--- a/link/link.go
+++ b/link/link.go
@@ -72,7 +72,7 @@
 type Handler interface {
 	Run(ctx context.Context, order Order) work.Outcome
 	// Release returns the targets that the owner with the given claim may use, which succeeds one of
-	// this VM.
+	// this VM. VMs of an older build send the claim's version only.
 	Release(ctx context.Context, successor ownership.GroupClaim) owner.Released
 	// State returns the state of a durable job, Cancel cancels it and returns its state; absent
 	// if no owner in this VM knows the job.
@@ -109,9 +109,11 @@
 
 // Release implements linkpb.Fleet.
 func (s server) Release(ctx context.Context, r *linkpb.ReleaseRequest) (*linkpb.ReleaseReply, error) {
-	released := s.handler.Release(ctx, ownership.GroupClaim{
-		Group: r.GetGroup(), Version: r.GetToken(), Claim: &linkpb.Claim{Passed: r.GetPassed()},
-	})
+	successor := ownership.GroupClaim{Group: r.GetGroup(), Version: r.GetToken()}
+	if r.GetCountsPassed() {
+		successor.Claim = &linkpb.Claim{Passed: r.GetPassed()}
+	}
+	released := s.handler.Release(ctx, successor)
 	reply := &linkpb.ReleaseReply{Targets: released.Targets, All: released.All}
 	for _, target := range released.Registry {
 		reply.Listed = append(reply.Listed, targetToWire(target))
@@ -253,7 +255,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := c.fleet(address).Release(ctx, &linkpb.ReleaseRequest{
-		Group: successor.Group, Token: successor.Version, Passed: successor.Claim.GetPassed(),
+		Group: successor.Group, Token: successor.Version, Passed: successor.Claim.GetPassed(), CountsPassed: true,
 	})
 	if err != nil {
 		return owner.Released{}, err
--- a/node/calls_test.go
+++ b/node/calls_test.go
@@ -48,3 +48,23 @@
 		must.Eq(t, test.pending, pending, must.Sprint(times))
 	}
 }
+
+// A successor of an older build doesn't say how often its claim was handed over by message. It gets
+// nothing while this VM has a current owner.
+func TestOldSuccessorGetsNothingBeforeHandoverIsKnown(t *testing.T) {
+	current := idleOwner()
+	current.claim = handedOver(0)
+	released := peerCalls{&Node{current: current}}.Release(t.Context(), ownership.GroupClaim{Group: "g", Version: 5})
+	must.False(t, released.All)
+	must.SliceEmpty(t, released.Targets)
+}
+
+// An owner whose predecessor has ended, because another one of the same process took its place, isn't
+// kept waiting for it.
+func TestSuccessorOfEndedOwnerIsNotKeptWaiting(t *testing.T) {
+	second := idleOwner()
+	second.claim = handedOver(2)
+	predecessor, pending := (&Node{outgoing: second}).predecessorOf(handedOver(1))
+	must.Nil(t, predecessor)
+	must.False(t, pending)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -328,18 +328,23 @@
 
 // predecessorOf returns the owner in this process that hands over to the owner with the given claim,
 // or nil. It is pending while this VM hasn't learned of that claim: its owner still uses the targets.
+// A claim that doesn't say how often it was handed over may be that of the current owner's successor.
 func (n *Node) predecessorOf(successor ownership.GroupClaim) (predecessor *owner.Owner, pending bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	counted := successor.Claim != nil
 	switch {
-	case n.current != nil && successor.IsNewerThan(n.current.claim):
+	case n.current != nil && (!counted || successor.IsNewerThan(n.current.claim)):
 		return nil, true
-	case n.outgoing != nil && !successor.IsNewerThan(n.outgoing.claim):
+	case n.outgoing == nil:
+		return nil, false
+	case counted && n.outgoing.claim.IsNewerThan(successor):
+		// The owner that this claim succeeds ended when the present outgoing one took its place.
+		return nil, false
+	case counted && !successor.IsNewerThan(n.outgoing.claim):
 		return nil, true
-	case n.outgoing != nil:
-		return n.outgoing.Owner, false
 	}
-	return nil, false
+	return n.outgoing.Owner, false
 }
 
 // outgoingOwner returns the owner in this process that hands over, or nil.
