Miss no run whose end a target may not have listed yet

Callers saw: nothing yet; a durable job's task could start again after it was done. Cause: a target lists 500 completions at a time. While a completion can't be recorded, because the store is away, none after it is acknowledged, and a run that ends beyond the first 500 is in neither list: it counted as missing, and its task was started again. Class: an incomplete list taken for a whole one. Evidence: found by an independent review; TestRunBeyondListedCompletionsIsNotLost failed before. Why it works: a list that is full shows nothing about runs that it doesn't have. Not done: the same list also tells a successor which runs are done before it takes jobs over. Result: the tests of package scheduler pass.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -272,7 +272,9 @@
 		listed[entry.Run] = true
 		s.handleListedRun(now, t, entry)
 	}
-	s.endUnlistedRuns(now, t, listed)
+	if len(answer.Completions) < work.MaxListedCompletions {
+		s.endUnlistedRuns(now, t, listed)
+	}
 	for unknown := range t.unknownRuns {
 		if !listed[unknown] {
 			delete(t.unknownRuns, unknown)
--- a/scheduler/durable_test.go
+++ b/scheduler/durable_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -419,3 +420,24 @@
 	must.Nil(t, b.s.jobsByKey["j"].tasks[0].run)
 	must.SliceLen(t, 1, pickEffects[StopRun](b.effects()))
 }
+
+// A target lists no more than a number of completions at a time. A run that it doesn't list beside
+// that many isn't missing: its completion may follow.
+func TestRunBeyondListedCompletionsIsNotLost(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.addUsableTarget("a", 4)
+	run := startDurableJob(b)
+	b.s.HandleStartAnswer(b.now, "a", run, doneAnswer(5001))
+	b.effects()
+	var ends []work.Completion
+	for i := range work.MaxListedCompletions {
+		ends = append(ends, work.Completion{Number: int64(i + 1), Run: work.RunID{Task: fmt.Sprintf("x%d.0.0.0", i), Number: int64(2*i + 2)}, Kind: work.CompletionDone})
+	}
+	for range 3 {
+		b.answerPoll("a", work.PollAnswer{ClockMS: 5002, Completions: ends})
+		must.SliceEmpty(t, pickEffects[StartRun](b.effects()))
+		b.advance(40 * ms)
+	}
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5200, Completions: ends[:1]})
+	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
+}
--- a/work/orders.go
+++ b/work/orders.go
@@ -109,6 +109,10 @@
 	SavedState string
 }
 
+// MaxListedCompletions is how many completions a target lists at a time. Further ones follow once
+// these are acknowledged; until then a run that isn't listed may have ended.
+const MaxListedCompletions = 500
+
 // PollAnswer is a target's answer to a poll.
 type PollAnswer struct {
 	// ClockMS is the target's monotonic clock.
