Tell the writers of one process apart in the fence of durable jobs

Callers saw: nothing yet; a task of a durable job could run again after it was recorded as done. Cause: the row that fences a previous owner off the store names the owner's process only. A group that is handed over and back within one process has two owners there: the first one took the second's fence for its own, and its last writes replaced the second's records. Class: several holders of one right. Why it works: the row and accepted jobs also name the number of the writer in its process, so that the first one finds itself superseded. An older build ignores the number, and its rows have none; its process is another one in any case.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -49,8 +49,9 @@
 	Queue work.Queue `json:"queue"`
 	// Group is the group of targets that runs the job.
 	Group string `json:"home"`
-	// Incarnation is that of the owner that accepted the job.
+	// Incarnation is that of the owner that accepted the job, Writer the number of its Writer.
 	Incarnation uint64 `json:"life"`
+	Writer      uint64 `json:"writer,omitempty"`
 	// Arrived is when the caller sent the job, on the store's clock.
 	Arrived time.Duration `json:"arrived"`
 }
@@ -113,7 +114,10 @@
 
 // fence is the value of a fence row.
 type fence struct {
+	// Incarnation is that of the owner's process. Writer tells the Writers of one process apart: a
+	// group that is handed over and back has two owners there.
 	Incarnation uint64 `json:"life"`
+	Writer      uint64 `json:"writer,omitempty"`
 	// Token is the owner's fencing token. An owner with a lower one can't take over.
 	Token int64 `json:"token"`
 }
--- a/jobstore/shard.go
+++ b/jobstore/shard.go
@@ -72,8 +72,10 @@
 // shard holds one owner's jobs of one partition and decides what is written next. It does no I/O
 // and has no clock: it returns batches of changes and is given the answers.
 type shard struct {
-	// incarnation identifies the owner's process; group is the group whose jobs it owns.
+	// incarnation identifies the owner's process, writer the Writer in it; group is the group whose
+	// jobs it owns.
 	incarnation uint64
+	writer      uint64
 	group       string
 	// fenceVersion is the version of this owner's fence row; 0 before it is written.
 	fenceVersion int64
@@ -93,8 +95,8 @@
 // number that ends at one owner of the largest site while ended jobs stay.
 const maxJobs = 25_000
 
-func newShard(group string, incarnation uint64) *shard {
-	return &shard{group: group, incarnation: incarnation, jobs: map[string]*trackedJob{}}
+func newShard(group string, incarnation, writer uint64) *shard {
+	return &shard{group: group, incarnation: incarnation, writer: writer, jobs: map[string]*trackedJob{}}
 }
 
 // addCallback adds a call for takeCallbacks; nil is ignored.
@@ -352,7 +354,7 @@
 // ownsFence reports whether the fence row is still this owner's, and takes its version.
 func (s *shard) ownsFence(row platform.Row) bool {
 	var f fence
-	if json.Unmarshal(row.Value, &f) != nil || f.Incarnation != s.incarnation {
+	if json.Unmarshal(row.Value, &f) != nil || f.Incarnation != s.incarnation || f.Writer != s.writer {
 		return false
 	}
 	s.fenceVersion = row.Version
@@ -391,7 +393,7 @@
 // isOwnJobRow reports whether this owner wrote a jobs row.
 func (s *shard) isOwnJobRow(row platform.Row) bool {
 	var a AcceptedJob
-	return json.Unmarshal(row.Value, &a) == nil && a.Group == s.group && a.Incarnation == s.incarnation
+	return json.Unmarshal(row.Value, &a) == nil && a.Group == s.group && a.Incarnation == s.incarnation && a.Writer == s.writer
 }
 
 // giveUp stops all writes, as another owner has taken over the group. New jobs without a result
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs/v2"
@@ -63,17 +64,22 @@
 type Writer struct {
 	options Options
 	store   Store
+	// number tells this Writer from others of the process.
+	number uint64
 
 	mu     sync.Mutex
 	shards [Partitions]*shard
 	wake   [Partitions]chan struct{}
 }
 
+// lastWriter is the number of the newest Writer of this process.
+var lastWriter atomic.Uint64
+
 // New makes a Writer that accepts nothing before Open.
 func New(o Options, store Store) *Writer {
-	w := &Writer{options: o, store: store}
+	w := &Writer{options: o, store: store, number: lastWriter.Add(1)}
 	for i := range w.shards {
-		w.shards[i] = newShard(o.Group, o.Incarnation)
+		w.shards[i] = newShard(o.Group, o.Incarnation, w.number)
 		w.wake[i] = make(chan struct{}, 1)
 	}
 	return w
@@ -124,11 +130,11 @@
 			return 0, ErrSuperseded.Errorf("token %d in partition %s is above this owner's token %d: step down", present.Token, partition, token)
 		}
 		expected = rows.Rows[0].Version
-		if present.Incarnation == w.options.Incarnation {
+		if present.Incarnation == w.options.Incarnation && present.Writer == w.number {
 			return expected, nil
 		}
 	}
-	value, err := json.Marshal(fence{Incarnation: w.options.Incarnation, Token: token})
+	value, err := json.Marshal(fence{Incarnation: w.options.Incarnation, Writer: w.number, Token: token})
 	if err != nil {
 		return 0, err
 	}
@@ -149,7 +155,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s := newShard(w.options.Group, w.options.Incarnation)
+	s := newShard(w.options.Group, w.options.Incarnation, w.number)
 	s.fenceVersion = fenceVersion
 	w.loadProgress(s, progress.Rows)
 	unfinished := w.loadJobs(s, jobs.Rows)
@@ -257,7 +263,7 @@
 // is called once; after Unconfirmed, another call follows if the store answers.
 func (w *Writer) Accept(job work.Job, queue work.Queue, age time.Duration, onResult func(AcceptResult)) {
 	value, err := json.Marshal(AcceptedJob{
-		Job: job, Queue: queue, Group: w.options.Group, Incarnation: w.options.Incarnation, Arrived: w.options.Clock() - age,
+		Job: job, Queue: queue, Group: w.options.Group, Incarnation: w.options.Incarnation, Writer: w.number, Arrived: w.options.Clock() - age,
 	})
 	if err != nil {
 		w.options.Log.Error("job not encoded", "job", job.ID, "error", err)
--- a/jobstore/writer_test.go
+++ b/jobstore/writer_test.go
@@ -178,7 +178,7 @@
 
 // The progress row of an ended job is removed once its retention is over, not before.
 func TestEndedJobIsRemovedAfterRetention(t *testing.T) {
-	s := newShard("a", 1)
+	s := newShard("a", 1, 1)
 	s.fenceVersion = 1
 	s.add(testJob, 0, 7, Progress{Group: "a", State: work.StateCompleted}, time.Minute)
 	s.enqueueExpired(59 * time.Second)
@@ -194,7 +194,7 @@
 
 // A full batch stays within the most changes of one write.
 func TestBatchStaysWithinMaxChanges(t *testing.T) {
-	s := newShard("a", 1)
+	s := newShard("a", 1, 1)
 	s.fenceVersion = 1
 	for i := range 100 {
 		id := string(rune('A' + i))
@@ -206,7 +206,7 @@
 
 // A change that is recorded while a write is in flight goes into the next write.
 func TestChangeDuringWriteGoesIntoNextWrite(t *testing.T) {
-	s := newShard("a", 1)
+	s := newShard("a", 1, 1)
 	s.fenceVersion = 1
 	s.add(testJob, 5, 0, Progress{Group: "a", State: work.StateQueued}, 0)
 	notified := 0
@@ -318,3 +318,20 @@
 	must.NoError(t, err)
 	must.Eq(t, work.StateRunning, state)
 }
+
+// The first owner of a process whose group was handed over and back writes nothing beside the second
+// one.
+func TestFirstOwnerOfSameProcessIsSuperseded(t *testing.T) {
+	store := newFakeStore()
+	first := startWriter(t, store, "a", 1, 1)
+	must.Eq(t, Stored, acceptJob(first, testJob))
+	openWriter(t, store, "a", 2, 2)
+	again := startWriter(t, store, "a", 1, 3)
+	awaitStored(func(done func()) { again.RecordTaskDone(testJob, 1, done) })
+	first.RecordTaskFailed(testJob, 0, 7, func() {})
+	must.Eq(t, Superseded, acceptJob(first, "6c0e7a21d94b36f8"))
+	_, unfinished := openWriter(t, store, "a", 4, 4)
+	must.SliceLen(t, 1, unfinished)
+	must.Eq(t, []int{1}, unfinished[0].Progress.Done)
+	must.MapEmpty(t, unfinished[0].Progress.Failures)
+}
