Start no repeated request that was sent before its owner existed

Callers saw: nothing yet; two runs of one task were possible. Cause: whether a repeated request was first sent to this owner or to an earlier one of the process was judged by the sender's span since then, which leaves out the way of the repeated request. Class: elapsed time where the order of messages decides. Why it works: the request carries the owner's own timestamp, which is older than its sending; it counts only if that is later than this owner. The comment of a neighbouring test stands above it again.

--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -219,8 +219,6 @@
 	must.Eq(t, work.Completed, (<-first).Result)
 }
 
-// Once a target has seen the higher token of another owner, this owner gives up its jobs and
-// answers new ones with Moved.
 // A job whose caller left while the job waited for the loop starts nothing.
 func TestJobOfGoneCallerIsNotStarted(t *testing.T) {
 	target := newFencingTarget()
@@ -238,6 +236,8 @@
 	must.SliceLen(t, 2, target.starts)
 }
 
+// Once a target has seen the higher token of another owner, this owner gives up its jobs and
+// answers new ones with Moved.
 func TestHigherTokenOfAnotherOwnerDeposes(t *testing.T) {
 	target := newFencingTarget()
 	o := runOwner(t, target)
--- a/owner/rejoin.go
+++ b/owner/rejoin.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/burdockward/burdockward/heartbeat"
 	"github.com/burdockward/burdockward/scheduler"
 	"github.com/burdockward/burdockward/work"
 )
@@ -39,7 +40,7 @@
 		ref = o.addWaiter(&sub, outcome)
 		// If this owner is newer than the request, an earlier owner in this process may have
 		// got the job.
-		mine := now-ago > o.createdAt
+		mine := now-ago > o.createdAt && sub.Expires-heartbeat.KeepaliveTimeout > o.createdAt
 		found := o.state.Rejoin(now, sub, ago, begin && mine)
 		if found == scheduler.Absent && !mine {
 			found = scheduler.Forgotten
