Allow a poison verdict in the simulation only on evidence that suffices

Cause: the check that was corrected for targets which the world itself crashes allowed the verdict after two of them under one task, whatever else ran there; the code needs three unless the task ran alone on the last. Change: the world remembers whether the task was alone, and allows two losses only then.

--- a/scheduler/crash_world_test.go
+++ b/scheduler/crash_world_test.go
@@ -66,14 +66,16 @@
 	}
 	for task := range t.runs {
 		t.world.lostRuns[task]++
+		t.world.lostAlone[task] = len(t.runs) == 1
 	}
 }
 
 // mayBePoisoned reports whether a job may fail as poisoned: its tasks crash targets, or targets
-// were lost under them for other reasons. Only losses under one task add up.
+// were lost under them for other reasons. Only losses under one task add up, and fewer suffice if the
+// last one was under that task alone.
 func (w *world) mayBePoisoned(id string) bool {
 	for task, lost := range w.lostRuns {
-		if lost >= lossesToFail && strings.HasPrefix(task, id+".") {
+		if (lost >= maxLosses || lost >= lossesToFail && w.lostAlone[task]) && strings.HasPrefix(task, id+".") {
 			return true
 		}
 	}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -67,7 +67,9 @@
 	crashed    map[string]int
 	lostUnder  map[string]bool
 	// lostRuns counts, for each task, the targets that crashed by themselves while it ran there.
-	lostRuns map[string]int
+	// lostAlone says whether the last of them ran nothing else.
+	lostRuns  map[string]int
+	lostAlone map[string]bool
 	// singleOwner ends the previous owner when another takes over.
 	singleOwner bool
 	// restarts makes targets restart under their ID, and report their incarnation and capacity.
@@ -160,6 +162,7 @@
 	}
 	w.acknowledgedBy = map[string]string{}
 	w.poisonJobs, w.crashed, w.lostUnder, w.lostRuns = map[string]bool{}, map[string]int{}, map[string]bool{}, map[string]int{}
+	w.lostAlone = map[string]bool{}
 	for range targets {
 		w.addTarget()
 	}
