Let no late repeated request take a job from a newer one

Callers saw: a job that ran well was answered as lost. Cause: a repeated request that waited was processed after a newer one for the same job, and took the job's answer from it. Why it works: the sender says how long after the first request each repeat was sent; one sent earlier than the newest is told that nothing is known. It costs an answer, and starts nothing twice.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -96,6 +96,9 @@
 		s.waiting = slices.Delete(s.waiting, at, at+1)
 		j.queued = false
 	}
+	if j.sub.Request != sub.Request {
+		j.askedAgain = 0
+	}
 	j.sub.Ref, j.sub.Entry, j.sub.Origin, j.sub.Request = sub.Ref, sub.Entry, sub.Origin, sub.Request
 	j.deadline = 0
 	if sub.Wait > 0 {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -31,6 +31,8 @@
 	// useless jobs are past usefulUntil. Only durable jobs get here: they run all the same.
 	useless bool
 	ended   bool
+	// askedAgain is how long after the first request the newest one was sent that replaced it.
+	askedAgain time.Duration
 	// endedAt is when it ended.
 	endedAt time.Duration
 	// stored jobs are in the store, cancelled ones are over for good, and dropped ones are left
--- a/scheduler/rejoin.go
+++ b/scheduler/rejoin.go
@@ -96,6 +96,10 @@
 // have handed the job to another owner.
 func (s *State) Rejoin(now time.Duration, sub Submission, ago time.Duration, begin bool) Presence {
 	if j := s.jobsByKey[sub.key()]; j != nil && !j.isDurable() && j.sub.ref() == sub.ref() {
+		if ago < j.askedAgain {
+			return Forgotten
+		}
+		j.askedAgain = ago
 		j.record(now, "asked again", "", "", "its connection broke")
 		s.attachCaller(now, j, sub)
 		return Present
