Catch a started job of a gone caller on every run of its test

Cause: the test of jobs whose caller left while they waited for the loop let the cancel come before the tasks were placed in some runs, so that its mutant survived once. Change: one of its two jobs is from another VM, whose cancel waits for a repeated request; that job starts on each run without the check.

--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -226,9 +226,11 @@
 	must.Eq(t, work.Completed, (<-submit(t, o, "first")).Result)
 	ctx, leave := context.WithCancel(t.Context())
 	leave()
-	for i := range 20 {
-		outcome := o.Submit(ctx, testSubmission(fmt.Sprintf("gone%d", i)))
-		must.Eq(t, work.Unknown, outcome.Result)
+	o.RecordKeepalive("e", bootclock.Now()+time.Hour, nil)
+	for i, entry := range []string{"", "e"} {
+		sub := testSubmission(fmt.Sprintf("gone%d", i))
+		sub.Entry = entry
+		must.Eq(t, work.Unknown, o.Submit(ctx, sub).Result)
 	}
 	must.Eq(t, work.Completed, (<-submit(t, o, "last")).Result)
 	target.mu.Lock()
