List a world in which a task starts beyond its failures

What was seen: with a fresh seed TestFuzzDurableJobs reports that a task of a durable job starts though it has failed too often, after 1,218 worlds of the final code.

--- a/scheduler/failing_worlds_test.go
+++ b/scheduler/failing_worlds_test.go
@@ -66,3 +66,8 @@
 func TestRunAfterUnnoticedRestartPoisonsJob(t *testing.T) {
 	replayWorld(t, "81022794", func(rt *rapid.T) { playCrashing(rt, true, nil) })
 }
+
+// A task of a durable job that failed as often as its queue allows is not started again.
+func TestTaskStartsBeyondItsFailures(t *testing.T) {
+	replayWorld(t, "124199160", func(rt *rapid.T) { playDurableJobs(rt, nil) })
+}
