Log on which fact a target is taken for this owner's alone

Two worlds in which tasks of durable jobs run again can't be told apart by the logs: an owner that has a successor starts tasks at a target that has restarted, and the line 'target is usable' doesn't say why it took the target for its own.

The line now names the fact ('listed at start', 'claim confirmed' with the age of the confirmation, 'no claim needed'), and targets_used counts by it.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -294,7 +294,7 @@
 // this owner's, and it is known that nobody else owns the targets.
 func (s *State) useIfReady(now time.Duration, t *target) {
 	if t.state != usable && t.fenced && len(t.unknownRuns) == 0 && len(t.inheritedRuns) == 0 && s.hasConfirmedClaim(now, t) {
-		s.emit(LogEvent{Message: "target is usable", Target: t.ID})
+		s.noteUsable(now, t)
 		t.state = usable
 	}
 }
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -219,6 +219,19 @@
 	return false
 }
 
+// noteUsable logs and counts on which fact a target is taken for this owner's alone.
+func (s *State) noteUsable(now time.Duration, t *target) {
+	line := LogEvent{Message: "target is usable", Target: t.ID, Detail: "no claim needed"}
+	switch {
+	case t.needsClaim:
+		line.Detail, line.Age = "claim confirmed", now-s.claimConfirmedAt
+	case t.incarnations == 0 && s.listedAtStart[t.ID]:
+		line.Detail = "listed at start"
+	}
+	s.emit(Count{Name: "targets_used", Kind: line.Detail})
+	s.emit(line)
+}
+
 // askForClaim asks for a confirmation of the claim, unless it did so just now.
 func (s *State) askForClaim(now time.Duration) {
 	if s.claimAskedAt == 0 || now-s.claimAskedAt >= claimRetryInterval {
