Use no first target of an owner without a confirmed claim

Cause: an owner confirms its claim before it uses a target that came later, because such a target knows no fencing token. The first target that it ever used was excepted, as no other one was fenced by then. An owner that claims while all its targets are down, and then has a successor that it doesn't know of, used the first one that came back, and started again what the successor had done.

Why it works: the exception now names the incarnations that were listed when the owner started. All others need a confirmation as of a later time, and a successor that claims after that finds the target listed.

The harness and the world list the targets of the start as the daemon does; their checks are unchanged.

--- a/owner/registry.go
+++ b/owner/registry.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		if !o.registry.snapshotRead {
-			o.state.ListedAtStart(c.id)
+			o.state.ListedAtStart(c.id, c.target.Incarnation)
 		}
 		o.registry.listed[c.id] = *c.target
 		o.addTarget(now, *c.target)
@@ -113,7 +113,7 @@
 	for _, target := range released.Registry {
 		if !o.registry.snapshotRead {
 			o.registry.listed[target.ID] = target
-			o.state.ListedAtStart(target.ID)
+			o.state.ListedAtStart(target.ID, target.Incarnation)
 		}
 	}
 	if released.All || silent {
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -258,8 +258,8 @@
 // no confirmed claim even if it is seen late.
 func TestTargetListedEarlyNeedsNoClaimConfirmation(t *testing.T) {
 	b := newHarness(t, Options{ConfirmClaims: true})
-	b.s.ListedAtStart("a")
-	b.s.ListedAtStart("b")
+	b.s.ListedAtStart("a", 0)
+	b.s.ListedAtStart("b", 0)
 	b.addUsableTarget("a", 1)
 	b.addUsableTarget("b", 4)
 	must.Eq(t, usable, b.s.targets["b"].state)
@@ -269,6 +269,7 @@
 // A target that comes later is used only once the claim was confirmed since.
 func TestLaterTargetWaitsForClaimConfirmation(t *testing.T) {
 	b := newHarness(t, Options{ConfirmClaims: true})
+	b.s.ListedAtStart("a", 0)
 	b.addUsableTarget("a", 1)
 	must.Eq(t, usable, b.s.targets["a"].state)
 	b.listTargetWithCPU("b", 4)
@@ -404,7 +405,7 @@
 	b := newHarness(t, Options{ConfirmClaims: true})
 	b.s.FinishResume(b.now)
 	for i := range 8 {
-		b.s.ListedAtStart(fmt.Sprintf("t%02d", i))
+		b.s.ListedAtStart(fmt.Sprintf("t%02d", i), 0)
 		b.addRackTarget(i)
 	}
 	starts := b.startStoredJob("j", 1)
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -189,21 +189,24 @@
 	s.retryAwaitingClaim(now)
 }
 
-// ListedAtStart records that a target was listed when this owner started. It obeys a previous
-// owner's token, and any successor reaches it too, however late this owner learns of it.
-func (s *State) ListedAtStart(id string) { s.listedAtStart[id] = true }
+// ListedAtStart records that an incarnation of a target was listed when this owner started. It
+// obeys a previous owner's token, and any successor reaches it too, however late this owner learns
+// of it.
+func (s *State) ListedAtStart(id string, incarnation int64) { s.listedAtStart[id] = incarnation }
+
+// wasListedAtStart reports whether the present incarnation of a target was listed when this owner
+// started.
+func (s *State) wasListedAtStart(t *target) bool {
+	incarnation, listed := s.listedAtStart[t.ID]
+	return listed && incarnation == t.Incarnation && t.incarnations == 0
+}
 
 // recordFirstSeen records when an incarnation was first seen, and whether its use needs a later
-// confirmation of the claim.
+// confirmation of the claim. That no target was usable until now is no reason to do without: a
+// successor may have begun while all of them were down.
 func (s *State) recordFirstSeen(now time.Duration, t *target) {
-	t.firstSeen, t.needsClaim = now, t.incarnations > 0
-	if !s.options.ConfirmClaims || s.listedAtStart[t.ID] && t.incarnations == 0 {
-		t.needsClaim = false
-		return
-	}
-	for _, other := range s.targets {
-		t.needsClaim = t.needsClaim || other != t && other.fenced
-	}
+	t.firstSeen = now
+	t.needsClaim = s.options.ConfirmClaims && !s.wasListedAtStart(t)
 }
 
 // hasConfirmedClaim reports whether this owner is known to be the only one of a target, and
@@ -225,7 +228,7 @@
 	switch {
 	case t.needsClaim:
 		line.Detail, line.Age = "claim confirmed", now-s.claimConfirmedAt
-	case t.incarnations == 0 && s.listedAtStart[t.ID]:
+	case s.wasListedAtStart(t):
 		line.Detail = "listed at start"
 	}
 	s.emit(Count{Name: "targets_used", Kind: line.Detail})
--- a/scheduler/incarnation_test.go
+++ b/scheduler/incarnation_test.go
@@ -12,6 +12,7 @@
 // incarnationHarness has one idle target that names its incarnation and has just answered.
 func incarnationHarness(t *testing.T) *harness {
 	b := newHarness(t, Options{ConfirmClaims: true})
+	b.s.ListedAtStart("a", 100)
 	b.listTarget(work.Target{ID: "a", Capacity: work.Resources{CPU: 4}, Incarnation: 100})
 	b.effects()
 	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Incarnation: 100})
@@ -90,3 +91,35 @@
 	must.SliceLen(t, 1, pickEffects[Poll](effects))
 	must.Positive(t, pickEffects[Poll](effects)[0].Wait)
 }
+
+// A previous owner that began while all targets were down starts nothing at the first one that
+// comes back: its successor began before that, and has the job's tasks done elsewhere.
+func TestFirstTargetAfterStartWaitsForClaimConfirmation(t *testing.T) {
+	b := newHarness(t, Options{ConfirmClaims: true})
+	b.s.ResumeJob(b.now, b.durableJob("j", 1), Progress{})
+	b.s.FinishResume(b.now)
+	b.listTarget(work.Target{ID: "a", Capacity: work.Resources{CPU: 4}, Incarnation: 100})
+	b.effects()
+	b.answerPoll("a", work.PollAnswer{ClockMS: 10, Incarnation: 100})
+	after := b.advance(100 * ms)
+	must.SliceEmpty(t, pickEffects[StartRun](after))
+	must.SliceNotEmpty(t, pickEffects[ConfirmClaim](after))
+	b.answerPoll("a", work.PollAnswer{ClockMS: 110, Incarnation: 100})
+	b.s.ClaimConfirmed(b.now, b.now)
+	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
+}
+
+// A target that was listed at the start and has restarted before its previous owner released it knows
+// no token.
+func TestTargetRestartedDuringHandoverWaitsForClaimConfirmation(t *testing.T) {
+	b := newHarness(t, Options{ConfirmClaims: true})
+	b.s.ListedAtStart("a", 100)
+	b.listTarget(work.Target{ID: "a", Capacity: work.Resources{CPU: 4}, Incarnation: 200})
+	b.effects()
+	b.answerPoll("a", work.PollAnswer{ClockMS: 10, Incarnation: 200})
+	b.submit("j", 1, 1, "")
+	must.SliceEmpty(t, pickEffects[StartRun](b.advance(100*ms)))
+	b.answerPoll("a", work.PollAnswer{ClockMS: 110, Incarnation: 200})
+	b.s.ClaimConfirmed(b.now, b.now)
+	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
+}
--- a/scheduler/newer_faults_owner_test.go
+++ b/scheduler/newer_faults_owner_test.go
@@ -69,7 +69,7 @@
 		o.postUrgent(func(now time.Duration) {
 			for _, id := range o.vm.w.groups[o.group].targets {
 				if t := o.vm.w.targets[id]; !t.down {
-					o.state.ListedAtStart(id)
+					o.state.ListedAtStart(id, t.listed().Incarnation)
 					o.listed[id] = t.listed()
 					o.addTarget(now, t.listed())
 				}
--- a/scheduler/newer_faults_ownership_test.go
+++ b/scheduler/newer_faults_ownership_test.go
@@ -277,7 +277,7 @@
 	for _, target := range released.registry {
 		if _, known := o.listed[target.ID]; !known && o.vm.w.storeAway {
 			o.listed[target.ID] = target
-			o.state.ListedAtStart(target.ID)
+			o.state.ListedAtStart(target.ID, target.Incarnation)
 		}
 	}
 	if released.all || silent {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -154,8 +154,8 @@
 	// claimConfirmedAt is the latest time as of which the claim is known to be this owner's.
 	// claimAskedAt is when a confirmation was last requested; targetsAwaitingClaim wait for one.
 	claimConfirmedAt, claimAskedAt time.Duration
-	// listedAtStart holds the targets that were listed when this owner started.
-	listedAtStart        map[string]bool
+	// listedAtStart holds the incarnations of the targets that were listed when this owner started.
+	listedAtStart        map[string]int64
 	targetsAwaitingClaim []*target
 	// targetsAsked are those whose incarnation was asked for; awaitsIncarnation says that a task
 	// would fit one of them in the present round of placing.
@@ -228,7 +228,7 @@
 		cordon:                cordon{known: !o.AwaitCordon},
 		crashes:               newLossTracker(),
 		evidence:              newEvidence(),
-		listedAtStart:         map[string]bool{},
+		listedAtStart:         map[string]int64{},
 
 		recentOutcomes: map[jobRef]recentOutcome{},
 		superseded:     map[jobRef]time.Duration{},
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -223,6 +223,7 @@
 	}
 	for _, id := range w.targetIDs() {
 		if t := w.targets[id]; !t.down && !t.ofOtherOwner {
+			o.state.ListedAtStart(id, t.listed().Incarnation)
 			o.state.TargetListed(w.now, t.listed())
 		}
 	}
