Log how a successor counts the completions that its predecessor left

A task of a durable job starts again after it has failed as often as its queue allows (rapid). Whether the store lacked a failure, the successor misread it, or a completion was dropped could not be told from the logs.

Each completion that a previous owner did not write is now logged and counted (completions_inherited) with the run, the failures known before it and whether it was taken for known; the job's history says what the store had.

--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -121,7 +122,7 @@
 	}
 	j := s.newJob(now, sub)
 	j.stored = true
-	j.record(now, "resumed", "", "", "")
+	j.record(now, "resumed", "", "", fmt.Sprintf("%d tasks done, failures %v up to runs %v", len(progress.Done), progress.Fails, progress.LastFailed))
 	s.jobs[sub.Ref] = j
 	s.jobsByKey[sub.Job.ID] = j
 	s.restoreProgress(now, j, progress)
@@ -257,6 +258,7 @@
 func (s *State) applyCompletion(t *task, o unrecordedCompletion) {
 	s.pendingWrites++
 	t.job.seenStarted = true
+	s.noteInherited(t, o)
 	switch {
 	case t.done || t.step.Lasting || o.failed && o.run <= t.lastFailedRun:
 		s.HandleCompletionStored(o.ref)
@@ -270,6 +272,23 @@
 	}
 }
 
+// noteInherited logs and counts a completion that a previous owner did not write to the store, with
+// what is known of the task's failures before it.
+func (s *State) noteInherited(t *task, o unrecordedCompletion) {
+	kind := "done"
+	switch {
+	case o.failed && o.run <= t.lastFailedRun:
+		kind = "failure known"
+	case o.failed:
+		kind = "failure"
+	}
+	s.emit(LogEvent{
+		Message: "completion of a previous owner", Job: t.job.sub.Job.ID, Task: t.name, Target: o.ref.Target,
+		Detail:  fmt.Sprintf("%s: run %d, %d failures up to run %d", kind, o.run, t.fails, t.lastFailedRun),
+		Counter: "completions_inherited", Kind: kind,
+	})
+}
+
 // FinishResume says that all jobs of previous owners were taken over. Completions that belong to
 // none of them may be acknowledged. Inherited runs are now assigned to their tasks or stopped.
 func (s *State) FinishResume(now time.Duration) {
