Count inherited failures by run, not by the order of answers

Cause: a record of failures is a count and the number of the newest failed run in it. A successor read the completions that its predecessor had left unrecorded in the order in which the targets answered, and dropped a failure whose run was below one that it had just counted itself.

Evidence: the successor's log names the dropped run ('failure known: run 45921, 1 failures up to run 54945') while the store had none.

Why it works: inherited completions are applied by the numbers of their runs, so each record still means that all failures up to its run are counted; in memory a failure counts as known only if the store had it or its own run was counted.

--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -291,7 +291,7 @@
 				p.Failures, p.LastFailedRun = map[int]int{}, map[int]int64{}
 			}
 			p.Failures[task]++
-			p.LastFailedRun[task] = run
+			p.LastFailedRun[task] = max(p.LastFailedRun[task], run)
 		}, done)
 	})
 }
--- a/scheduler/durable_test.go
+++ b/scheduler/durable_test.go
@@ -206,6 +206,59 @@
 	must.Eq(t, []JobEnded{{Job: "j", State: work.StateFailed}}, pickEffects[JobEnded](b.effects()))
 }
 
+// A task that has failed as often as its queue allows starts no more at a successor, in whatever
+// order the successor learns of the failures: a later run may have failed at a target that answers
+// first.
+func TestFailuresAtSeveralTargetsCountInAnyOrder(t *testing.T) {
+	for name, test := range map[string]struct {
+		progress Progress
+		recorded []int64
+	}{
+		"none stored": {Progress{}, []int64{3, 5, 7}},
+		"one stored":  {Progress{Fails: map[int]int{0: 1}, LastFailed: map[int]int64{0: 3}}, []int64{5, 7}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, Options{})
+			b.listTargetWithCPU("a", 4)
+			b.listTargetWithCPU("b", 4)
+			b.effects()
+			failed := func(number, run int64) work.Completion {
+				return work.Completion{Number: number, Run: work.RunID{Task: "j.0.0.0", Number: run}, Kind: work.CompletionFailed}
+			}
+			b.answerPoll("b", work.PollAnswer{ClockMS: 5000, Completions: []work.Completion{failed(8, 5)}})
+			b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Completions: []work.Completion{failed(1, 3), failed(2, 7)}})
+			sub := b.durableJob("j", 1)
+			sub.Queue.MaxAttempts = 3
+			b.s.ResumeJob(b.now, sub, test.progress)
+			b.s.FinishResume(b.now)
+			effects := append(b.effects(), b.advance(100*ms)...)
+			must.SliceEmpty(t, pickEffects[StartRun](effects))
+			must.Eq(t, []JobEnded{{Job: "j", State: work.StateFailed}}, pickEffects[JobEnded](effects))
+			var runs []int64
+			for _, e := range pickEffects[TaskFailed](effects) {
+				runs = append(runs, e.Run)
+			}
+			must.Eq(t, test.recorded, runs)
+		})
+	}
+}
+
+// A failure that a target lists after the jobs were taken over counts once, also if a later run has
+// failed.
+func TestLateFailureOfEarlierRunCountsOnce(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.addUsableTarget("a", 1)
+	b.s.ResumeJob(b.now, b.durableJob("j", 1), Progress{})
+	b.s.FinishResume(b.now)
+	b.effects()
+	tk := b.s.jobsByKey["j"].tasks[0]
+	for _, run := range []int64{7, 5, 7, 5} {
+		b.s.applyCompletion(tk, unrecordedCompletion{ref: CompletionRef{Target: "a"}, run: run, failed: true})
+	}
+	must.Eq(t, 2, tk.fails)
+	must.SliceLen(t, 2, pickEffects[TaskFailed](b.effects()))
+}
+
 // A job whose tasks had all ended, or failed too often, ends when it is taken over.
 func TestResumedJobThatIsOverEnds(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -101,8 +101,10 @@
 	index int
 	run   *run
 	fails int
-	// lastFailedRun is the number of the last failed run.
-	lastFailedRun int64
+	// storedFailedRun is the newest failed run that the store had counted when the job was taken
+	// over; countedFailures holds the failed runs counted since.
+	storedFailedRun int64
+	countedFailures []int64
 	// done is set once the task's work is done.
 	done bool
 	// saved is the work that the task has saved.
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -127,7 +128,7 @@
 	s.jobsByKey[sub.Job.ID] = j
 	s.restoreProgress(now, j, progress)
 	for _, t := range j.tasks {
-		for _, o := range s.unrecordedCompletions[t.name] {
+		for _, o := range sortedByRun(s.unrecordedCompletions[t.name]) {
 			s.applyCompletion(t, o)
 		}
 		delete(s.unrecordedCompletions, t.name)
@@ -158,7 +159,7 @@
 	for index, n := range progress.Fails {
 		if known(index) {
 			j.tasks[index].fails = n
-			j.tasks[index].lastFailedRun = progress.LastFailed[index]
+			j.tasks[index].storedFailedRun = progress.LastFailed[index]
 		}
 	}
 	for _, index := range slices.Sorted(maps.Keys(progress.Crashed)) {
@@ -197,6 +198,23 @@
 	failed bool
 }
 
+// sortedByRun returns completions of one task by the numbers of their runs. Targets answer in any
+// order, while the store keeps a number of failures and the newest run among them.
+func sortedByRun(completions []unrecordedCompletion) []unrecordedCompletion {
+	return slices.SortedStableFunc(slices.Values(completions), func(a, b unrecordedCompletion) int { return cmp.Compare(a.run, b.run) })
+}
+
+// isFailureCounted reports whether a failed run was counted, by this owner or a previous one.
+func (t *task) isFailureCounted(run int64) bool {
+	return run <= t.storedFailedRun || slices.Contains(t.countedFailures, run)
+}
+
+// countFailure counts a failed run.
+func (t *task) countFailure(run int64) {
+	t.fails++
+	t.countedFailures = append(t.countedFailures, run)
+}
+
 // inheritedState is the work that a run of a previous owner had saved.
 type inheritedState struct {
 	// number is the number of the run.
@@ -260,11 +278,10 @@
 	t.job.seenStarted = true
 	s.noteInherited(t, o)
 	switch {
-	case t.done || t.step.Lasting || o.failed && o.run <= t.lastFailedRun:
+	case t.done || t.step.Lasting || o.failed && t.isFailureCounted(o.run):
 		s.HandleCompletionStored(o.ref)
 	case o.failed:
-		t.fails++
-		t.lastFailedRun = o.run
+		t.countFailure(o.run)
 		s.emit(TaskFailed{Job: t.job.sub.Job.ID, Task: t.index, Run: o.run, Completion: o.ref})
 	default:
 		t.job.markDone(t)
@@ -277,14 +294,14 @@
 func (s *State) noteInherited(t *task, o unrecordedCompletion) {
 	kind := "done"
 	switch {
-	case o.failed && o.run <= t.lastFailedRun:
+	case o.failed && t.isFailureCounted(o.run):
 		kind = "failure known"
 	case o.failed:
 		kind = "failure"
 	}
 	s.emit(LogEvent{
 		Message: "completion of a previous owner", Job: t.job.sub.Job.ID, Task: t.name, Target: o.ref.Target,
-		Detail:  fmt.Sprintf("%s: run %d, %d failures up to run %d", kind, o.run, t.fails, t.lastFailedRun),
+		Detail:  fmt.Sprintf("%s: run %d, %d failures, stored up to run %d", kind, o.run, t.fails, t.storedFailedRun),
 		Counter: "completions_inherited", Kind: kind,
 	})
 }
