Match what a ping gives up by the request, not by the job

What callers saw: "unknown" for a job that runs well, as a ping repeated that an earlier request for it was given up.

Cause: pings named jobs, to all owners, for 150 ms. Each repeat ended whatever the VM had handed in since: a later request, one at another owner, other parts of the job that it had delegated there.

Why it works: the sender numbers its requests already. A ping now names the numbers given up at the owner that it goes to, at most 100, the least named first; the owner ends these alone, and starts nothing for one that is read later. Mixed builds: pings go on naming the jobs for older owners; of an older sender, which names the job alone, the first give-up ends what is there, and its repeats within 400 ms spare what came since.

The interfaces of tests take the new type; their checks are unchanged.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,11 +29,13 @@
 // given up.
 type Peers interface {
 	View(incarnation uint64) (heartbeat.View, bool)
-	GiveUp(owner uint64, job string)
+	GiveUp(owner uint64, given heartbeat.GivenUp)
 }
 
 // Remote calls owners at other VMs.
 type Remote interface {
+	// NextRequest returns a number for a request to run a job.
+	NextRequest() uint64
 	// RunWhileAlive runs a job; it returns early when the caller leaves (ctx) or the owner is
 	// considered lost (alive).
 	RunWhileAlive(ctx, alive context.Context, to heartbeat.Owner, order link.Order) work.Outcome
@@ -294,12 +296,13 @@
 		}
 		return local.Submit(ctx, scheduler.Submission{Job: r.job, Queue: r.queue, Age: age, Wait: r.wait})
 	}
+	request := e.remote.NextRequest()
 	outcome := e.remote.RunWhileAlive(ctx, c.View.Alive, c.Owner, link.Order{
 		Group: c.Group, Entry: heartbeat.EntryID(e.options.VM, e.options.Incarnation), Timestamp: c.View.Timestamp,
-		Job: r.job, Queue: r.queue, Age: age, Wait: r.wait,
+		Job: r.job, Queue: r.queue, Age: age, Wait: r.wait, Request: request,
 	})
 	if outcome.Result == work.Unknown {
-		e.peers.GiveUp(c.Owner.Incarnation, r.job.ID)
+		e.peers.GiveUp(c.Owner.Incarnation, heartbeat.GivenUp{Job: r.job.ID, Request: request})
 	}
 	if ctx.Err() == nil && (outcome.Result == work.Unknown || outcome.Result == work.Moved) {
 		e.options.OwnerLost(c.Owner)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -68,7 +68,11 @@
 	return view, ok
 }
 
-func (f *fakePeers) GiveUp(_ uint64, job string) { f.givenUp = append(f.givenUp, job) }
+func (f *fakePeers) GiveUp(_ uint64, given heartbeat.GivenUp) {
+	f.givenUp = append(f.givenUp, given.Job)
+}
+
+func (f *fakePeers) NextRequest() uint64 { return 1 }
 
 func (f *fakePeers) RunWhileAlive(_, _ context.Context, to heartbeat.Owner, _ link.Order) work.Outcome {
 	address := to.ControlAddress
--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -42,8 +42,8 @@
 // not block.
 type Listener interface {
 	// ReceiveKeepalive says that the callers of an entry VM still wait for their jobs, except
-	// those given up. It is valid until a time on the boot clock.
-	ReceiveKeepalive(entry string, until time.Duration, givenUp []string)
+	// those whose requests were given up. It is valid until a time on the boot clock.
+	ReceiveKeepalive(entry string, until time.Duration, givenUp []GivenUp)
 	// Loads returns the loads of this VM's targets by service; nil if it owns none.
 	Loads() []*linkpb.Load
 	// PendingJobs counts this VM's durable jobs of which nothing has started, by queue.
@@ -130,11 +130,11 @@
 	return pingers
 }
 
-// GiveUp notifies an owner that nobody waits for a job any more: at once and, as datagrams get
-// lost, again in the next pings.
-func (s *Service) GiveUp(owner uint64, job string) {
+// GiveUp notifies an owner that nobody waits for the answer to a request any more: at once and, as
+// datagrams get lost, again in the next pings.
+func (s *Service) GiveUp(owner uint64, given GivenUp) {
 	s.mu.Lock()
-	s.peers.givenUp[job] = bootclock.Now()
+	s.peers.giveUp(bootclock.Now(), owner, given)
 	s.mu.Unlock()
 	s.pingWhere(func(incarnation uint64) bool { return incarnation == owner })
 }
@@ -195,25 +195,46 @@
 	cordons := s.listener.Cordons()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var givenUp []string
-	for job := range s.peers.givenUp {
-		givenUp = append(givenUp, job)
-	}
 	pings := make([]outgoingPing, 0, len(s.peers.views))
 	for incarnation, v := range s.peers.views {
 		if incarnation == s.self.Incarnation || !matches(incarnation) {
 			continue
 		}
-		pings = append(pings, outgoingPing{address: v.HeartbeatAddress, ping: &linkpb.Ping{
+		ping := &linkpb.Ping{
 			Vm: s.self.VM, Life: s.self.Incarnation, FailureDomain: s.self.FailureDomain,
-			Stamp: v.Timestamp, OwnerLife: incarnation, GivenUp: givenUp, ConfigurationVersion: version,
+			Stamp: v.Timestamp, OwnerLife: incarnation, ConfigurationVersion: version,
 			CpuShare: share, Leaving: leaving, Control: s.self.ControlAddress, Heartbeat: s.self.HeartbeatAddress,
 			Cordons: cordons,
-		}})
+		}
+		setGivenUp(ping, s.peers.takeGivenUp(incarnation))
+		pings = append(pings, outgoingPing{address: v.HeartbeatAddress, ping: ping})
 	}
 	return pings
 }
 
+// setGivenUp names requests that were given up, for VMs of older builds by their jobs as well.
+func setGivenUp(ping *linkpb.Ping, givenUp []GivenUp) {
+	for _, given := range givenUp {
+		ping.GivenUp = append(ping.GivenUp, given.Job)
+		ping.GivenUpRequests = append(ping.GivenUpRequests, &linkpb.GivenUpRequest{Job: given.Job, Request: given.Request})
+	}
+}
+
+// givenUpIn returns the requests that a ping names. A ping of an older build names their jobs alone.
+func givenUpIn(ping *linkpb.Ping) []GivenUp {
+	var givenUp []GivenUp
+	for _, request := range ping.GetGivenUpRequests() {
+		givenUp = append(givenUp, GivenUp{Job: request.GetJob(), Request: request.GetRequest()})
+	}
+	if len(givenUp) > 0 {
+		return givenUp
+	}
+	for _, job := range ping.GetGivenUp() {
+		givenUp = append(givenUp, GivenUp{Job: job})
+	}
+	return givenUp
+}
+
 // write sends a message to an address. A datagram that can't be sent is dropped, since the next one
 // follows soon.
 func (s *Service) write(address string, message proto.Message) {
@@ -304,7 +325,7 @@
 		s.listener.ReceiveCordons(ping.GetVm(), ping.GetCordons())
 	}
 	if ping.GetOwnerLife() == s.self.Incarnation && ping.GetStamp() > 0 {
-		s.listener.ReceiveKeepalive(EntryID(ping.GetVm(), ping.GetLife()), time.Duration(ping.GetStamp())+KeepaliveTimeout, ping.GetGivenUp())
+		s.listener.ReceiveKeepalive(EntryID(ping.GetVm(), ping.GetLife()), time.Duration(ping.GetStamp())+KeepaliveTimeout, givenUpIn(ping))
 	}
 	s.writeTo(from, &linkpb.Pong{
 		Vm: s.self.VM, Life: s.self.Incarnation, Stamp: int64(bootclock.Now()), Control: s.self.ControlAddress,
--- a/heartbeat/peertable.go
+++ b/heartbeat/peertable.go
@@ -1,7 +1,9 @@
 package heartbeat
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,8 +20,15 @@
 	// SilenceTimeout is how long an owner may be silent before it is considered lost:
 	// KeepaliveTimeout and the time that a stop at a target takes.
 	SilenceTimeout = 420 * time.Millisecond
-	// givenUpRetention is how long a job that was given up is named in pings: in three of them.
+	// givenUpRetention is how long a request that was given up is named in pings, and givenUpPings in
+	// how many of them at least, as datagrams get lost.
 	givenUpRetention = 3 * Interval
+	givenUpPings     = 3
+	// maxGivenUpPerPing bounds the requests that a ping names, so that it fits into maxDatagram.
+	maxGivenUpPerPing = 100
+	// maxGivenUp bounds the requests that wait to be named. An owner also notices that the connection
+	// of a request has ended.
+	maxGivenUp = 4096
 	// pingerTimeout is how long an entry VM counts as alive after its last ping.
 	pingerTimeout = SilenceTimeout
 	// maxPingers bounds the entry VMs that are kept in memory.
@@ -75,8 +84,28 @@
 	views map[uint64]*view
 	// pingers holds the entry VMs by their EntryID.
 	pingers map[string]*Pinger
-	// givenUp holds when each job was given up.
-	givenUp map[string]time.Duration
+	// givenUp holds the requests that were given up at each owner.
+	givenUp map[givenUpAt]*givenUpState
+}
+
+// GivenUp names a request to run a job that its sender has given up.
+type GivenUp struct {
+	Job string
+	// Request is the request's number at its sender; 0 from VMs of older builds, which name the job
+	// alone.
+	Request uint64
+}
+
+// givenUpAt is a request that was given up, at an owner.
+type givenUpAt struct {
+	owner uint64
+	GivenUp
+}
+
+// givenUpState says when a request was given up, and how many pings have named it.
+type givenUpState struct {
+	at    time.Duration
+	pings int
 }
 
 // view is a View with its bookkeeping.
@@ -91,7 +120,7 @@
 }
 
 func newPeerTable() *peerTable {
-	return &peerTable{views: map[uint64]*view{}, pingers: map[string]*Pinger{}, givenUp: map[string]time.Duration{}}
+	return &peerTable{views: map[uint64]*view{}, pingers: map[string]*Pinger{}, givenUp: map[givenUpAt]*givenUpState{}}
 }
 
 // setOwners sets the owners that hold claims. Previous owners stay until they are silent.
@@ -137,8 +166,35 @@
 	return gap
 }
 
-// expire ends Alive of silent owners, and removes silent previous owners, silent entry VMs and old
-// jobs that were given up.
+// giveUp has the next pings to an owner name a request.
+func (t *peerTable) giveUp(now time.Duration, owner uint64, given GivenUp) {
+	if len(t.givenUp) < maxGivenUp {
+		t.givenUp[givenUpAt{owner, given}] = &givenUpState{at: now}
+	}
+}
+
+// takeGivenUp returns the requests that a ping to an owner names: those first that the fewest pings
+// have named.
+func (t *peerTable) takeGivenUp(owner uint64) []GivenUp {
+	var named []givenUpAt
+	for at := range t.givenUp {
+		if at.owner == owner {
+			named = append(named, at)
+		}
+	}
+	slices.SortFunc(named, func(a, b givenUpAt) int {
+		return cmp.Or(cmp.Compare(t.givenUp[a].pings, t.givenUp[b].pings), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Job, b.Job))
+	})
+	var requests []GivenUp
+	for _, at := range named[:min(len(named), maxGivenUpPerPing)] {
+		t.givenUp[at].pings++
+		requests = append(requests, at.GivenUp)
+	}
+	return requests
+}
+
+// expire ends Alive of silent owners, and removes silent previous owners, silent entry VMs and
+// requests that were given up and named often enough, or at an owner that is gone.
 func (t *peerTable) expire(now time.Duration) {
 	for incarnation, v := range t.views {
 		if now-max(v.LastHeard, v.pingedSince) <= SilenceTimeout {
@@ -156,9 +212,9 @@
 			delete(t.pingers, id)
 		}
 	}
-	for id, at := range t.givenUp {
-		if now-at > givenUpRetention {
-			delete(t.givenUp, id)
+	for at, state := range t.givenUp {
+		if now-state.at > givenUpRetention && (state.pings >= givenUpPings || t.views[at.owner] == nil || now-state.at > SilenceTimeout) {
+			delete(t.givenUp, at)
 		}
 	}
 }
--- a/heartbeat/peertable_test.go
+++ b/heartbeat/peertable_test.go
@@ -128,10 +128,10 @@
 
 type silentListener struct{}
 
-func (silentListener) ReceiveKeepalive(string, time.Duration, []string) {}
-func (silentListener) Loads() []*linkpb.Load                            { return nil }
-func (silentListener) ConfigurationVersion() int64                      { return 0 }
-func (silentListener) PendingJobs() map[string]int32                    { return nil }
+func (silentListener) ReceiveKeepalive(string, time.Duration, []GivenUp) {}
+func (silentListener) Loads() []*linkpb.Load                             { return nil }
+func (silentListener) ConfigurationVersion() int64                       { return 0 }
+func (silentListener) PendingJobs() map[string]int32                     { return nil }
 
 func (silentListener) Leaving() bool                             { return false }
 func (silentListener) CPUShare() int32                           { return 0 }
--- a/link/link.go
+++ b/link/link.go
@@ -45,7 +45,8 @@
 	Origin string
 	// Previous is the earlier request for the same job; zero in a first request.
 	Previous PreviousRequest
-	// Request is the number that Client gives a request and those that replace it.
+	// Request is the number of a request and of those that replace it. RunWhileAlive gives it one if it
+	// is 0.
 	Request uint64
 }
 
@@ -211,6 +212,9 @@
 // maxRejoins bounds how often the outcome of a job is asked for again after its connection broke.
 const maxRejoins = 3
 
+// NextRequest returns a number that no other request of this process has.
+func (c *Client) NextRequest() uint64 { return c.lastRequest.Add(1) }
+
 // RunWhileAlive runs a job at another VM until the job ends, the caller leaves (ctx) or the VM is
 // considered lost (alive). If the connection breaks, the job continues there and its outcome is
 // fetched over another connection. When a third of the VMs have half of their connections reset,
@@ -220,7 +224,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(alive, cancel)()
-	order.Request = c.lastRequest.Add(1)
+	if order.Request == 0 {
+		order.Request = c.NextRequest()
+	}
 	began := time.Now()
 	reply, err := c.run(ctx, to.ControlAddress, order)
 	if err == nil {
--- a/node/delegate.go
+++ b/node/delegate.go
@@ -43,12 +43,13 @@
 		if !ok || view.Timestamp == 0 || view.Alive.Err() != nil {
 			break
 		}
+		request := n.peerClient.NextRequest()
 		outcome := n.peerClient.RunWhileAlive(ctx, view.Alive, view.Owner, link.Order{
 			Group: held.Group, Entry: heartbeat.EntryID(n.self.VM, n.self.Incarnation), Timestamp: view.Timestamp,
-			Job: sub.Job, Queue: sub.Queue, Age: sub.Age, Wait: sub.Wait, Part: sub.Part, Origin: sub.Origin,
+			Job: sub.Job, Queue: sub.Queue, Age: sub.Age, Wait: sub.Wait, Part: sub.Part, Origin: sub.Origin, Request: request,
 		})
 		if outcome.Result == work.Unknown {
-			n.heartbeats.GiveUp(view.Incarnation, sub.Job.ID)
+			n.heartbeats.GiveUp(view.Incarnation, heartbeat.GivenUp{Job: sub.Job.ID, Request: request})
 		}
 		return outcome
 	}
--- a/node/gone_entry_test.go
+++ b/node/gone_entry_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/burdockward/burdockward/bootclock"
+	"github.com/burdockward/burdockward/heartbeat"
 	"github.com/burdockward/burdockward/link/linkpb"
 	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/work"
@@ -41,7 +42,7 @@
 		_, err = fmt.Fprintf(conn, "POST %sRun HTTP/1.1\r\nHost: h\r\nContent-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n%s", linkpb.FleetPathPrefix, len(body), body)
 		must.NoError(t, err)
 		must.NoError(t, conn.Close())
-		f.node.ReceiveKeepalive(entryVM, bootclock.Now()+time.Hour, []string{id})
+		f.node.ReceiveKeepalive(entryVM, bootclock.Now()+time.Hour, []heartbeat.GivenUp{{Job: id}})
 	}
 	handled := make(chan struct{}, jobs)
 	handler := f.node.handler()
--- a/node/node.go
+++ b/node/node.go
@@ -361,10 +361,14 @@
 }
 
 // ReceiveKeepalive implements heartbeat.Listener.
-func (n *Node) ReceiveKeepalive(entry string, until time.Duration, givenUp []string) {
+func (n *Node) ReceiveKeepalive(entry string, until time.Duration, givenUp []heartbeat.GivenUp) {
+	var requests []scheduler.GivenUp
+	for _, given := range givenUp {
+		requests = append(requests, scheduler.GivenUp(given))
+	}
 	for _, o := range []*owner.Owner{n.currentOwner(), n.outgoingOwner()} {
 		if o != nil {
-			o.RecordKeepalive(entry, until, givenUp)
+			o.RecordKeepalive(entry, until, requests)
 		}
 	}
 }
--- a/node/rejoin_test.go
+++ b/node/rejoin_test.go
@@ -293,7 +293,7 @@
 			leave()
 			must.Eq(t, work.Unknown, (<-outcome).Result)
 			if test.givenUp {
-				f.node.ReceiveKeepalive(entryVM, bootclock.Now()+time.Hour, []string{"1"})
+				f.node.ReceiveKeepalive(entryVM, bootclock.Now()+time.Hour, []heartbeat.GivenUp{{Job: "1"}})
 			}
 			must.True(t, eventually(func() bool { _, stops := f.target.counts(); return stops > 0 }))
 		})
--- a/owner/keepalives.go
+++ b/owner/keepalives.go
@@ -14,41 +14,46 @@
 	mu sync.Mutex
 	// until is when the keepalive of each entry VM expires.
 	until map[string]time.Duration
-	// givenUpJobs lists the jobs that each entry VM has given up.
-	givenUpJobs map[string][]string
+	// givenUp lists what each entry VM has given up.
+	givenUp map[string][]scheduler.GivenUp
 }
 
-// maxGivenUpJobs bounds the collected jobs of an entry VM. A job beyond it is named again in the
+// maxGivenUp bounds the collected requests of an entry VM. A request beyond it is named again in the
 // entry VM's next pings.
-const maxGivenUpJobs = 4096
+const maxGivenUp = 4096
 
 // RecordKeepalive records that the callers of an entry VM still wait, until the given time, for
-// all its jobs except those that it has given up.
-func (o *Owner) RecordKeepalive(entry string, until time.Duration, givenUp []string) {
+// all its jobs except those whose requests it has given up. Requests without a number are of a VM of an older
+// build.
+func (o *Owner) RecordKeepalive(entry string, until time.Duration, givenUp []scheduler.GivenUp) {
 	k := &o.keepalives
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.until == nil {
-		k.until, k.givenUpJobs = map[string]time.Duration{}, map[string][]string{}
+		k.until, k.givenUp = map[string]time.Duration{}, map[string][]scheduler.GivenUp{}
 	}
 	k.until[entry] = max(k.until[entry], until)
-	if len(givenUp) > 0 && len(k.givenUpJobs[entry]) < maxGivenUpJobs {
-		k.givenUpJobs[entry] = append(k.givenUpJobs[entry], givenUp...)
+	if len(givenUp) > 0 && len(k.givenUp[entry]) < maxGivenUp {
+		k.givenUp[entry] = append(k.givenUp[entry], givenUp...)
 	}
 }
 
 // deliver gives the State what was collected since the last call.
 func (k *keepalives) deliver(now time.Duration, state *scheduler.State) {
 	k.mu.Lock()
-	until, givenUp := k.until, k.givenUpJobs
-	k.until, k.givenUpJobs = nil, nil
+	until, givenUp := k.until, k.givenUp
+	k.until, k.givenUp = nil, nil
 	k.mu.Unlock()
 	for entry, end := range until {
 		state.EntryKeepalive(entry, end)
 	}
-	for entry, jobs := range givenUp {
-		for _, job := range jobs {
-			state.GiveUp(now, entry, job)
+	for entry, requests := range givenUp {
+		for _, given := range requests {
+			if given.Request == 0 {
+				state.GiveUp(now, entry, given.Job)
+				continue
+			}
+			state.GiveUpRequest(now, entry, given)
 		}
 	}
 }
--- a/owner/keepalives_test.go
+++ b/owner/keepalives_test.go
@@ -20,7 +20,7 @@
 	o.state.HandlePollAnswer(0, "a", 0, work.PollAnswer{ClockMS: 5000}, work.VerdictDone)
 	o.RecordKeepalive("e", time.Second, nil)
 	o.RecordKeepalive("e", 500*time.Millisecond, nil)
-	o.RecordKeepalive("e", time.Second, []string{"j"})
+	o.RecordKeepalive("e", time.Second, []scheduler.GivenUp{{Job: "j"}})
 	submit := func(id string) {
 		o.state.Submit(0, scheduler.Submission{
 			Ref: scheduler.Ref(len(id)), Entry: "e", Queue: work.Queue{Service: "s", Stretch: 2, Allowance: time.Second, MaxAttempts: 1},
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -15,6 +15,10 @@
 		s.answer(sub, work.Outcome{Result: work.Unknown, Reason: "the job was asked for again"})
 		return
 	}
+	if s.wasGivenUp(now, sub) {
+		s.answer(sub, work.Outcome{Result: work.Unknown, Reason: "its entry VM has given it up"})
+		return
+	}
 	if sub.isStale(now) {
 		s.answer(sub, work.Outcome{Result: work.Moved, Reason: "the request waited too long at this VM"})
 		return
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -451,21 +451,6 @@
 	return jobs
 }
 
-// GiveUp gives up the job with this ID and its parts that came from the given entry VM. Durable
-// jobs go on.
-func (s *State) GiveUp(now time.Duration, entry, id string) {
-	var matching []*job
-	for _, j := range s.jobs {
-		if j.sub.Job.ID == id && j.sub.Entry == entry && !j.isDurable() {
-			matching = append(matching, j)
-		}
-	}
-	slices.SortFunc(matching, func(a, b *job) int { return cmp.Compare(a.sub.Ref, b.sub.Ref) })
-	for _, j := range matching {
-		s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "its entry VM has given it up"})
-	}
-}
-
 // key identifies a job or a part of one: a part that another owner delegates has its first
 // task's name as key.
 func (sub Submission) key() string {
--- a/scheduler/newer_faults_entry_test.go
+++ b/scheduler/newer_faults_entry_test.go
@@ -193,9 +193,10 @@
 		return
 	}
 	view := v.views[claim.holder.incarnation]
+	request := v.lastRequest + 1
 	r.remote = v.runWhileAlive(view, order{entry: v.entryID(), timestamp: view.timestamp, sub: sub}, func(outcome work.Outcome) {
 		if outcome.Result == work.Unknown {
-			v.giveUp(view, c.id)
+			v.giveUp(view, c.id, request)
 		}
 		took(outcome)
 	})
@@ -229,9 +230,10 @@
 			continue
 		}
 		v.w.log("%s lends %v to %s", v.entryID(), e.Submission.Part, e.Owner)
+		request := v.lastRequest + 1
 		o.delegated[e.Part] = v.runWhileAlive(view, order{entry: v.entryID(), timestamp: view.timestamp, sub: e.Submission}, func(outcome work.Outcome) {
 			if outcome.Result == work.Unknown {
-				v.giveUp(view, e.Submission.Job.ID)
+				v.giveUp(view, e.Submission.Job.ID, request)
 			}
 			v.later(0, func() { returned(outcome) })
 		})
--- a/scheduler/newer_faults_heartbeat_test.go
+++ b/scheduler/newer_faults_heartbeat_test.go
@@ -56,7 +56,7 @@
 	if view.vm == v {
 		return
 	}
-	stamp, wanted, givenUp := view.timestamp, view.vm.incarnation, slices.Sorted(maps.Keys(v.givenUp))
+	stamp, wanted, givenUp := view.timestamp, view.vm.incarnation, v.givenUpAt(view)
 	v.w.datagram(v.name, view.vm.name, func() {
 		to := v.w.vms[view.vm.slot]
 		to.later(v.w.micros(200), func() {
@@ -109,16 +109,34 @@
 			delete(v.views, view.vm.incarnation)
 		}
 	}
-	for _, job := range slices.Sorted(maps.Keys(v.givenUp)) {
-		if now-v.givenUp[job] > givenUpRetention {
-			delete(v.givenUp, job)
+	for request, given := range v.givenUp {
+		if now-given.at > givenUpRetention {
+			delete(v.givenUp, request)
 		}
 	}
 }
 
+// vmGivenUp is a request that a VM has given up at an owner.
+type vmGivenUp struct {
+	GivenUp
+	owner uint64
+	at    time.Duration
+}
+
+// givenUpAt returns the requests that a ping to an owner names.
+func (v *vm) givenUpAt(view *ownerView) []GivenUp {
+	var named []GivenUp
+	for _, request := range slices.Sorted(maps.Keys(v.givenUp)) {
+		if given := v.givenUp[request]; given.owner == view.vm.incarnation {
+			named = append(named, given.GivenUp)
+		}
+	}
+	return named
+}
+
 // giveUp follows heartbeat.GiveUp.
-func (v *vm) giveUp(view *ownerView, job string) {
-	v.givenUp[job] = v.w.now
+func (v *vm) giveUp(view *ownerView, job string, request uint64) {
+	v.givenUp[request] = vmGivenUp{GivenUp{Job: job, Request: request}, view.vm.incarnation, v.w.now}
 	if v.views[view.vm.incarnation] != nil {
 		v.ping(view)
 	}
--- a/scheduler/newer_faults_owner_test.go
+++ b/scheduler/newer_faults_owner_test.go
@@ -37,7 +37,10 @@
 	released        []string
 }
 
-type givenUpJob struct{ entry, job string }
+type givenUpJob struct {
+	entry string
+	GivenUp
+}
 
 // startOwner follows node.startOwner and owner.New.
 func (v *vm) startOwner(claim *vmClaim) *vmOwner {
@@ -224,12 +227,12 @@
 	}
 	clear(o.keepaliveUntil)
 	for _, job := range o.givenUpJobs {
-		o.state.GiveUp(now, job.entry, job.job)
+		o.state.GiveUpRequest(now, job.entry, job.GivenUp)
 	}
 	o.givenUpJobs = nil
 }
 
-func (o *vmOwner) recordKeepalive(entry string, until time.Duration, givenUp []string) {
+func (o *vmOwner) recordKeepalive(entry string, until time.Duration, givenUp []GivenUp) {
 	o.keepaliveUntil[entry] = max(o.keepaliveUntil[entry], until)
 	for _, job := range givenUp {
 		o.givenUpJobs = append(o.givenUpJobs, givenUpJob{entry, job})
--- a/scheduler/newer_faults_world_test.go
+++ b/scheduler/newer_faults_world_test.go
@@ -82,7 +82,7 @@
 	claimSeenAt                       map[int]time.Duration
 	started, lastClaimAttempt         time.Duration
 	views                             map[uint64]*ownerView
-	givenUp                           map[string]time.Duration
+	givenUp                           map[uint64]vmGivenUp
 	lastLoadRequest                   time.Duration
 	lastRequest                       uint64
 	requests                          []*entryRequest
@@ -121,7 +121,7 @@
 	w.incarnation++
 	v := &vm{
 		w: w, slot: slot, name: fmt.Sprintf("vm%d", slot), domain: domain, incarnation: w.incarnation, started: w.now,
-		claims: map[int]*vmClaim{}, claimSeenAt: map[int]time.Duration{}, views: map[uint64]*ownerView{}, givenUp: map[string]time.Duration{},
+		claims: map[int]*vmClaim{}, claimSeenAt: map[int]time.Duration{}, views: map[uint64]*ownerView{}, givenUp: map[uint64]vmGivenUp{},
 		lastClaimAttempt: -time.Hour,
 	}
 	w.vms[slot] = v
--- a/scheduler/rejoin.go
+++ b/scheduler/rejoin.go
@@ -108,7 +108,7 @@
 		s.answer(sub, past.outcome)
 		return Present
 	}
-	if s.isSuperseded(now, sub) || begin && sub.isStale(now) {
+	if s.isSuperseded(now, sub) || s.wasGivenUp(now, sub) || begin && sub.isStale(now) {
 		return Forgotten
 	}
 	if ago >= outcomeRetention || s.outcomeDiscardedAt > 0 && now-s.outcomeDiscardedAt <= outcomeRetention || len(s.superseded) >= maxRecentOutcomes {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -191,6 +191,8 @@
 	// superseded holds when a repeated request submitted a job in place of an earlier request,
 	// which must not submit it any more.
 	superseded map[jobRef]time.Duration
+	// givenUp holds when entry VMs gave up requests, for outcomeRetention.
+	givenUp map[givenUpRef]time.Duration
 	// outcomeDiscardedAt is when an outcome was last not remembered for lack of space; 0 before the
 	// first.
 	outcomeDiscardedAt  time.Duration
@@ -232,6 +234,7 @@
 
 		recentOutcomes: map[jobRef]recentOutcome{},
 		superseded:     map[jobRef]time.Duration{},
+		givenUp:        map[givenUpRef]time.Duration{},
 	}
 }
 
@@ -320,6 +323,7 @@
 	}
 	s.expireWithdrawn(now)
 	s.expireOutcomes(now)
+	s.expireGivenUp(now)
 	s.evidence.expire(now)
 	s.tickLosses(now)
 	s.retryAwaitingClaim(now)
