Send no start through a relay after its time

What callers would see: a task that runs twice. Found by reading.

Cause: a start for a target that may have restarted has to be sent within 150 ms of the last answered poll. The limit stayed at the owner. A start that waited in the connection to a relay was carried whenever it arrived, to the target's next incarnation, which knows no fencing token.

Why it works: answers of relays carry the relay's clock, and a start the end of its time on that clock, reckoned from the last answer so that neither the way nor the rate of the clocks makes it later than at the owner. Without a recent reading, as with relays of older builds, the owner sends the start itself.

--- a/relay/router.go
+++ b/relay/router.go
@@ -209,8 +209,17 @@
 		r.options.Count("start_routes", "own")
 		return r.options.Direct.Start(ctx, to, order, token)
 	}
+	start := startToWire(order)
+	if order.SendBy != 0 {
+		sendBy, known := s.relayTime(bootclock.Now(), order.SendBy)
+		if !known {
+			r.options.Count("start_routes", "own, limited")
+			return r.options.Direct.Start(ctx, to, order, token)
+		}
+		start.Start.SendByUs = sendBy.Microseconds()
+	}
 	r.options.Count("start_routes", "relay")
-	answer := r.sendOrder(ctx, s, to, &linkpb.Carry{Token: token, What: startToWire(order)})
+	answer := r.sendOrder(ctx, s, to, &linkpb.Carry{Token: token, What: start})
 	answer.Route = s.vm.Name
 	return answer
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -125,14 +125,15 @@
 func (s *Server) sendAnswer(ctx context.Context, answers chan<- proto.Message, order *linkpb.Carry, answer *linkpb.Carried) {
 	answer.Sequence = order.GetSequence()
 	answer.StoreAgeUs = s.StoreAge().Microseconds()
+	answer.ClockUs = bootclock.Now().Microseconds()
 	select {
 	case answers <- answer:
 	case <-ctx.Done():
 	}
 }
 
-// forward sends an order to its target and returns the answer. A start that has waited too long
-// is not sent.
+// forward sends an order to its target and returns the answer. A start that has waited too long, or
+// was too long on its way, is not sent.
 func (s *Server) forward(ctx context.Context, order *linkpb.Carry, received time.Duration) *linkpb.Carried {
 	to := work.TargetAddress{ID: order.GetId(), Address: order.GetAddress()}
 	switch what := order.GetWhat().(type) {
@@ -141,6 +142,10 @@
 			s.noteCarried("start not carried", order, waited, work.VerdictUnsent)
 			return &linkpb.Carried{Verdict: int32(work.VerdictUnsent)}
 		}
+		if sendBy := what.Start.GetSendByUs(); sendBy != 0 && bootclock.Now().Microseconds() > sendBy {
+			s.noteCarried("start arrived late", order, bootclock.Now()-received, work.VerdictStaleToken)
+			return &linkpb.Carried{Verdict: int32(work.VerdictStaleToken)}
+		}
 		s.Count("carried", "start")
 		answer := s.Targets.Start(ctx, to, startFromWire(what.Start), order.GetToken())
 		if answer.Verdict == work.VerdictUnknown || answer.Verdict == work.VerdictConnectionLost {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -51,8 +51,9 @@
 	// have been pending, promptCalls how many are.
 	lastAnswer, promptSince time.Duration
 	promptCalls             int
-	// relayStoreAge is how long ago the store last answered the relay, by its last answer.
-	relayStoreAge time.Duration
+	// relayStoreAge is how long ago the store last answered the relay, by its last answer; relayClock
+	// is the relay's clock in that answer, 0 if there was none.
+	relayStoreAge, relayClock time.Duration
 }
 
 // call is an order or a poll that waits for its answer.
@@ -124,6 +125,7 @@
 	s.removeCall(answer.GetSequence())
 	s.lastAnswer = bootclock.Now()
 	s.relayStoreAge = time.Duration(answer.GetStoreAgeUs()) * time.Microsecond
+	s.relayClock = time.Duration(answer.GetClockUs()) * time.Microsecond
 	s.mu.Unlock()
 	if c != nil {
 		c.answer <- answer
@@ -226,6 +228,26 @@
 	return s.relayStoreAge
 }
 
+// minClockRate and maxClockRate bound how fast the relay's clock runs by this VM's.
+const (
+	minClockRate = 0.96
+	maxClockRate = 1.04
+)
+
+// relayTime returns a value that the relay's clock shows at a coming time at the latest, however
+// long its last answer was on its way. It reports false if the relay's clock isn't known, or may show that
+// value already.
+func (s *stream) relayTime(now, at time.Duration) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.relayClock == 0 {
+		return 0, false
+	}
+	earliest := s.relayClock + time.Duration(minClockRate*float64(at-s.lastAnswer))
+	latestNow := s.relayClock + time.Duration(maxClockRate*float64(now-s.lastAnswer))
+	return earliest, earliest > latestNow
+}
+
 // awaitConnection waits up to connectTimeout for a connection that is being opened.
 func (s *stream) awaitConnection(ctx context.Context) {
 	select {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -207,8 +207,9 @@
 // sendStart sends one copy of a run's start order.
 func (s *State) sendStart(now time.Duration, r *run) {
 	r.copies.add(now)
-	s.emit(StartRun{To: r.target.address(), SendBy: r.target.incarnationKnownUntil(), StartOrder: work.StartOrder{
+	s.emit(StartRun{To: r.target.address(), StartOrder: work.StartOrder{
 		Run: r.RunID, Payload: r.task.job.sub.Job.Payload, SavedState: r.resumeFrom, Ticket: r.ticket, LeaseUntilMS: r.leaseUntil,
+		SendBy: r.target.incarnationKnownUntil(),
 	}})
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -53,8 +53,6 @@
 // StartRun orders the start of a run; the answer goes to HandleStartAnswer.
 type StartRun struct {
 	To work.TargetAddress
-	// SendBy is until when the order may be sent; 0 for no limit. Later its target may have restarted.
-	SendBy time.Duration
 	work.StartOrder
 }
 
--- a/work/orders.go
+++ b/work/orders.go
@@ -1,5 +1,7 @@
 package work
 
+import "time"
+
 // Verdict classifies the result of an order, which is a start, a stop or a poll that an owner
 // sends to a target.
 type Verdict int
@@ -70,6 +72,9 @@
 	Ticket string
 	// LeaseUntilMS is the end of the lease on the target's clock.
 	LeaseUntilMS int64
+	// SendBy is until when the order may be sent, on this process's boot clock; 0 for no limit. Later
+	// its target may have restarted.
+	SendBy time.Duration
 }
 
 // OrderAnswer is a target's answer to a start or a stop.
