Take no full list of completions for a whole one

What callers would see: a task of a durable job that is done is done again. Found by reading.

A successor that had one answer of each target started again all tasks that neither the store nor these lists had; a stopped run without an answer to its start counted as never begun after any later answer.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -272,9 +272,12 @@
 		listed[entry.Run] = true
 		s.handleListedRun(now, t, entry)
 	}
-	if len(answer.Completions) < work.MaxListedCompletions {
+	whole := len(answer.Completions) < work.MaxListedCompletions
+	if whole {
+		t.wholeListSentAt = sentAt
 		s.endUnlistedRuns(now, t, listed)
 	}
+	s.awaitWholeList(t, t.wholeListSentAt == 0)
 	for unknown := range t.unknownRuns {
 		if !listed[unknown] {
 			delete(t.unknownRuns, unknown)
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -79,6 +79,8 @@
 	t.incarnationUnknown = true
 	t.lease = lease{}
 	t.lastCompletion, t.ackedCompletion, t.ackSent = 0, 0, 0
+	t.wholeListSentAt = 0
+	s.awaitWholeList(t, false)
 	t.poll, t.pollPending, t.answeredPollSentAt, t.lastAnswer, t.failedPolls = Poll{}, false, 0, 0, 0
 	t.state, t.fenced, t.blockedUntil, t.incarnationAskedAt = adopting, false, 0, 0
 	t.health = newHealth()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -149,6 +149,8 @@
 	// registryRead is set once the whole registry was read.
 	registryRead bool
 	lastTick     time.Duration
+	// partialLists counts the targets that may have more completions than they have listed.
+	partialLists int
 	// claimConfirmedAt is the latest time as of which the claim is known to be this owner's.
 	// claimAskedAt is when a confirmation was last requested; targetsAwaitingClaim wait for one.
 	claimConfirmedAt, claimAskedAt time.Duration
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -88,6 +88,22 @@
 	return true
 }
 
+// wasResumed reports whether the job was taken over from a previous owner.
+func (j *job) wasResumed() bool { return j.assumedStarts > 0 }
+
+// awaitWholeList counts a target among those that may have more completions than they have listed,
+// or takes it out.
+func (s *State) awaitWholeList(t *target, await bool) {
+	switch {
+	case await && !t.awaited:
+		s.partialLists++
+		s.emit(LogEvent{Message: "target has more completions than it lists", Target: t.ID})
+	case !await && t.awaited:
+		s.partialLists--
+	}
+	t.awaited = await
+}
+
 // pendingTask returns the task with this name if its job is stored and it waits for a target; nil
 // otherwise.
 func (s *State) pendingTask(name string) *task {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -104,6 +104,11 @@
 	pollPending   bool
 	// answeredPollSentAt is when the newest answered poll was sent.
 	answeredPollSentAt time.Duration
+	// wholeListSentAt is when the newest poll was sent whose answer listed all completions; 0 while
+	// the present incarnation has listed as many as it lists at a time in each answer. awaited says
+	// that the state counts the target among those.
+	wholeListSentAt time.Duration
+	awaited         bool
 	// lastAnswer is when the newest poll was answered; the runs that it listed were running then.
 	lastAnswer time.Duration
 	// failedPolls counts the polls without an answer since the last answered one.
@@ -285,6 +290,7 @@
 		s.unreserveForSuspect(t.isolated)
 	}
 	delete(s.targets, t.ID)
+	s.awaitWholeList(t, false)
 	s.markChanged(t)
 	t.pool.targets = slices.DeleteFunc(t.pool.targets, func(other *target) bool { return other == t })
 }
@@ -424,7 +430,7 @@
 // wouldList reports whether the completion of a run that finished before its stop arrived would
 // be known by now. For jobs that are not durable it does not matter: their runs may be repeated.
 func (t *target) wouldList(r *run) bool {
-	return !r.task.job.isDurable() || t.answeredPollSentAt > r.stop.acked
+	return !r.task.job.isDurable() || t.wholeListSentAt > r.stop.acked
 }
 
 // tickRun repeats the orders to a run that have no answer, and ends the run if it is over by time
