Start a new owner after a handover that its VM has missed

What callers would see: a task of a durable job runs again that another owner had done. Found by reading.

Cause: a VM that missed that another one claimed its group, and handed it back, took the newest claim for its own, written again: it raised its token and went on with its old list of jobs and completions.

Why it works: a claim names the version of the row that it replaced. One that did not replace the VM's own shows that the VM has missed an owner; its owner ends, and a new one fences the targets and reads the jobs. Claims of older builds name no version: there a new predecessor shows it.

Measured: ownership, node green, also with the race detector; the world of several VMs follows and is green.

--- a/node/node.go
+++ b/node/node.go
@@ -237,6 +237,11 @@
 	switch {
 	case mine && n.current == nil:
 		n.current = n.startOwner(held)
+	case mine && !held.Continues(n.current.claim):
+		n.log.Warn("owning targets anew, as another VM may have owned them", "group", held.Group, "token", held.Version, "earlier_token", n.current.claim.Version)
+		n.options.Count("claims_interrupted", held.Group)
+		n.current.cancel()
+		n.current = n.startOwner(held)
 	case mine:
 		n.current.claim = held
 		n.current.RaiseToken(held.Version)
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -34,6 +34,26 @@
 	return c.Claim.GetPassed() > other.Claim.GetPassed()
 }
 
+// goneRow is Claim.Replaced of a claim that was written where the row of an earlier one was gone.
+const goneRow = -1
+
+// Continues reports whether the VM that held an earlier claim of the group has held it ever since. If
+// not, another owner may have used the targets in between, so that what the VM knows of them is old.
+func (c GroupClaim) Continues(earlier GroupClaim) bool {
+	former, before := c.Claim.GetFormer(), earlier.Claim.GetFormer()
+	switch {
+	case c.Claim.GetLife() != earlier.Claim.GetLife():
+		return false
+	case c.Version == earlier.Version:
+		return c.Claim.GetPassed() == earlier.Claim.GetPassed()
+	case c.Claim.GetReplaced() != 0:
+		return c.Claim.GetReplaced() == earlier.Version
+	default:
+		// Written by an older build: by the VM itself, or by the owner that had also sent the claim.
+		return former == nil || before != nil && former.GetLife() == before.GetLife()
+	}
+}
+
 // ToWire returns the claim as a message.
 func (c GroupClaim) ToWire() *linkpb.Owned {
 	return &linkpb.Owned{Group: c.Group, Claim: c.Claim, Version: c.Version}
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -261,6 +261,7 @@
 
 // writeClaim writes a claim to the store and merges it immediately, before the feed returns it.
 func (k *Keeper) writeClaim(ctx context.Context, claim *linkpb.Claim, expected int64) error {
+	claim.Replaced = expected
 	value, err := proto.Marshal(claim)
 	if err != nil {
 		return err
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -310,3 +310,35 @@
 	must.ErrorIs(t, err, ErrClaimGone)
 	must.False(t, held)
 }
+
+// A VM that comes to own a group again, and didn't hear of the owner in between, doesn't go on with what it
+// knew of the targets.
+func TestClaimAfterMissedHandoverDoesNotContinue(t *testing.T) {
+	claim := func(version, replaced int64, passed int32, former uint64) GroupClaim {
+		c := GroupClaim{Group: "g", Version: version, Claim: &linkpb.Claim{Vm: "v", Life: 1, Passed: passed, Replaced: replaced}}
+		if former != 0 {
+			c.Claim.Former = &linkpb.Former{Life: former}
+		}
+		return c
+	}
+	for name, test := range map[string]struct {
+		earlier, later GroupClaim
+		want           bool
+	}{
+		"the same":                          {claim(5, 3, 0, 0), claim(5, 3, 0, 0), true},
+		"written after a message":           {claim(5, 3, 1, 2), claim(7, 5, 0, 0), true},
+		"by message and through the store":  {claim(5, 3, 1, 2), claim(7, 5, 0, 2), true},
+		"another owner in between":          {claim(5, 3, 0, 0), claim(9, 7, 0, 2), false},
+		"the same predecessor, twice":       {claim(5, 3, 0, 2), claim(9, 7, 0, 2), false},
+		"by message and back":               {claim(5, 3, 0, 0), claim(5, 3, 2, 2), false},
+		"where the row was gone":            {claim(5, 3, 0, 0), claim(9, goneRow, 0, 0), false},
+		"older build, written by itself":    {claim(5, 0, 1, 2), claim(7, 0, 0, 0), true},
+		"older build, one handover":         {claim(5, 0, 1, 2), claim(7, 0, 0, 2), true},
+		"older build, another owner before": {claim(5, 0, 0, 0), claim(9, 0, 0, 2), false},
+	} {
+		t.Run(name, func(t *testing.T) { must.Eq(t, test.want, test.later.Continues(test.earlier)) })
+	}
+	other := claim(7, 5, 0, 0)
+	other.Claim.Life = 2
+	must.False(t, other.Continues(claim(5, 3, 0, 0)))
+}
--- a/scheduler/newer_faults_ownership_test.go
+++ b/scheduler/newer_faults_ownership_test.go
@@ -47,6 +47,9 @@
 	switch {
 	case claim.holder == v && v.current == nil:
 		v.current = v.startOwner(claim)
+	case claim.holder == v && !claim.continues(v.current.claim):
+		v.current.end()
+		v.current = v.startOwner(claim)
 	case claim.holder == v:
 		v.current.claim = claim
 		v.current.token = max(v.current.token, claim.version)
@@ -113,7 +116,7 @@
 			return
 		}
 		w.token++
-		claim.version = w.token
+		claim.version, claim.replaced = w.token, expected
 		g.claim = claim
 		if w.chance(w.faults.lostAnswers) {
 			v.later(200*ms, func() { done(false) })
--- a/scheduler/newer_faults_world_test.go
+++ b/scheduler/newer_faults_world_test.go
@@ -53,6 +53,16 @@
 	group           int
 	holder, former  *vm
 	version, passed int64
+	// replaced is the version of the row that this one replaced.
+	replaced int64
+}
+
+// continues follows GroupClaim.Continues.
+func (c *vmClaim) continues(earlier *vmClaim) bool {
+	if c.version == earlier.version {
+		return c.passed == earlier.passed
+	}
+	return c.replaced == earlier.version
 }
 
 func (c *vmClaim) isNewerThan(other *vmClaim) bool {
