Let a group whose claim was removed be claimed again

What callers would see: once the owner of such a group is lost, everything for its failure domain is refused; before that, targets that start later stay unused. Found by reading.

Cause: claims are written on condition that the row has the version of the known claim. The mark that it was removed was passed over, so that no claim could ever be written again.

Evidence: TestOwnerWritesRemovedClaimAgain and TestRemovedClaimOfSilentOwnerIsReplaced don't hold without the change (the keeper had no notion of a removed row).

An owner that needs a confirmation and finds no row writes one; it doesn't continue the earlier claim, since another VM may have owned the group in between.

--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -74,6 +74,8 @@
 	claims map[string]GroupClaim
 	// seenAt is when each claim was first seen in its present version.
 	seenAt map[string]time.Duration
+	// rowGone holds the groups whose claim is known, but whose row was removed since.
+	rowGone map[string]bool
 	// claimsRead is set once the claims were read from the store.
 	claimsRead  bool
 	started     time.Duration
@@ -90,7 +92,7 @@
 	}
 	return &Keeper{
 		options: o, store: store, peers: peers,
-		claims: map[string]GroupClaim{}, seenAt: map[string]time.Duration{}, deadOwners: map[uint64]bool{}, started: bootclock.Now(),
+		claims: map[string]GroupClaim{}, seenAt: map[string]time.Duration{}, rowGone: map[string]bool{}, deadOwners: map[uint64]bool{}, started: bootclock.Now(),
 	}
 }
 
@@ -165,8 +167,12 @@
 func (k *Keeper) applyUpdate(update mirror.Update) {
 	k.mu.Lock()
 	k.claimsRead = true
+	if update.Snapshot {
+		k.noteGoneRows(update.Rows)
+	}
 	for _, row := range update.Rows.Rows {
 		if row.Deleted {
+			k.noteGoneRow(row.Key, max(row.Version, update.Version))
 			continue
 		}
 		claim := &linkpb.Claim{}
@@ -176,18 +182,52 @@
 			k.options.Log.Warn("row not understood", "table", claimsTable, "key", row.Key, "version", row.Version, "error", err)
 			claim = &linkpb.Claim{}
 		}
+		if row.Version >= k.claims[row.Key].Version {
+			delete(k.rowGone, row.Key)
+		}
 		k.keepNewer(GroupClaim{Group: row.Key, Claim: claim, Version: row.Version})
 	}
 	k.mu.Unlock()
 	k.notify()
 }
 
+// noteGoneRows records the known claims that a snapshot of the table lacks.
+func (k *Keeper) noteGoneRows(snapshot platform.Rows) {
+	for group := range k.claims {
+		if !slices.ContainsFunc(snapshot.Rows, func(row platform.Row) bool { return row.Key == group }) {
+			k.noteGoneRow(group, snapshot.Version)
+		}
+	}
+}
+
+// noteGoneRow records that the row of a claim was gone at a version of the store, unless the claim is
+// newer. The claim stays in force until another one is written, which then replaces no row.
+func (k *Keeper) noteGoneRow(group string, version int64) {
+	if claim, known := k.claims[group]; known && version > claim.Version && !k.rowGone[group] {
+		k.rowGone[group] = true
+		k.options.Count("claims_removed", group)
+		k.options.Log.Warn("the row of a claim was removed", "group", group, "owner", k.claims[group].Claim.GetVm(), "token", k.claims[group].Version)
+	}
+}
+
+// replacedVersion returns the version that the row of a group must have for a new claim, and what
+// the claim says of it. The caller holds the lock.
+func (k *Keeper) replacedVersion(group string) (expected, replaced int64) {
+	if k.rowGone[group] {
+		return 0, goneRow
+	}
+	return k.claims[group].Version, k.claims[group].Version
+}
+
 // keepNewer keeps a claim if it is newer than the known one of its group.
 func (k *Keeper) keepNewer(claim GroupClaim) {
 	old, known := k.claims[claim.Group]
 	if known && !claim.IsNewerThan(old) {
 		return
 	}
+	if claim.Version > old.Version {
+		delete(k.rowGone, claim.Group)
+	}
 	if old.Claim.GetLife() != claim.Claim.GetLife() {
 		k.options.Count("owner_changes", claim.Group)
 	}
@@ -228,15 +268,7 @@
 		return
 	}
 	k.options.Log.Info("claiming", "group", k.options.Group, "silent", observed.OwnerSilent, "waited", observed.ClaimAge)
-	claim := &linkpb.Claim{
-		Vm: k.options.Self.VM, Life: k.options.Self.Incarnation,
-		Control: k.options.Self.ControlAddress, Heartbeat: k.options.Self.HeartbeatAddress,
-	}
-	expected := int64(0)
-	if observed.Current != nil {
-		expected = observed.Current.Version
-	}
-	if err := k.writeClaim(ctx, claim, expected); err != nil {
+	if err := k.writeClaim(ctx, k.ownClaim()); err != nil {
 		k.options.Log.Warn("claim not written", "group", k.options.Group, "error", err)
 	}
 }
@@ -259,9 +291,13 @@
 	return o
 }
 
-// writeClaim writes a claim to the store and merges it immediately, before the feed returns it.
-func (k *Keeper) writeClaim(ctx context.Context, claim *linkpb.Claim, expected int64) error {
-	claim.Replaced = expected
+// writeClaim writes a claim to the store in place of the known one, and merges it immediately, before
+// the feed returns it.
+func (k *Keeper) writeClaim(ctx context.Context, claim *linkpb.Claim) error {
+	k.mu.Lock()
+	expected, replaced := k.replacedVersion(k.options.Group)
+	k.mu.Unlock()
+	claim.Replaced = replaced
 	value, err := proto.Marshal(claim)
 	if err != nil {
 		return err
@@ -280,9 +316,10 @@
 
 // ErrClaimGone means that the store has no claim of the group. Another VM may have claimed before the
 // row was removed, so that nothing is known of the owner.
-var ErrClaimGone = errors.New("the claim's row is gone from the store")
+var ErrClaimGone = errors.New("the claim's row is gone from the store: it is written again")
 
-// ConfirmOwnership asks the store whether this VM's claim is still the newest one of the group.
+// ConfirmOwnership asks the store whether this VM's claim is still the newest one of the group. If the
+// row is gone, it writes a new claim, which doesn't continue the earlier one.
 func (k *Keeper) ConfirmOwnership(ctx context.Context) (bool, error) {
 	rows, err := k.store.Get(ctx, claimsTable, "", k.options.Group)
 	if err != nil {
@@ -293,11 +330,38 @@
 		return false, nil
 	}
 	if len(rows.Rows) == 0 {
+		k.restoreClaim(ctx, claim)
 		return false, ErrClaimGone
 	}
 	return rows.Rows[0].Version <= claim.Version, nil
 }
 
+// restoreClaim writes a claim of this VM, which owns the group, where the row of its claim was removed.
+func (k *Keeper) restoreClaim(ctx context.Context, gone GroupClaim) {
+	now := bootclock.Now()
+	k.mu.Lock()
+	wanted := !k.leaving && now-k.lastAttempt >= claimRetryInterval
+	if wanted {
+		k.lastAttempt = now
+		k.noteGoneRow(k.options.Group, gone.Version+1)
+	}
+	k.mu.Unlock()
+	if !wanted {
+		return
+	}
+	if err := k.writeClaim(ctx, k.ownClaim()); err != nil {
+		k.options.Log.Warn("claim not written", "group", k.options.Group, "error", err)
+	}
+}
+
+// ownClaim returns a claim of this VM.
+func (k *Keeper) ownClaim() *linkpb.Claim {
+	return &linkpb.Claim{
+		Vm: k.options.Self.VM, Life: k.options.Self.Incarnation,
+		Control: k.options.Self.ControlAddress, Heartbeat: k.options.Self.HeartbeatAddress,
+	}
+}
+
 // ClaimSender sends a claim directly to the VM that it makes the owner of a group.
 type ClaimSender interface {
 	HandOverClaim(ctx context.Context, address string, claim GroupClaim) error
@@ -320,7 +384,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOverWriteTimeout)
 	defer cancel()
-	err := k.writeClaim(ctx, claim, own.Version)
+	err := k.writeClaim(ctx, claim)
 	if err == nil || errors.Is(err, platform.ErrConflict) {
 		return err
 	}
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -342,3 +342,50 @@
 	other.Claim.Life = 2
 	must.False(t, other.Continues(claim(5, 3, 0, 0)))
 }
+
+// An owner whose claim's row was removed writes it again when it needs the claim confirmed. Its earlier
+// claim may have had a successor, so the new one doesn't continue it.
+func TestOwnerWritesRemovedClaimAgain(t *testing.T) {
+	store := &fakeStore{}
+	k := newKeeper(store, func([]GroupClaim) {})
+	earlier := GroupClaim{Group: "g", Version: 5, Claim: &linkpb.Claim{Vm: "v", Life: 1}}
+	k.Merge([]GroupClaim{earlier})
+	_, err := k.ConfirmOwnership(t.Context())
+	must.ErrorIs(t, err, ErrClaimGone)
+	must.Eq(t, 1, store.puts)
+	again, _ := k.Claim()
+	must.Greater(t, earlier.Version, again.Version)
+	must.False(t, again.Continues(earlier))
+	held, err := k.ConfirmOwnership(t.Context())
+	must.NoError(t, err)
+	must.True(t, held)
+}
+
+// A group whose claim was removed can be claimed once its owner is silent: the new claim replaces no
+// row. A snapshot that is older than the claim shows nothing.
+func TestRemovedClaimOfSilentOwnerIsReplaced(t *testing.T) {
+	for name, update := range map[string]mirror.Update{
+		"in the feed":   {Rows: platform.Rows{Version: 7, Rows: []platform.Row{{Key: "g", Version: 7, Deleted: true}}}},
+		"in a snapshot": {Snapshot: true, Rows: platform.Rows{Version: 7}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := &fakeStore{}
+			k := newKeeper(store, func([]GroupClaim) {})
+			k.Merge([]GroupClaim{{Group: "g", Version: 5, Claim: &linkpb.Claim{Vm: "w", Life: 2}}})
+			k.applyUpdate(update)
+			k.seenAt["g"] -= time.Minute
+			k.claimIfDue(t.Context())
+			claim, _ := k.Claim()
+			must.Eq(t, "v", claim.Claim.GetVm())
+			must.Eq(t, goneRow, claim.Claim.GetReplaced())
+			value, err := proto.Marshal(claim.Claim)
+			must.NoError(t, err)
+			k.applyUpdate(mirror.Update{Rows: platform.Rows{Version: 10, Rows: []platform.Row{{Key: "g", Value: value, Version: 10}}}})
+			must.MapEmpty(t, k.rowGone)
+		})
+	}
+	k := newKeeper(&fakeStore{}, func([]GroupClaim) {})
+	k.Merge([]GroupClaim{{Group: "g", Version: 5, Claim: &linkpb.Claim{Vm: "w", Life: 2}}})
+	k.applyUpdate(mirror.Update{Snapshot: true, Rows: platform.Rows{Version: 4}})
+	must.MapEmpty(t, k.rowGone)
+}
