Tell callers of an unknown outcome when to send the job again

What callers saw: a client library that retries a 504 at once has its job run twice for a moment.

Cause: the entry VM gives up a silent owner after 0.42 s and answers; the runs of that owner go on until a stop or the end of their lease, at most 1.25 s after the last evidence that the caller waits. The contract has callers wait 1.3 s, but the answer said nothing.

Change: 504 carries Retry-After, 1.3 s rounded up; of a durable job none, as it may be sent again at any time. Weighed and left: to hold the answer, and to have owners ask each other.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,6 +74,9 @@
 	OwnerLost func(owner heartbeat.Owner)
 	// FindJob reads the state of a durable job from the store.
 	FindJob func(ctx context.Context, id string) (work.JobState, error)
+	// ResendDelay is after how long a caller may send a job again whose outcome is unknown: all its runs
+	// are over by then. 0 means that callers aren't told.
+	ResendDelay time.Duration
 }
 
 // Entry receives jobs and dispatches them to owners. It is safe for concurrent use.
@@ -142,6 +145,9 @@
 		latestStart: arrived + queue.Objective(job.CriticalPath()) - job.CriticalPath(),
 	}
 	outcome := e.dispatch(ctx, r)
+	if outcome.Result == work.Unknown && !job.Durable {
+		outcome.RetryAfter = max(outcome.RetryAfter, e.options.ResendDelay)
+	}
 	e.options.Count("requests", outcome.Result.String())
 	if outcome.Result == work.Refused || outcome.Result == work.Unknown {
 		// The text after a colon has details that would make too many labels.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -142,6 +142,20 @@
 	must.Eq(t, []string{"near", "near"}, f.asked)
 }
 
+// A caller whose job may still run is told when it may send it again; a durable job may be sent again
+// at any time.
+func TestCallerOfUnknownJobIsToldWhenToSendItAgain(t *testing.T) {
+	for durable, want := range map[bool]time.Duration{false: 1300 * ms, true: 0} {
+		e := newEntry(newFakePeers([]work.Outcome{{Result: work.Unknown}}, []work.Outcome{{Result: work.Unknown}}))
+		e.options.ResendDelay = 1300 * ms
+		sent := job
+		sent.Durable = durable
+		outcome := e.Dispatch(t.Context(), sent, queue, 0)
+		must.Eq(t, work.Unknown, outcome.Result)
+		must.Eq(t, want, outcome.RetryAfter)
+	}
+}
+
 // A job that may have started is not sent again, and its owner is asked to give it up.
 func TestUnknownJobIsGivenUpAndNotSentAgain(t *testing.T) {
 	f := newFakePeers([]work.Outcome{{Result: work.Unknown, Reason: "lost"}}, []work.Outcome{{Result: work.Completed}})
--- a/node/node.go
+++ b/node/node.go
@@ -149,6 +149,7 @@
 		FindJob: func(ctx context.Context, id string) (work.JobState, error) {
 			return jobstore.ReadState(ctx, n.store, id)
 		},
+		ResendDelay: s.MinResendDelay,
 	}, heartbeats, n.peerClient)
 	n.servers, err = listen(s, n)
 	return n, err
