List a target that a successor doesn't find

What callers would see: a task of a durable job runs twice at the same time.

The world can leave a target out of the registry for it; what it draws is unchanged.

--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -138,8 +138,8 @@
 	hung           bool
 	silent         bool
 	answerPoll     func()
-	// ofOtherOwner marks the targets of the other owner.
-	ofOtherOwner bool
+	// ofOtherOwner marks the targets of the other owner; unlisted those whose registry entry has lapsed.
+	ofOtherOwner, unlisted bool
 	// leaseLapsed is when the lease last lapsed; endedAt is when each run ended.
 	leaseLapsed time.Duration
 	endedAt     map[int64]time.Duration
@@ -222,7 +222,7 @@
 		name: fmt.Sprintf("o%d", w.token), delegated: map[Part]*sentPart{},
 	}
 	for _, id := range w.targetIDs() {
-		if t := w.targets[id]; !t.down && !t.ofOtherOwner {
+		if t := w.targets[id]; !t.down && !t.ofOtherOwner && !t.unlisted {
 			o.state.ListedAtStart(id, t.listed().Incarnation)
 			o.state.TargetListed(w.now, t.listed())
 		}
