Replace only the row on which a claim's decision rests

A claim of another VM that was heard in between would have been replaced, though its owner had just begun.

Evidence: TestClaimReplacesOnlyTheRowOfItsDecision; with the look-up at the write the claim of version 6 is replaced.

Why it works: the decision takes the row under the same lock as what it observes, and the write is on condition of that row, as before.

Comments of the change are reworded where they read badly.

--- a/owner/keepalives.go
+++ b/owner/keepalives.go
@@ -23,8 +23,8 @@
 const maxGivenUp = 4096
 
 // RecordKeepalive records that the callers of an entry VM still wait, until the given time, for
-// all its jobs except those whose requests it has given up. Requests without a number are of a VM of an older
-// build.
+// all its jobs except those whose requests it has given up. A VM of an older build gives no numbers
+// of requests.
 func (o *Owner) RecordKeepalive(entry string, until time.Duration, givenUp []scheduler.GivenUp) {
 	k := &o.keepalives
 	k.mu.Lock()
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -34,7 +34,7 @@
 	return c.Claim.GetPassed() > other.Claim.GetPassed()
 }
 
-// goneRow is Claim.Replaced of a claim that was written where the row of an earlier one was gone.
+// goneRow is what a claim replaces that is written where the row of an earlier one was removed.
 const goneRow = -1
 
 // Continues reports whether the VM that held an earlier claim of the group has held it ever since. If
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -210,13 +210,13 @@
 	}
 }
 
-// replacedVersion returns the version that the row of a group must have for a new claim, and what
-// the claim says of it. The caller holds the lock.
-func (k *Keeper) replacedVersion(group string) (expected, replaced int64) {
-	if k.rowGone[group] {
-		return 0, goneRow
+// replacedRow returns which row a new claim of this VM's group replaces: the version of the known one,
+// 0 before the first, or goneRow. The caller holds the lock.
+func (k *Keeper) replacedRow() int64 {
+	if k.rowGone[k.options.Group] {
+		return goneRow
 	}
-	return k.claims[group].Version, k.claims[group].Version
+	return k.claims[k.options.Group].Version
 }
 
 // keepNewer keeps a claim if it is newer than the known one of its group.
@@ -259,6 +259,7 @@
 	now := bootclock.Now()
 	k.mu.Lock()
 	observed := k.observe(now)
+	replaces := k.replacedRow()
 	wanted := k.claimsRead && !k.leaving && now-k.lastAttempt >= claimRetryInterval && ShouldClaim(observed)
 	if wanted {
 		k.lastAttempt = now
@@ -268,7 +269,7 @@
 		return
 	}
 	k.options.Log.Info("claiming", "group", k.options.Group, "silent", observed.OwnerSilent, "waited", observed.ClaimAge)
-	if err := k.writeClaim(ctx, k.ownClaim()); err != nil {
+	if err := k.writeClaim(ctx, k.ownClaim(), replaces); err != nil {
 		k.options.Log.Warn("claim not written", "group", k.options.Group, "error", err)
 	}
 }
@@ -291,18 +292,15 @@
 	return o
 }
 
-// writeClaim writes a claim to the store in place of the known one, and merges it immediately, before
-// the feed returns it.
-func (k *Keeper) writeClaim(ctx context.Context, claim *linkpb.Claim) error {
-	k.mu.Lock()
-	expected, replaced := k.replacedVersion(k.options.Group)
-	k.mu.Unlock()
-	claim.Replaced = replaced
+// writeClaim writes a claim to the store in place of the row that the decision for it rests on, and
+// merges it immediately, before the feed returns it.
+func (k *Keeper) writeClaim(ctx context.Context, claim *linkpb.Claim, replaces int64) error {
+	claim.Replaced = replaces
 	value, err := proto.Marshal(claim)
 	if err != nil {
 		return err
 	}
-	version, err := k.store.Put(ctx, claimsTable, k.options.Group, value, expected)
+	version, err := k.store.Put(ctx, claimsTable, k.options.Group, value, max(replaces, 0))
 	if err != nil {
 		// If the answer was lost, the row in the feed shows who owns the group.
 		return err
@@ -349,7 +347,7 @@
 	if !wanted {
 		return
 	}
-	if err := k.writeClaim(ctx, k.ownClaim()); err != nil {
+	if err := k.writeClaim(ctx, k.ownClaim(), goneRow); err != nil {
 		k.options.Log.Warn("claim not written", "group", k.options.Group, "error", err)
 	}
 }
@@ -376,7 +374,7 @@
 		return ErrNoSuccessor
 	}
 	k.mu.Lock()
-	own := k.claims[k.options.Group]
+	own, replaces := k.claims[k.options.Group], k.replacedRow()
 	k.mu.Unlock()
 	claim := &linkpb.Claim{
 		Vm: to.VM, Life: to.Incarnation, Control: to.ControlAddress, Heartbeat: to.HeartbeatAddress,
@@ -384,7 +382,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handOverWriteTimeout)
 	defer cancel()
-	err := k.writeClaim(ctx, claim)
+	err := k.writeClaim(ctx, claim, replaces)
 	if err == nil || errors.Is(err, platform.ErrConflict) {
 		return err
 	}
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -389,3 +389,29 @@
 	k.applyUpdate(mirror.Update{Snapshot: true, Rows: platform.Rows{Version: 4}})
 	must.MapEmpty(t, k.rowGone)
 }
+
+// changingStore has another VM's claim reach the keeper just before a write.
+type changingStore struct {
+	fakeStore
+	before func()
+}
+
+func (s *changingStore) Put(ctx context.Context, table platform.Table, key string, value []byte, expected int64) (int64, error) {
+	s.before()
+	return s.fakeStore.Put(ctx, table, key, value, expected)
+}
+
+// A claim replaces only the row on which its decision rests, not one that the VM has heard of since.
+func TestClaimReplacesOnlyTheRowOfItsDecision(t *testing.T) {
+	store := &changingStore{fakeStore: fakeStore{version: 6}}
+	k := newKeeper(store, func([]GroupClaim) {})
+	k.readNothing()
+	k.Merge([]GroupClaim{{Group: "g", Version: 5, Claim: &linkpb.Claim{Vm: "w", Life: 2}}})
+	k.seenAt["g"] -= time.Minute
+	store.before = func() { k.Merge([]GroupClaim{{Group: "g", Version: 6, Claim: &linkpb.Claim{Vm: "x", Life: 3}}}) }
+	k.claimIfDue(t.Context())
+	must.Eq(t, 1, store.puts)
+	claim, _ := k.Claim()
+	must.Eq(t, "x", claim.Claim.GetVm())
+	must.Eq(t, 6, store.version)
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -234,9 +234,8 @@
 	maxClockRate = 1.04
 )
 
-// relayTime returns a value that the relay's clock shows at a coming time at the latest, however
-// long its last answer was on its way. It reports false if the relay's clock isn't known, or may show that
-// value already.
+// relayTime returns what the relay's clock shows at a coming time or earlier, however long its last
+// answer was on its way. It reports false if the relay's clock isn't known, or may be past that already.
 func (s *stream) relayTime(now, at time.Duration) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/scheduler/giveup.go
+++ b/scheduler/giveup.go
@@ -33,9 +33,9 @@
 	GivenUp
 }
 
-// GiveUp ends all requests for a job that have arrived from an entry VM of an older build, which
-// names the job alone when it gives a request up. What it says again within giveUpRepeatTime is of the same
-// request, and spares those that have arrived since.
+// GiveUp ends all requests for a job that have arrived from an entry VM of an older build, which names
+// the job alone when it gives a request up. If the VM says so again within giveUpRepeatTime, it means
+// the same request, and those that have arrived since go on.
 func (s *State) GiveUp(now time.Duration, entry, id string) {
 	ref := givenUpRef{entry, GivenUp{Job: id}}
 	if at, known := s.givenUp[ref]; known && now-at <= giveUpRepeatTime {
@@ -45,8 +45,8 @@
 	s.endGivenUp(now, ref)
 }
 
-// GiveUpRequest ends the request that an entry VM has given up, and no other one for the same job. If it
-// hasn't arrived yet, it starts nothing when it does. Durable jobs go on.
+// GiveUpRequest ends the request that an entry VM has given up, and no other one for the same job. If
+// the request hasn't arrived yet, it starts nothing when it does. Durable jobs go on.
 func (s *State) GiveUpRequest(now time.Duration, entry string, given GivenUp) {
 	s.endGivenUp(now, givenUpRef{entry, given})
 }
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -104,9 +104,8 @@
 	pollPending   bool
 	// answeredPollSentAt is when the newest answered poll was sent.
 	answeredPollSentAt time.Duration
-	// wholeListSentAt is when the newest poll was sent whose answer listed all completions; 0 while
-	// the present incarnation has listed as many as it lists at a time in each answer. awaited says
-	// that the state counts the target among those.
+	// wholeListSentAt is when the newest poll was sent whose answer listed all completions; 0 before
+	// the present incarnation has sent one. awaited says that State.partialLists counts the target.
 	wholeListSentAt time.Duration
 	awaited         bool
 	// lastAnswer is when the newest poll was answered; the runs that it listed were running then.
