Keep requests that were given up by their owner

Found by reading the change of the pings: each ping looked through all requests that its VM had given up anywhere. After the loss of an owner these are hundreds, and while capacity is asked for, pings go to all owners 125 times a second, on VMs with an eighth of a core.

Change: the requests stand in a map for each owner, which is empty for all but the lost one, and the bound of 4,096 counts for each. What pings name is unchanged; the tests are, but for the place where the bound is read.

Measured: heartbeat green; the cost itself was reckoned, not measured.

--- a/heartbeat/givenup_test.go
+++ b/heartbeat/givenup_test.go
@@ -63,5 +63,5 @@
 	for i := range uint64(maxGivenUp) {
 		s.peers.giveUp(0, 1, GivenUp{Request: i})
 	}
-	must.LessEq(t, maxGivenUp, len(s.peers.givenUp))
+	must.MapLen(t, maxGivenUp, s.peers.givenUp[1])
 }
--- a/heartbeat/peertable.go
+++ b/heartbeat/peertable.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -26,8 +27,8 @@
 	givenUpPings     = 3
 	// maxGivenUpPerPing bounds the requests that a ping names, so that it fits into maxDatagram.
 	maxGivenUpPerPing = 100
-	// maxGivenUp bounds the requests that wait to be named. An owner also notices that the connection
-	// of a request has ended.
+	// maxGivenUp bounds the requests of an owner that wait to be named. The owner also notices that
+	// the connection of a request has ended.
 	maxGivenUp = 4096
 	// pingerTimeout is how long an entry VM counts as alive after its last ping.
 	pingerTimeout = SilenceTimeout
@@ -84,8 +85,8 @@
 	views map[uint64]*view
 	// pingers holds the entry VMs by their EntryID.
 	pingers map[string]*Pinger
-	// givenUp holds the requests that were given up at each owner.
-	givenUp map[givenUpAt]*givenUpState
+	// givenUp holds, for each owner, the requests there that were given up.
+	givenUp map[uint64]map[GivenUp]*givenUpState
 }
 
 // GivenUp names a request to run a job that its sender has given up.
@@ -96,12 +97,6 @@
 	Request uint64
 }
 
-// givenUpAt is a request that was given up, at an owner.
-type givenUpAt struct {
-	owner uint64
-	GivenUp
-}
-
 // givenUpState says when a request was given up, and how many pings have named it.
 type givenUpState struct {
 	at    time.Duration
@@ -120,7 +115,7 @@
 }
 
 func newPeerTable() *peerTable {
-	return &peerTable{views: map[uint64]*view{}, pingers: map[string]*Pinger{}, givenUp: map[givenUpAt]*givenUpState{}}
+	return &peerTable{views: map[uint64]*view{}, pingers: map[string]*Pinger{}, givenUp: map[uint64]map[GivenUp]*givenUpState{}}
 }
 
 // setOwners sets the owners that hold claims. Previous owners stay until they are silent.
@@ -168,29 +163,31 @@
 
 // giveUp has the next pings to an owner name a request.
 func (t *peerTable) giveUp(now time.Duration, owner uint64, given GivenUp) {
-	if len(t.givenUp) < maxGivenUp {
-		t.givenUp[givenUpAt{owner, given}] = &givenUpState{at: now}
+	requests := t.givenUp[owner]
+	if requests == nil {
+		requests = map[GivenUp]*givenUpState{}
+		t.givenUp[owner] = requests
+	}
+	if len(requests) < maxGivenUp {
+		requests[given] = &givenUpState{at: now}
 	}
 }
 
 // takeGivenUp returns the requests that a ping to an owner names: those first that the fewest pings
 // have named.
 func (t *peerTable) takeGivenUp(owner uint64) []GivenUp {
-	var named []givenUpAt
-	for at := range t.givenUp {
-		if at.owner == owner {
-			named = append(named, at)
-		}
+	requests := t.givenUp[owner]
+	if len(requests) == 0 {
+		return nil
 	}
-	slices.SortFunc(named, func(a, b givenUpAt) int {
-		return cmp.Or(cmp.Compare(t.givenUp[a].pings, t.givenUp[b].pings), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Job, b.Job))
+	named := slices.SortedFunc(maps.Keys(requests), func(a, b GivenUp) int {
+		return cmp.Or(cmp.Compare(requests[a].pings, requests[b].pings), cmp.Compare(a.Request, b.Request), cmp.Compare(a.Job, b.Job))
 	})
-	var requests []GivenUp
-	for _, at := range named[:min(len(named), maxGivenUpPerPing)] {
-		t.givenUp[at].pings++
-		requests = append(requests, at.GivenUp)
+	named = named[:min(len(named), maxGivenUpPerPing)]
+	for _, given := range named {
+		requests[given].pings++
 	}
-	return requests
+	return named
 }
 
 // expire ends Alive of silent owners, and removes silent previous owners, silent entry VMs and
@@ -212,9 +209,14 @@
 			delete(t.pingers, id)
 		}
 	}
-	for at, state := range t.givenUp {
-		if now-state.at > givenUpRetention && (state.pings >= givenUpPings || t.views[at.owner] == nil || now-state.at > SilenceTimeout) {
-			delete(t.givenUp, at)
+	for owner, requests := range t.givenUp {
+		gone := t.views[owner] == nil
+		maps.DeleteFunc(requests, func(_ GivenUp, state *givenUpState) bool {
+			age := now - state.at
+			return age > givenUpRetention && (gone || state.pings >= givenUpPings || age > SilenceTimeout)
+		})
+		if len(requests) == 0 {
+			delete(t.givenUp, owner)
 		}
 	}
 }
