Let a silent target with a full list hold jobs up for its lease only

Evidence: TestFullListOfSilentTargetHoldsJobsUpForItsLease; without the bound nothing starts.

Why it works: after 2.5 s without an answer the leases there have expired, as for targets that never answer a successor; what ended there before may run again.

Measured: the tests of full lists, durable jobs and repeatable worlds green.

--- a/scheduler/durable_test.go
+++ b/scheduler/durable_test.go
@@ -543,6 +543,21 @@
 	must.SliceLen(t, 1, pickEffects[StartRun](append(b.effects(), b.advance(20*ms)...)))
 }
 
+// A target that falls silent with completions that it hadn't listed holds jobs up until its leases have
+// expired.
+func TestFullListOfSilentTargetHoldsJobsUpForItsLease(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.listTargetWithCPU("a", 4)
+	b.listTargetWithCPU("b", 4)
+	b.effects()
+	b.answerPoll("b", work.PollAnswer{ClockMS: 5000})
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Completions: manyCompletions(1)})
+	b.s.ResumeJob(b.now, b.durableJob("j", 1), Progress{})
+	b.s.FinishResume(b.now)
+	must.SliceEmpty(t, pickEffects[StartRun](b.advance(lapsedListTimeout)))
+	must.SliceLen(t, 1, pickEffects[StartRun](b.advance(100*ms)))
+}
+
 // A run whose stop was confirmed isn't taken for one that never began while its target lists as many
 // completions as it can: its own may follow.
 func TestStoppedRunBeyondFullListIsNotLost(t *testing.T) {
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -91,6 +91,10 @@
 // wasResumed reports whether the job was taken over from a previous owner.
 func (j *job) wasResumed() bool { return j.assumedStarts > 0 }
 
+// lapsedListTimeout is after how long without an answer a target holds up no job that was taken over:
+// its leases have expired, so what ended there may run again.
+const lapsedListTimeout = 2500 * time.Millisecond
+
 // awaitWholeList counts a target among those that may have more completions than they have listed,
 // or takes it out.
 func (s *State) awaitWholeList(t *target, await bool) {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -419,6 +419,9 @@
 			s.emit(StopRun{To: t.address(), Run: unknown})
 		}
 	}
+	if t.awaited && now-t.lastAnswer > lapsedListTimeout {
+		s.awaitWholeList(t, false)
+	}
 	s.resendPoll(now, t)
 	s.pollForDueRuns(now, t)
 	s.checkRuns(now, t)
