--- a/scheduler/durable_test.go
+++ b/scheduler/durable_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
