--- a/scheduler/fake_target_test.go
+++ b/scheduler/fake_target_test.go
@@ -13,6 +13,11 @@
 	return work.OrderAnswer{Verdict: verdict, ClockMS: t.clock()}
 }
 
+// isSilentTo reports whether the target gives no answer to the owner with a token.
+func (t *fakeTarget) isSilentTo(token int64) bool {
+	return t.down || t.silent || t.unreachableBy[token]
+}
+
 func (t *fakeTarget) isFenced(token int64) bool {
 	if token < t.highestToken {
 		return true
@@ -22,7 +27,7 @@
 }
 
 func (t *fakeTarget) start(token int64, e StartRun) work.OrderAnswer {
-	if t.down || t.silent {
+	if t.isSilentTo(token) {
 		return work.OrderAnswer{}
 	}
 	if t.isFenced(token) {
@@ -90,7 +95,7 @@
 }
 
 func (t *fakeTarget) stop(token int64, run work.RunID) work.OrderAnswer {
-	if t.down || t.silent {
+	if t.isSilentTo(token) {
 		return work.OrderAnswer{}
 	}
 	if t.isFenced(token) {
@@ -104,7 +109,7 @@
 }
 
 func (t *fakeTarget) servePoll(token int64, e Poll, reply func(work.PollAnswer, work.Verdict)) {
-	if t.down || t.silent {
+	if t.isSilentTo(token) {
 		reply(work.PollAnswer{}, work.VerdictUnknown)
 		return
 	}
@@ -134,7 +139,7 @@
 		}
 		replied = true
 		t.answerPoll = nil
-		if t.down || t.silent {
+		if t.isSilentTo(token) {
 			reply(work.PollAnswer{}, work.VerdictUnknown)
 			return
 		}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -140,6 +140,8 @@
 	answerPoll     func()
 	// ofOtherOwner marks the targets of the other owner; unlisted those whose registry entry has lapsed.
 	ofOtherOwner, unlisted bool
+	// unreachableBy holds the tokens of the owners whose orders don't reach the target.
+	unreachableBy map[int64]bool
 	// leaseLapsed is when the lease last lapsed; endedAt is when each run ended.
 	leaseLapsed time.Duration
 	endedAt     map[int64]time.Duration
