Log which targets don't obey a successor when it takes jobs over

Two explanations of a durable task that runs twice after a takeover looked alike in the logs: a target that the successor doesn't know, and one that it knows but can't reach. A new owner now logs and counts each target that doesn't obey it at the moment at which it takes the jobs over, and whether the registry lists it.

--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -330,6 +330,7 @@
 // none of them may be acknowledged. Inherited runs are now assigned to their tasks or stopped.
 func (s *State) FinishResume(now time.Duration) {
 	s.allResumed = true
+	s.noteUnreached(now)
 	for _, task := range slices.Sorted(maps.Keys(s.unrecordedCompletions)) {
 		for _, o := range s.unrecordedCompletions[task] {
 			s.pendingWrites++
@@ -350,6 +351,28 @@
 	}
 }
 
+// maxUnreachedLines bounds the lines about targets that don't obey a new owner.
+const maxUnreachedLines = 8
+
+// noteUnreached logs and counts the targets that don't obey this owner when it takes jobs over: a
+// previous owner may go on there.
+func (s *State) noteUnreached(now time.Duration) {
+	lines := 0
+	for _, t := range s.sortedTargets() {
+		if t.fenced {
+			continue
+		}
+		kind := "listed"
+		if t.unlistedSince != 0 {
+			kind = "not listed"
+		}
+		s.emit(Count{Name: "targets_unreached", Kind: kind})
+		if lines++; lines <= maxUnreachedLines {
+			s.emit(LogEvent{Message: "target does not obey this owner", Target: t.ID, Detail: kind, Age: now - t.firstSeen})
+		}
+	}
+}
+
 // assignInheritedRuns assigns the inherited runs of a target to their tasks, and stops those that
 // have none.
 func (s *State) assignInheritedRuns(now time.Duration, t *target) {
