Record the targets at which durable jobs may run

Callers saw a task of a durable job run twice: the registry entry of its target had lapsed when a successor claimed. The successor didn't know the target, took all targets for its own, and started the task again, while the previous owner went on renewing the lease of the first run.

Cause: a successor knows of targets by the registry alone, and an entry may lapse while its target goes on.

Why this works: tasks of durable jobs start only at targets that have a row in the store, written under a fence row of the owner. A successor replaces the fence row first, so that nothing is recorded any more, then reads the rows, and only then takes the jobs over. It polls recorded targets without an entry at their recorded addresses and continues what runs there. Rows change with targets, not with starts.

--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -65,7 +65,8 @@
 	options Options
 	store   Store
 	// number tells this Writer from others of the process.
-	number uint64
+	number  uint64
+	records *TargetRecords
 
 	mu     sync.Mutex
 	shards [Partitions]*shard
@@ -78,6 +79,7 @@
 // New makes a Writer that accepts nothing before Open.
 func New(o Options, store Store) *Writer {
 	w := &Writer{options: o, store: store, number: lastWriter.Add(1)}
+	w.records = newTargetRecords(o, store, w.number)
 	for i := range w.shards {
 		w.shards[i] = newShard(o.Group, o.Incarnation, w.number)
 		w.wake[i] = make(chan struct{}, 1)
@@ -85,6 +87,9 @@
 	return w
 }
 
+// TargetRecords returns the record of the targets at which tasks of the jobs may run.
+func (w *Writer) TargetRecords() *TargetRecords { return w.records }
+
 // Open stops previous owners from writing and returns the jobs that have not ended. The token is
 // the owner's fencing token. Open may be called again after an error.
 func (w *Writer) Open(ctx context.Context, token int64) ([]DurableJob, error) {
@@ -219,8 +224,12 @@
 
 // reportUnreadable logs and counts a row that can't be read. The other rows stay in use.
 func (w *Writer) reportUnreadable(table platform.Table, key string, err error) {
-	w.options.Count("rows_unreadable", string(table))
-	w.options.Log.Warn("row not understood", "table", table, "key", key, "error", err)
+	w.options.reportUnreadable(table, key, err)
+}
+
+func (o Options) reportUnreadable(table platform.Table, key string, err error) {
+	o.Count("rows_unreadable", string(table))
+	o.Log.Warn("row not understood", "table", table, "key", key, "error", err)
 }
 
 // retention is how long the progress row of an ended job stays.
@@ -359,6 +368,7 @@
 	for i := range Partitions {
 		g.Go(func() error { w.writePartition(ctx, i); return nil })
 	}
+	g.Go(func() error { w.records.run(ctx); return nil })
 	g.Go(func() error { w.runSweeps(ctx); return nil })
 	return g.Wait()
 }
--- a/owner/durable.go
+++ b/owner/durable.go
@@ -23,6 +23,8 @@
 	endWaiters map[string][]chan struct{}
 	// canTakeOver is the published result of canTakeOverJobs.
 	canTakeOver atomic.Bool
+	// recordsRead is set once the target records were read.
+	recordsRead bool
 	// registryReadAt is when the registry was read and the handover of targets had ended.
 	registryReadAt time.Duration
 	// pending counts by queue the jobs of which nothing has started, as of pendingCountedAt.
@@ -46,13 +48,16 @@
 )
 
 // canTakeOverJobs reports whether previous owners can no longer acknowledge completions: those
-// that aren't in the store are then still at their targets. Targets that don't answer delay this
-// by at most takeOverTimeout.
+// that aren't in the store are then still at their targets. It makes the targets known that previous
+// owners have recorded. Targets that don't answer delay this by at most takeOverTimeout.
 func (o *Owner) canTakeOverJobs() bool {
-	if !o.registry.snapshotRead || o.registry.handoverPending {
+	if !o.registry.snapshotRead || o.registry.handoverPending || !o.durable.recordsRead {
 		return false
 	}
 	now := bootclock.Now()
+	if !o.state.HasAdoptedTargets() {
+		o.state.AdoptTargets(now)
+	}
 	if o.durable.registryReadAt == 0 {
 		o.durable.registryReadAt = now
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -137,7 +137,7 @@
 	// openJobs is the published number of jobs that have still to end or to be recorded.
 	openJobs atomic.Int64
 	durable  durableJobs
-	lag      lag
+	lag         lag
 	// cordonsVersion is the version of the newest view of cordons.
 	cordonsVersion int64
 	// loadsAt is when the loads were last published.
@@ -158,6 +158,7 @@
 	}
 	o.Schedule.AwaitCordon = o.Cordons != nil
 	o.Schedule.ConfirmClaims = o.ConfirmClaim != nil
+	o.Schedule.RecordTargets = o.Jobs != nil && o.ConfirmClaim != nil
 	owner := &Owner{
 		options: o, targets: targets, store: store,
 		submissions: ring.New[message](submissionQueueSize),
@@ -205,6 +206,7 @@
 	if o.options.Jobs != nil {
 		g.Go(func() error { return o.options.Jobs.Run(ctx) })
 		g.Go(func() error { o.takeOverJobs(ctx); return nil })
+		g.Go(func() error { o.openTargetRecords(ctx); return nil })
 	}
 	if o.options.Cordons != nil {
 		o.UpdateCordons(ctx, o.options.Cordons())
@@ -375,6 +377,8 @@
 			o.answerCaller(e)
 		case scheduler.StoreJob, scheduler.TaskDone, scheduler.TaskFailed, scheduler.TaskCrashed, scheduler.TaskSaved, scheduler.JobEnded:
 			o.record(ctx, e)
+		case scheduler.RecordTarget, scheduler.ForgetTarget:
+			o.recordTarget(ctx, e)
 		case scheduler.LogEvent:
 			o.logEvent(e)
 		case scheduler.Count:
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -258,6 +258,7 @@
 	if !t.fenced {
 		t.fenced, t.fencedAt = true, now
 	}
+	s.settle(t.ID, "it obeys this owner")
 	t.ackedCompletion = t.ackSent
 	t.answeredPollSentAt = sentAt
 	t.lease.update(answer.ClockMS, now)
--- a/scheduler/crash_world_test.go
+++ b/scheduler/crash_world_test.go
@@ -94,7 +94,7 @@
 func (w *world) confirmClaim(o *fakeOwner) {
 	asOf := w.now
 	w.after(time.Duration(2+w.random.IntN(8))*ms, func() {
-		if o != w.owner() || w.durableStore.unavailable {
+		if o != w.owner() || !w.reachesStore(o) {
 			return
 		}
 		w.after(time.Duration(2+w.random.IntN(8))*ms, func() {
--- a/scheduler/durable.go
+++ b/scheduler/durable.go
@@ -66,6 +66,7 @@
 
 // store has an admitted job stored before anything of it starts.
 func (s *State) store(j *job) {
+	s.startRecording()
 	s.emit(StoreJob{Submission: j.sub})
 }
 
--- a/scheduler/durable_world_test.go
+++ b/scheduler/durable_world_test.go
@@ -23,6 +23,7 @@
 	holder      *fakeOwner
 	jobs        map[string]*jobRecord
 	unavailable bool
+	records     fakeRecords
 }
 
 // jobRecord is a durable job in the store.
@@ -48,7 +49,7 @@
 	w.after(time.Duration(1+w.random.IntN(maxStoreDelay))*ms, func() {
 		switch {
 		case w.durableStore.holder != o:
-		case w.durableStore.unavailable:
+		case !w.reachesStore(o):
 			w.writeLater(o, write, confirm)
 		default:
 			write()
@@ -63,7 +64,7 @@
 	if o.dead || w.durableStore.holder != nil && w.durableStore.holder.token > o.token {
 		return
 	}
-	if o.frozen || w.durableStore.unavailable || !o.state.TargetsFenced() && w.now-began < 2500*ms {
+	if o.frozen || !w.reachesStore(o) || !o.state.HasAdoptedTargets() || !o.state.TargetsFenced() && w.now-began < 2500*ms {
 		w.after(20*ms, func() { w.takeOverJobs(o, began) })
 		return
 	}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -25,6 +25,8 @@
 	// ConfirmClaims delays the use of targets that appear later, or restart, until ClaimConfirmed
 	// confirms the claim as of a later time.
 	ConfirmClaims bool
+	// RecordTargets starts tasks of durable jobs only at targets that the store has recorded.
+	RecordTargets bool
 }
 
 // Defaults of Options.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -104,7 +104,7 @@
 
 // placeStep starts tasks of a step until one fits no target.
 func (s *State) placeStep(now time.Duration, j *job, st *step, failed *failedPlacements) {
-	unconstrained := st.RequiredLabel == "" && st.runsOn == nil && st.advice == nil && !st.Background && !st.LatencySensitive
+	unconstrained := st.RequiredLabel == "" && st.runsOn == nil && st.advice == nil && !st.Background && !st.LatencySensitive && !s.awaitsRecords(j)
 	if st.hasSuspects {
 		s.startReservedSuspects(now, j, st)
 		st.sortSuspectsLast()
@@ -140,6 +140,9 @@
 	if !t.acceptsTasks() || now < t.blockedUntil || !st.PerTask.FitsIn(t.free) {
 		return false
 	}
+	if j.isDurable() && !s.canRecordedStart(t) {
+		return false
+	}
 	if st.RequiredLabel != "" && !slices.Contains(t.Labels, st.RequiredLabel) || !st.advice.allows(now, t.ID) {
 		return false
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -178,6 +178,7 @@
 	// inheritedStates is what previous owners' runs of durable jobs had saved, by task.
 	inheritedStates map[string]inheritedState
 	allResumed      bool
+	succession      succession
 	// dropped is when jobs were last left to another owner. The leases of their runs are renewed
 	// for droppedRenewTime from then on.
 	dropped, droppedRenewTime time.Duration
@@ -231,6 +232,7 @@
 		crashes:               newLossTracker(),
 		evidence:              newEvidence(),
 		listedAtStart:         map[string]int64{},
+		succession:            succession{unsettled: map[string]work.Target{}},
 
 		recentOutcomes: map[jobRef]recentOutcome{},
 		superseded:     map[jobRef]time.Duration{},
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -51,6 +51,9 @@
 // TargetsFenced reports whether every known target obeys this owner and runs nothing of previous
 // owners but inherited runs.
 func (s *State) TargetsFenced() bool {
+	if !s.HasAdoptedTargets() || len(s.succession.unsettled) > 0 {
+		return false
+	}
 	for _, t := range s.targets {
 		if !t.fenced || t.state == adopting && len(t.unknownRuns) > 0 {
 			return false
@@ -146,6 +149,7 @@
 	j.record(now, "resumed", "", "", fmt.Sprintf("%d tasks done, failures %v up to runs %v", len(progress.Done), progress.Fails, progress.LastFailed))
 	s.jobs[sub.Ref] = j
 	s.jobsByKey[sub.Job.ID] = j
+	s.startRecording()
 	s.restoreProgress(now, j, progress)
 	for _, t := range j.tasks {
 		for _, o := range sortedByRun(s.unrecordedCompletions[t.name]) {
@@ -331,6 +335,7 @@
 func (s *State) FinishResume(now time.Duration) {
 	s.allResumed = true
 	s.noteUnreached(now)
+	clear(s.succession.unsettled)
 	for _, task := range slices.Sorted(maps.Keys(s.unrecordedCompletions)) {
 		for _, o := range s.unrecordedCompletions[task] {
 			s.pendingWrites++
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -59,6 +59,8 @@
 	// retired says that it has been missing for too long and takes no new tasks.
 	unlistedSince time.Duration
 	retired       bool
+	// recorded says that the store has recorded the target, recordAsked that it was asked to.
+	recorded, recordAsked bool
 	// doubtful says that an idle target was found missing and has not answered since.
 	doubtful bool
 	// warmAt is when the target reaches its full speed after its start.
@@ -229,6 +231,7 @@
 		t.ID, t.Incarnation = entry.ID, entry.Incarnation
 		s.recordFirstSeen(now, t)
 		s.targets[entry.ID] = t
+		s.succession.unrecorded++
 		t.pool.targets = append(t.pool.targets, t)
 		t.Capacity, t.registryCapacity = entry.Capacity, entry.Capacity
 	}
@@ -243,6 +246,7 @@
 	t.warmAt = now + entry.WarmUpLeft
 	entry.Capacity, entry.Incarnation = t.Capacity, t.Incarnation
 	t.Target = entry
+	s.recordTarget(t)
 	s.markChanged(t)
 }
 
@@ -265,7 +269,7 @@
 // retireUnlisted takes a target out of use that the registry no longer lists. Its runs go on while
 // it answers, as it may only be cut off from the registry.
 func (s *State) retireUnlisted(now time.Duration, t *target) {
-	if t.unlistedSince == 0 {
+	if t.unlistedSince == 0 || s.mayHaveForeignRuns(t) {
 		return
 	}
 	late := now-t.unlistedSince > unlistedTimeout
@@ -289,6 +293,7 @@
 		s.unreserveForSuspect(t.isolated)
 	}
 	delete(s.targets, t.ID)
+	s.forgetTarget(t)
 	s.awaitWholeList(t, false)
 	s.markChanged(t)
 	t.pool.targets = slices.DeleteFunc(t.pool.targets, func(other *target) bool { return other == t })
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -92,7 +92,9 @@
 	token int64
 	// A frozen owner does nothing until it thaws; a cut one reaches no entry VM.
 	frozen, cut, dead bool
-	refs              map[Ref]*caller
+	// cutFromStore owners don't reach the store.
+	cutFromStore bool
+	refs         map[Ref]*caller
 	// name is the owner's name at the other owner; partReplies answer the other owner's parts.
 	name        string
 	partReplies map[Ref]func(work.Outcome)
@@ -220,7 +222,7 @@
 	w.token++
 	o := &fakeOwner{
 		fails: map[string]map[int]int{},
-		state: New(Options{AwaitCordon: w.cordons != nil, ConfirmClaims: true}), token: w.token, refs: map[Ref]*caller{},
+		state: New(Options{AwaitCordon: w.cordons != nil, ConfirmClaims: true, RecordTargets: true}), token: w.token, refs: map[Ref]*caller{},
 		name: fmt.Sprintf("o%d", w.token), delegated: map[Part]*sentPart{},
 	}
 	for _, id := range w.targetIDs() {
@@ -236,6 +238,7 @@
 	}
 	w.tick(o)
 	w.sendKeepalives(o)
+	w.openRecords(o)
 	w.takeOverJobs(o, w.now)
 	w.reportCordon(o)
 	return o
@@ -335,6 +338,10 @@
 				func(a work.OrderAnswer) { o.state.HandleStopAnswer(w.now, e.To.ID, e.Run, a) })
 		case Poll:
 			w.poll(o, e)
+		case RecordTarget:
+			w.recordTarget(o, e)
+		case ForgetTarget:
+			w.writeRecord(o, func() { delete(w.durableStore.records.targets, e.ID) }, func() {})
 		case Deposed:
 			o.state.Abandon(w.now)
 		default:
