Count the lease that a previous owner asked for

Callers would see a task of a durable job run twice, for up to 0.8 s.

Cause: a successor counts the leases that it has asked for itself. A run that it took over, at a target that isn't in use yet, passed for over on the next tick, though the lease that the previous owner had asked for went on.

Evidence: TestRunTakenOverKeepsItsPreviousLease fails without the new bound: the task starts again at once.

Why this works: from a target's first answer under the owner's token no previous owner can extend a lease there, and none has asked for one that lasts longer than 1.4 s.

--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -262,6 +262,9 @@
 	t.ackedCompletion = t.ackSent
 	t.answeredPollSentAt = sentAt
 	t.lease.update(answer.ClockMS, now)
+	if t.fencedAt == now {
+		t.previousLease = t.lease.endAfter(now, maxDurableLease)
+	}
 	for _, end := range answer.Completions {
 		if end.Number > t.lastCompletion {
 			t.lastCompletion = end.Number
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -77,7 +77,7 @@
 	s.endIncarnation(now, t)
 	t.incarnations++
 	t.incarnationUnknown = true
-	t.lease = lease{}
+	t.lease, t.previousLease = lease{}, 0
 	t.lastCompletion, t.ackedCompletion, t.ackSent = 0, 0, 0
 	t.wholeListSentAt = 0
 	s.awaitWholeList(t, false)
--- a/scheduler/succession.go
+++ b/scheduler/succession.go
@@ -14,6 +14,9 @@
 // there. So an owner starts tasks of durable jobs only at targets that are recorded in the store. A
 // successor reads the record after it has ended its predecessor's right to change it.
 
+// maxDurableLease is how long a lease with runs of durable jobs lasts at most on the slowest clock.
+const maxDurableLease = 1400 * time.Millisecond
+
 // succession is what an owner knows of the runs of durable jobs that previous owners may still have.
 type succession struct {
 	// inherited is set once the record of targets was read, adopted once its targets are known here.
--- a/scheduler/succession_test.go
+++ b/scheduler/succession_test.go
@@ -102,3 +102,19 @@
 	b.s.ReleaseTargets([]string{"a"})
 	must.SliceEmpty(t, pickEffects[ForgetTarget](b.effects()))
 }
+
+// A run that this owner took over isn't given up while the lease lasts that its predecessor asked for.
+func TestRunTakenOverKeepsItsPreviousLease(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.s.ResumeJob(b.now, b.durableJob("j", 1), Progress{})
+	b.s.FinishResume(b.now)
+	b.listTargetWithCPU("a", 1)
+	b.listTargetWithCPU("b", 1)
+	b.effects()
+	b.s.targets["a"].needsClaim, b.s.options.ConfirmClaims = true, true
+	b.s.targets["a"].firstSeen = b.now
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Running: listing(work.RunID{Task: "j.0.0.0", Number: 31})})
+	b.answerPoll("b", work.PollAnswer{ClockMS: 5000})
+	must.SliceEmpty(t, pickEffects[StartRun](b.advance(maxDurableLease-20*ms)))
+	must.SliceLen(t, 1, pickEffects[StartRun](b.advance(200*ms)))
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -83,6 +83,8 @@
 	// last poll with runs did not extend their lease.
 	fencedAt        time.Duration
 	renewalWithheld bool
+	// previousLease is when the lease ends at the latest, on its clock, that a previous owner asked for.
+	previousLease int64
 	// latencySensitiveRuns and backgroundRuns count runs of such steps; backgroundCPU is the
 	// processor that the latter want.
 	latencySensitiveRuns, backgroundRuns int
@@ -456,7 +458,11 @@
 	s.resendDueStart(now, r)
 	s.clearLongRun(now, r)
 	unresponsive := t.state != usable || r.stop != nil && r.stop.isOverdue(now)
-	if unresponsive && r.leaseUntil != noLeaseEnd && t.lease.hasLapsed(now, t.lease.until) {
+	until := t.lease.until
+	if r.adopted {
+		until = max(until, t.previousLease)
+	}
+	if unresponsive && r.leaseUntil != noLeaseEnd && t.lease.hasLapsed(now, until) {
 		s.recordTaskLoss(now, r)
 		s.loseRun(now, r, "its target's lease has lapsed")
 	}
