Bound how long a previous owner may run durable jobs

Callers saw a task of a durable job run twice: its target answered the previous owner, which didn't know of its successor, and not the successor.

Cause: the successor took the leases at a silent target for over 2.5 s after its own start. That holds for an owner that has ended or left; one that goes on renews them without end.

Why this works: an owner lets no lease with runs of durable jobs end later than 15 s after the time as of which its claim was last confirmed, and stops these runs a second before. A successor starts nothing of the jobs that it has taken over while a recorded target doesn't obey it, until that time has passed on the slowest clock since it took the records over, or 2.5 s after it knows that its predecessor orders nothing any more. Other jobs start at once. The fence row of the records names the owner and says until when earlier ones may have leases.

Not weighed here: what the wait costs on a deployment with durable jobs, as no site at hand has any.

--- a/jobstore/targets.go
+++ b/jobstore/targets.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"golang.org/x/time/rate"
 
@@ -30,9 +31,27 @@
 	Incarnation int64 `json:"life,omitempty"`
 }
 
+// recordsFence is the value of the fence row of a group's target records.
+type recordsFence struct {
+	fence
+	// VM is the one that the owner runs on.
+	VM string `json:"vm"`
+	// EarlierUntil is when the leases of all owners before this one are over, on the store's clock; 0
+	// if there was none.
+	EarlierUntil time.Duration `json:"earlier,omitempty"`
+}
+
 // Inherited is what a new owner finds in the target records.
 type Inherited struct {
 	Targets []work.Target
+	// HasPredecessor reports that an owner before this one could record targets. VM and Incarnation
+	// are those of its process; Incarnation is 0 if they can't be read.
+	HasPredecessor bool
+	VM             string
+	Incarnation    uint64
+	// EarlierUntil is when the leases of the owners before the predecessor are over, on the store's
+	// clock; 0 if there was none.
+	EarlierUntil time.Duration
 }
 
 // TargetRecords keeps the record of a group's targets for one owner. It is safe for concurrent use.
@@ -42,6 +61,8 @@
 	writer  uint64
 
 	mu sync.Mutex
+	// inherited is what the row said that this owner's fence row has replaced.
+	inherited Inherited
 	// fenceVersion is the version of this owner's fence row; 0 before it is written. superseded is set
 	// once another owner's was seen.
 	fenceVersion int64
@@ -67,10 +88,11 @@
 }
 
 // Open ends the right of previous owners to change the record and returns what they have recorded. The
-// token is the owner's fencing token. Open may be called again after an error.
-func (r *TargetRecords) Open(ctx context.Context, token int64) (Inherited, error) {
+// token is the owner's fencing token, and the leases of all previous owners are over after validity.
+// Open may be called again after an error.
+func (r *TargetRecords) Open(ctx context.Context, token int64, validity time.Duration) (Inherited, error) {
 	partition := recordsPartition(r.options.Group)
-	version, err := r.acquireFence(ctx, partition, token)
+	version, err := r.acquireFence(ctx, partition, token, validity)
 	if err != nil {
 		return Inherited{}, err
 	}
@@ -81,23 +103,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.fenceVersion = version
-	return Inherited{Targets: r.decodeTargets(rows.Rows)}, nil
+	inherited := r.inherited
+	inherited.Targets = r.decodeTargets(rows.Rows)
+	return inherited, nil
 }
 
 // acquireFence writes this owner's fence row and returns its version. It fails with ErrSuperseded if
 // the row has a higher token.
-func (r *TargetRecords) acquireFence(ctx context.Context, partition string, token int64) (int64, error) {
+func (r *TargetRecords) acquireFence(ctx context.Context, partition string, token int64, validity time.Duration) (int64, error) {
 	rows, err := r.store.Get(ctx, fencesTable, partition, r.options.Group)
 	if err != nil {
 		return 0, err
 	}
-	own := fence{Incarnation: r.options.Incarnation, Writer: r.writer, Token: token}
-	expected := int64(0)
+	own := recordsFence{fence: fence{Incarnation: r.options.Incarnation, Writer: r.writer, Token: token}, VM: r.options.VM}
+	found, expected := Inherited{}, int64(0)
 	if len(rows.Rows) > 0 {
-		var present fence
+		var present recordsFence
 		if err := decodeRow(rows.Rows[0], &present); err != nil {
 			r.options.reportUnreadable(fencesTable, r.options.Group, err)
-			present = fence{}
+			present = recordsFence{EarlierUntil: r.options.Clock() + validity}
 		}
 		expected = rows.Rows[0].Version
 		switch {
@@ -106,11 +130,17 @@
 		case present.Token > token:
 			return 0, ErrSuperseded.Errorf("token %d of the target records is above this owner's token %d: step down", present.Token, token)
 		}
+		found = Inherited{HasPredecessor: true, VM: present.VM, Incarnation: present.Incarnation, EarlierUntil: present.EarlierUntil}
+		own.EarlierUntil = r.options.Clock() + validity
 	}
 	value, err := json.Marshal(own)
 	if err != nil {
 		return 0, err
 	}
+	// If the answer is lost, the next call finds this owner's row.
+	r.mu.Lock()
+	r.inherited = found
+	r.mu.Unlock()
 	written, err := r.store.Write(ctx, partition, []platform.Change{{Action: platform.ActionPut, Table: fencesTable, Key: r.options.Group, Value: value, Expected: expected}})
 	return written.Version, err
 }
@@ -266,7 +296,7 @@
 
 // reconcile takes the present versions of the rows of a batch after a conflict.
 func (r *TargetRecords) reconcile(sent map[string]recordChange, current []platform.Row) {
-	var present fence
+	var present recordsFence
 	for id := range sent {
 		delete(r.versions, id)
 	}
--- a/jobstore/targets_test.go
+++ b/jobstore/targets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -13,18 +14,20 @@
 	"github.com/burdockward/burdockward/work"
 )
 
+const validity = 16 * time.Second
+
 // openedRecords returns the target records of an owner with a token, and what it has inherited.
 func openedRecords(t rapid.TB, store *fakeStore, token int64) (*TargetRecords, Inherited) {
 	t.Helper()
 	r := newTargetRecords(recordOptions(token), store, uint64(token))
-	inherited, err := r.Open(context.Background(), token)
+	inherited, err := r.Open(context.Background(), token, validity)
 	must.NoError(t, err)
 	return r, inherited
 }
 
 func recordOptions(token int64) Options {
 	return Options{
-		Group: "g", Incarnation: uint64(100 + token), Count: func(string, string) {},
+		Group: "g", VM: fmt.Sprint("vm-", token), Incarnation: uint64(100 + token), Count: func(string, string) {},
 		Clock: func() time.Duration { return time.Minute },
 	}
 }
@@ -53,11 +56,12 @@
 	return ids
 }
 
-// A successor finds the targets that its predecessor has recorded and not removed. The predecessor
-// changes nothing afterwards.
+// A successor finds the targets that its predecessor has recorded and not removed, and who that was. The
+// predecessor changes nothing afterwards.
 func TestSuccessorFindsRecordedTargets(t *testing.T) {
 	store := newFakeStore()
-	first, _ := openedRecords(t, store, 1)
+	first, inherited := openedRecords(t, store, 1)
+	must.False(t, inherited.HasPredecessor)
 	recorded := 0
 	for _, id := range []string{"a", "b", "c"} {
 		first.Record(work.Target{ID: id, Service: "s", Address: id + ":1", Incarnation: 7}, func() { recorded++ })
@@ -69,6 +73,10 @@
 	second, inherited := openedRecords(t, store, 2)
 	must.Eq(t, []string{"a", "c"}, idsOf(inherited.Targets))
 	must.SliceContains(t, inherited.Targets, work.Target{ID: "a", Service: "s", Address: "a:1", Incarnation: 7})
+	must.True(t, inherited.HasPredecessor)
+	must.Eq(t, "vm-1", inherited.VM)
+	must.Eq(t, 101, inherited.Incarnation)
+	must.Eq(t, 0, inherited.EarlierUntil)
 	first.Record(work.Target{ID: "d"}, func() { t.Error("recorded by an owner that has a successor") })
 	first.Forget("a")
 	first.writeAll(t)
@@ -77,11 +85,13 @@
 	second.writeAll(t)
 	_, inherited = openedRecords(t, store, 3)
 	must.Eq(t, []string{"a"}, idsOf(inherited.Targets))
-	_, err := newTargetRecords(recordOptions(2), store, 9).Open(context.Background(), 2)
+	must.Eq(t, time.Minute+validity, inherited.EarlierUntil)
+	_, err := newTargetRecords(recordOptions(2), store, 9).Open(context.Background(), 2, validity)
 	must.ErrorIs(t, err, ErrSuperseded)
 }
 
-// An owner whose answer is lost when it takes the record over still finds its predecessor's targets.
+// An owner whose answer is lost when it takes the record over still finds its predecessor's targets, and who
+// that was.
 func TestLostAnswerKeepsInheritedTargets(t *testing.T) {
 	for _, fault := range []failure{answerLost, requestLost, rejected, appliedLate} {
 		store := newFakeStore()
@@ -90,11 +100,12 @@
 		first.writeAll(t)
 		r := newTargetRecords(recordOptions(2), store, 2)
 		store.failures = []failure{fault}
-		_, err := r.Open(context.Background(), 2)
+		_, err := r.Open(context.Background(), 2, validity)
 		must.Error(t, err)
 		store.applyDelayed()
-		inherited, err := r.Open(context.Background(), 2)
+		inherited, err := r.Open(context.Background(), 2, validity)
 		must.NoError(t, err)
+		must.Eq(t, "vm-1", inherited.VM, must.Sprint(fault))
 		must.Eq(t, []string{"a"}, idsOf(inherited.Targets))
 	}
 }
@@ -138,6 +149,7 @@
 				for _, id := range slices.Sorted(maps.Keys(confirmed)) {
 					must.SliceContains(rt, found, id)
 				}
+				must.Eq(rt, fmt.Sprint("vm-", token-1), inherited.VM)
 				previous, confirmed = confirmed, map[string]bool{}
 				for id := range previous {
 					confirmed[id] = true
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -47,9 +47,10 @@
 
 // Options of a Writer.
 type Options struct {
-	// Group is the group of targets that runs the jobs. Incarnation identifies the owner's
+	// Group is the group of targets that runs the jobs. VM and Incarnation identify the owner's
 	// process.
 	Group       string
+	VM          string
 	Incarnation uint64
 	// Retention is how long callers may ask for a job after its end.
 	Retention time.Duration
--- a/node/node.go
+++ b/node/node.go
@@ -277,9 +277,9 @@
 		},
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.registry),
 		Delegate: n.delegate, NeedsCapacity: n.heartbeats.RequestLoads, StoreClock: n.storeClock.nowIfKnown,
-		Cordons: n.cordons.board.View, ConfirmCordons: n.confirmCordons, ConfirmClaim: n.keeper.ConfirmOwnership,
+		HasEnded: n.newEndedCheck(), Cordons: n.cordons.board.View, ConfirmCordons: n.confirmCordons, ConfirmClaim: n.keeper.ConfirmOwnership,
 		Jobs: jobstore.New(jobstore.Options{
-			Group: held.Group, Incarnation: n.self.Incarnation, Retention: n.options.Settings.JobRetention, Log: n.log, Count: n.options.Count, Clock: n.storeClock.now,
+			Group: held.Group, VM: n.self.VM, Incarnation: n.self.Incarnation, Retention: n.options.Settings.JobRetention, Log: n.log, Count: n.options.Count, Clock: n.storeClock.now,
 		}, n.store),
 	}
 	if n.adviser != nil {
@@ -289,6 +289,7 @@
 		}
 	}
 	if predecessor := held.Claim.GetFormer(); predecessor != nil {
+		options.Former = predecessor.GetLife()
 		options.AskPredecessor = func(ctx context.Context) (owner.Released, error) {
 			return n.peerClient.Release(ctx, predecessor.GetControl(), held)
 		}
--- a/owner/durable.go
+++ b/owner/durable.go
@@ -34,8 +34,8 @@
 
 // Times of durable jobs.
 const (
-	// takeOverTimeout is how long targets that don't answer delay taking over the jobs: a
-	// lease plus the time until the registry drops a target that is gone.
+	// takeOverTimeout is how long targets that don't answer delay taking over the jobs. Tasks that may
+	// still run at such targets wait longer.
 	takeOverTimeout = 2500 * time.Millisecond
 	// takeOverRetryInterval is the time between two attempts to take over the jobs.
 	takeOverRetryInterval = 50 * time.Millisecond
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -89,6 +89,10 @@
 	StoreAnswered func(now time.Duration)
 	// StoreClock returns the store's clock, if it is known.
 	StoreClock func() (clock time.Duration, known bool)
+	// Former is the incarnation of the owner that AskPredecessor asks. HasEnded reports whether an
+	// incarnation of a VM has certainly ended; nil if that is never known.
+	Former   uint64
+	HasEnded func(vm string, incarnation uint64) bool
 	// Cordons returns the cordoned failure domains as far as this VM knows them.
 	// ConfirmCordons reads them from the store. Both are nil if there are no cordons.
 	Cordons        func() cordon.View
@@ -137,6 +141,8 @@
 	// openJobs is the published number of jobs that have still to end or to be recorded.
 	openJobs atomic.Int64
 	durable  durableJobs
+	// predecessor is the owner whose runs of durable jobs may go on.
+	predecessor predecessor
 	lag         lag
 	// cordonsVersion is the version of the newest view of cordons.
 	cordonsVersion int64
@@ -279,6 +285,7 @@
 func (o *Owner) tick(now time.Duration) {
 	o.lag.recordTick(now)
 	o.readClocks(now)
+	o.checkPredecessor(now)
 	o.state.Tick(now)
 	o.logStatus()
 }
--- a/owner/registry.go
+++ b/owner/registry.go
@@ -21,6 +21,8 @@
 	// owner.
 	handoverPending bool
 	handedOver      map[string]bool
+	// releasedAll is set once the previous owner has said that it uses no target any more.
+	releasedAll bool
 	// released lists the targets that this owner gave to its successor.
 	released []string
 }
@@ -116,6 +118,7 @@
 			o.state.ListedAtStart(target.ID, target.Incarnation)
 		}
 	}
+	o.registry.releasedAll = o.registry.releasedAll || released.All
 	if released.All || silent {
 		o.registry.handoverPending = false
 	}
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -258,7 +258,7 @@
 	if !t.fenced {
 		t.fenced, t.fencedAt = true, now
 	}
-	s.settle(t.ID, "it obeys this owner")
+	s.settle(now, t.ID, "it obeys this owner")
 	t.ackedCompletion = t.ackSent
 	t.answeredPollSentAt = sentAt
 	t.lease.update(answer.ClockMS, now)
@@ -446,7 +446,9 @@
 		poll.Wait = s.options.StopTimeout
 	case len(t.inheritedRuns) > 0:
 		poll.Wait = s.options.StopTimeout
-		s.renewLease(now, t, &poll)
+		if s.mayRenewInherited(now) {
+			s.renewLease(now, t, &poll)
+		}
 	case t.state == adopting:
 	case len(t.runs) > 0:
 		if t.failedPolls == 0 && !unrecorded && t.incarnationAskedAt == 0 {
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -164,7 +164,7 @@
 // endIncarnation confirms the losses of a target whose incarnation has certainly ended, and
 // records one for each task that still runs there.
 func (s *State) endIncarnation(now time.Duration, t *target) {
-	s.settle(t.ID, "its incarnation has ended")
+	s.settle(now, t.ID, "its incarnation has ended")
 	s.recordTargetLoss(now, t)
 	for _, r := range t.sortedRuns() {
 		s.recordTaskLoss(now, r)
--- a/scheduler/failing_worlds_test.go
+++ b/scheduler/failing_worlds_test.go
@@ -82,3 +82,8 @@
 func TestCompletionIsAcknowledgedAfterTaskStartsAgain(t *testing.T) {
 	replayWorld(t, "6732689", func(rt *rapid.T) { playRestartsBesidePreviousOwners(rt, nil) })
 }
+
+// A run that a successor takes over isn't given up while the lease lasts that its predecessor asked for.
+func TestInheritedRunIsGivenUpBeforeItsLease(t *testing.T) {
+	replayWorld(t, "3404", func(rt *rapid.T) { playRestartsBesidePreviousOwners(rt, nil) })
+}
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -187,6 +187,7 @@
 // ClaimConfirmed reports that the claim was this owner's as of a given time.
 func (s *State) ClaimConfirmed(now, asOf time.Duration) {
 	s.claimConfirmedAt = max(s.claimConfirmedAt, asOf)
+	s.succession.confirmedAt = max(s.succession.confirmedAt, asOf)
 	s.retryVerdicts(now)
 	s.retryAwaitingClaim(now)
 }
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -50,11 +50,14 @@
 // moment to end its runs.
 const resendMargin = 50 * time.Millisecond
 
-// mustEndBy returns by when the runs of a job have to be over; noTimeLimit for durable jobs, which
-// nobody waits for, and for jobs whose caller is connected to this VM: their leases aren't renewed
-// once this process has ended.
+// mustEndBy returns by when the runs of a job have to be over: for durable jobs, which nobody waits
+// for, that depends on the claim alone. It is noTimeLimit for jobs whose caller is connected to this
+// VM: their leases aren't renewed once this process has ended.
 func (s *State) mustEndBy(j *job) time.Duration {
-	if j.isDurable() || j.sub.Entry == "" && !j.ended {
+	if j.isDurable() {
+		return s.durableUntil()
+	}
+	if j.sub.Entry == "" && !j.ended {
 		return noTimeLimit
 	}
 	evidence := noTimeLimit
@@ -85,16 +88,19 @@
 func (s *State) leaseEnd(now time.Duration, t *target, starting *job) int64 {
 	end := t.lease.endAfter(now, s.options.Lease)
 	if starting != nil {
-		end = s.limitLease(t, starting, end)
+		end = s.limitLease(now, t, starting, end)
 	}
 	for _, r := range t.runs {
-		end = s.limitLease(t, r.task.job, end)
+		end = s.limitLease(now, t, r.task.job, end)
 	}
 	return end
 }
 
 // limitLease returns a lease end that is not later than the runs of a job may go on.
-func (s *State) limitLease(t *target, j *job, end int64) int64 {
+func (s *State) limitLease(now time.Duration, t *target, j *job, end int64) int64 {
+	if j.isDurable() && s.options.RecordTargets {
+		end = min(end, t.lease.clockAt(now+maxDurableLease))
+	}
 	if by := s.mustEndBy(j); by != noTimeLimit {
 		return min(end, t.lease.clockAt(by))
 	}
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -25,7 +25,8 @@
 	// ConfirmClaims delays the use of targets that appear later, or restart, until ClaimConfirmed
 	// confirms the claim as of a later time.
 	ConfirmClaims bool
-	// RecordTargets starts tasks of durable jobs only at targets that the store has recorded.
+	// RecordTargets starts tasks of durable jobs only at targets that the store has recorded, and
+	// only while the claim is confirmed.
 	RecordTargets bool
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -79,9 +79,9 @@
 // other owners. Nothing starts while runs of an ended job with the same ID may still execute, while an
 // earlier request for the job is open, or while the caller is not presumed to wait. Nothing of a job
 // that was taken over starts while a target may have more completions of previous owners than it has
-// listed.
+// listed, or a run of a previous owner.
 func (s *State) placeJob(now time.Duration, j *job, failed *failedPlacements) {
-	if s.stoppingRuns[j.sub.Job.ID] > 0 || s.hasEarlierRequest(j) || !s.hasKeepalive(now, j) || j.wasResumed() && s.partialLists > 0 {
+	if s.stoppingRuns[j.sub.Job.ID] > 0 || s.hasEarlierRequest(j) || !s.hasKeepalive(now, j) || !s.mayStartNow(now, j) {
 		return
 	}
 	for _, st := range j.currentSteps() {
@@ -102,6 +102,15 @@
 	}
 }
 
+// mayStartNow reports whether tasks of a job may start as far as previous owners and the claim are
+// concerned.
+func (s *State) mayStartNow(now time.Duration, j *job) bool {
+	if j.isDurable() && !s.mayStartDurable(now) {
+		return false
+	}
+	return !j.wasResumed() || s.partialLists == 0 && !s.AwaitsPredecessors(now)
+}
+
 // placeStep starts tasks of a step until one fits no target.
 func (s *State) placeStep(now time.Duration, j *job, st *step, failed *failedPlacements) {
 	unconstrained := st.RequiredLabel == "" && st.runsOn == nil && st.advice == nil && !st.Background && !st.LatencySensitive && !s.awaitsRecords(j)
--- a/scheduler/records_world_test.go
+++ b/scheduler/records_world_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/burdockward/burdockward/work"
 )
@@ -11,10 +12,16 @@
 type fakeRecords struct {
 	holder  *fakeOwner
 	targets map[string]work.Target
+	// earlierUntil is when the leases of the owners before the holder are over.
+	earlierUntil time.Duration
 }
 
-// recordDelay is the time that a read or a write of the record takes.
-const recordDelay = 8 * ms
+const (
+	// recordDelay is the time that a read or a write of the record takes.
+	recordDelay = 8 * ms
+	// restartDelay is after how long the VM of an owner that has ended names a newer incarnation.
+	restartDelay = 700 * ms
+)
 
 // reachesStore reports whether an owner's calls reach the store.
 func (w *world) reachesStore(o *fakeOwner) bool {
@@ -23,7 +30,7 @@
 
 // openRecords has an owner take the record of targets from the previous owner.
 func (w *world) openRecords(o *fakeOwner) {
-	records := &w.durableStore.records
+	records, asOf := &w.durableStore.records, w.now
 	if o.dead || records.holder != nil && records.holder.token > o.token {
 		return
 	}
@@ -31,17 +38,37 @@
 		w.after(20*ms, func() { w.openRecords(o) })
 		return
 	}
-	in := Inheritance{}
+	previous := records.holder
+	in := Inheritance{AsOf: asOf, HasPredecessor: previous != nil, EarlierUntil: records.earlierUntil}
 	for _, id := range slices.Sorted(maps.Keys(records.targets)) {
 		in.Targets = append(in.Targets, records.targets[id])
 	}
 	records.holder = o
+	if previous != nil {
+		records.earlierUntil = w.now + PredecessorValidity
+	}
 	w.after(recordDelay, func() {
 		w.deliver(o, func() {
 			o.state.InheritTargets(w.now, in)
 			o.state.AdoptTargets(w.now)
 		})
 	})
+	if previous != nil {
+		w.awaitEnd(o, previous)
+	}
+}
+
+// awaitEnd tells an owner of the end of its predecessor once that one's VM has started again.
+func (w *world) awaitEnd(o, previous *fakeOwner) {
+	w.after(restartDelay, func() {
+		if previous.dead {
+			w.deliver(o, func() { o.state.PredecessorEnded(w.now) })
+			return
+		}
+		if !o.dead {
+			w.awaitEnd(o, previous)
+		}
+	})
 }
 
 // writeRecord carries out a change of the record if the owner still holds it, and then calls confirm.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -291,6 +291,9 @@
 	s.keepalives[entry] = max(s.keepalives[entry], until)
 }
 
+// LastKeepalive returns until when the newest keepalive of an entry VM counts; 0 if there was none lately.
+func (s *State) LastKeepalive(entry string) time.Duration { return s.keepalives[entry] }
+
 // hasKeepalive reports whether a job's caller is presumed to wait still. Durable jobs and those of
 // this VM need no keepalive.
 func (s *State) hasKeepalive(now time.Duration, j *job) bool {
@@ -328,6 +331,8 @@
 	s.expireGivenUp(now)
 	s.evidence.expire(now)
 	s.tickLosses(now)
+	s.expirePredecessors(now)
+	s.checkClaim(now)
 	s.retryAwaitingClaim(now)
 	for _, p := range s.pools {
 		p.medianSpeed = p.computeMedianSpeed()
--- a/scheduler/succession.go
+++ b/scheduler/succession.go
@@ -10,31 +10,74 @@
 )
 
 // A previous owner that doesn't know of its successor goes on at the targets that it reaches. The
-// successor may not find such a target in the registry, and must not start a task that may still run
-// there. So an owner starts tasks of durable jobs only at targets that are recorded in the store. A
-// successor reads the record after it has ended its predecessor's right to change it.
+// successor may not reach such a target, or not find it in the registry, and must not start a task
+// that may still run there. Two rules bound this for durable jobs, whose runs need no waiting caller:
+//
+//   - An owner starts their tasks only at targets that are recorded in the store. A successor reads
+//     the record after it has ended its predecessor's right to change it.
+//   - An owner extends no lease of their runs beyond claimValidity after the time as of which its
+//     claim was last confirmed. A successor that can't reach a recorded target waits until then.
+//
+// The successor reads the jobs meanwhile, accepts others, and continues the runs that it finds.
 
-// maxDurableLease is how long a lease with runs of durable jobs lasts at most on the slowest clock.
-const maxDurableLease = 1400 * time.Millisecond
+// Times of a succession.
+const (
+	// claimValidity is for how long after a confirmation of its claim an owner runs durable jobs. It
+	// outlasts the outages of the store that their runs have to survive.
+	claimValidity = 15 * time.Second
+	// claimCheckInterval is the time between two confirmations of the claim while there are durable
+	// jobs. claimCheckRetry is the pause after a request without an answer.
+	claimCheckInterval = 3 * time.Second
+	claimCheckRetry    = time.Second
+	// validityReserve is how long before the end of claimValidity the runs of durable jobs are stopped,
+	// so that other runs at their targets go on, whose lease is the same.
+	validityReserve = time.Second
+	// predecessorLeaseTime is how long leases last at most after their owner has ended or begun to
+	// leave: it renews them for handoverLease then.
+	predecessorLeaseTime = handoverLease + maxDurableLease + leaseEndMargin
+	// maxDurableLease is how long a lease with runs of durable jobs lasts at most, however long ago its
+	// target's clock was read, and on the slowest clock.
+	maxDurableLease = 1400 * time.Millisecond
+	// leaseEndMargin is the time that a target takes to end the runs of a lease that is over.
+	leaseEndMargin = 100 * time.Millisecond
+)
+
+// PredecessorValidity is how long after a claim was written the leases of previous owners are over,
+// whatever they and this VM can reach, and however much their clocks differ.
+const PredecessorValidity = claimValidity*100/96 + leaseEndMargin
 
 // succession is what an owner knows of the runs of durable jobs that previous owners may still have.
 type succession struct {
 	// inherited is set once the record of targets was read, adopted once its targets are known here.
 	inherited, adopted bool
+	// confirmedAt is the latest time as of which no later owner could run durable jobs; askedAt is
+	// when a confirmation was last requested for that reason.
+	confirmedAt, askedAt time.Duration
 	// records names the targets that were recorded when this owner began, until they are adopted.
 	records []string
-	// unsettled holds the recorded targets that don't obey this owner yet.
+	// unsettled holds the recorded targets that don't obey this owner yet, until leasesUntil.
 	unsettled map[string]work.Target
+	// leasesUntil is when the leases of all previous owners are over, earlierUntil when those of all
+	// but the last one are.
+	leasesUntil, earlierUntil time.Duration
 	// recording is set once there is, or was, a durable job. unrecorded counts the targets that aren't
 	// recorded.
 	recording  bool
 	unrecorded int
+	// stopped says that the runs of durable jobs were stopped because the claim is not confirmed.
+	stopped bool
 }
 
 // Inheritance is the record of targets as a new owner finds it.
 type Inheritance struct {
+	// AsOf is a time before the record was taken from the previous owner.
+	AsOf time.Duration
+	// HasPredecessor reports that an earlier owner could record targets.
+	HasPredecessor bool
 	// Targets are the recorded ones.
 	Targets []work.Target
+	// EarlierUntil is when the leases of the owners before the last one are over.
+	EarlierUntil time.Duration
 }
 
 // RecordTarget has the store record a target; TargetRecorded then confirms it.
@@ -50,6 +93,11 @@
 // to change it. Their targets become known with AdoptTargets.
 func (s *State) InheritTargets(now time.Duration, in Inheritance) {
 	s.succession.inherited = true
+	s.succession.confirmedAt = max(s.succession.confirmedAt, in.AsOf)
+	s.succession.earlierUntil = in.EarlierUntil
+	if in.HasPredecessor {
+		s.succession.leasesUntil = now + PredecessorValidity
+	}
 	for _, recorded := range in.Targets {
 		s.succession.records = append(s.succession.records, recorded.ID)
 		t := s.targets[recorded.ID]
@@ -87,24 +135,46 @@
 // targets with runs of previous owners.
 func (s *State) HasAdoptedTargets() bool { return s.succession.adopted || !s.options.RecordTargets }
 
+// PredecessorEnded reports that the last previous owner has ended, or has left all targets.
+func (s *State) PredecessorEnded(now time.Duration) {
+	until := max(s.succession.earlierUntil, now+predecessorLeaseTime)
+	s.succession.leasesUntil = min(s.succession.leasesUntil, until)
+}
+
+// AwaitsPredecessors reports whether a previous owner may still have runs of durable jobs at a target
+// that doesn't obey this owner. Nothing of a job that was taken over starts until then.
+func (s *State) AwaitsPredecessors(now time.Duration) bool {
+	return len(s.succession.unsettled) > 0 && now < s.succession.leasesUntil
+}
+
 // settle records that no previous owner has a run at a target: it obeys this owner, or its
 // incarnation has ended.
-func (s *State) settle(id, why string) {
+func (s *State) settle(now time.Duration, id, why string) {
 	if _, unsettled := s.succession.unsettled[id]; !unsettled {
 		return
 	}
 	delete(s.succession.unsettled, id)
-	s.noteSettled(id, why)
+	s.noteSettled(now, id, why)
 }
 
 // noteSettled logs and counts on which fact a target has no run of a previous owner any more.
-func (s *State) noteSettled(id, why string) {
+func (s *State) noteSettled(now time.Duration, id, why string) {
 	s.emit(LogEvent{
 		Message: "target has no run of a previous owner", Target: id, Counter: "targets_settled", Kind: why,
-		Detail: fmt.Sprintf("%s; %d more may have some", why, len(s.succession.unsettled)),
+		Detail: fmt.Sprintf("%s; %d more may have some, for %v at most", why, len(s.succession.unsettled), max(s.succession.leasesUntil-now, 0)),
 	})
 }
 
+// expirePredecessors settles the remaining targets once the leases of all previous owners are over.
+func (s *State) expirePredecessors(now time.Duration) {
+	if !s.succession.adopted || now < s.succession.leasesUntil {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.succession.unsettled)) {
+		s.settle(now, id, "its leases are over")
+	}
+}
+
 // mayHaveForeignRuns reports whether a previous owner may still have runs at a target.
 func (s *State) mayHaveForeignRuns(t *target) bool {
 	_, unsettled := s.succession.unsettled[t.ID]
@@ -151,6 +221,19 @@
 	}
 }
 
+// durableUntil returns until when this owner may have runs of durable jobs.
+func (s *State) durableUntil() time.Duration {
+	if !s.options.RecordTargets {
+		return noTimeLimit
+	}
+	return s.succession.confirmedAt + claimValidity
+}
+
+// mayStartDurable reports whether tasks of durable jobs may start as far as the claim is concerned.
+func (s *State) mayStartDurable(now time.Duration) bool {
+	return !s.options.RecordTargets || s.succession.inherited && now < s.durableUntil()-validityReserve
+}
+
 // canRecordedStart reports whether a durable job's task may start at a target as far as its record is
 // concerned.
 func (s *State) canRecordedStart(t *target) bool { return !s.options.RecordTargets || t.recorded }
@@ -159,3 +242,36 @@
 func (s *State) awaitsRecords(j *job) bool {
 	return j.isDurable() && s.options.RecordTargets && s.succession.unrecorded > 0
 }
+
+// mayRenewInherited reports whether the leases of inherited runs may be renewed: before this owner has
+// the record of targets, a successor doesn't count with its renewals.
+func (s *State) mayRenewInherited(now time.Duration) bool {
+	return !s.options.RecordTargets || s.succession.inherited && now < s.durableUntil()
+}
+
+// checkClaim has the claim confirmed while there are durable jobs, and stops their runs before this
+// owner may extend their leases no more.
+func (s *State) checkClaim(now time.Duration) {
+	if !s.succession.recording || !s.succession.inherited || s.leaving {
+		return
+	}
+	if now-s.succession.confirmedAt > claimCheckInterval && now-s.succession.askedAt > claimCheckRetry {
+		s.succession.askedAt = now
+		s.askForClaim(now)
+	}
+	if s.mayStartDurable(now) {
+		s.succession.stopped = false
+		return
+	}
+	if !s.succession.stopped {
+		s.succession.stopped = true
+		s.emit(LogEvent{Failure: true, Message: "durable jobs wait: the claim is not confirmed", Age: now - s.succession.confirmedAt})
+	}
+	for _, t := range s.sortedTargets() {
+		for _, r := range t.sortedRuns() {
+			if r.task.job.isDurable() && !r.task.job.dropped {
+				s.stop(now, r)
+			}
+		}
+	}
+}
--- a/scheduler/succession_test.go
+++ b/scheduler/succession_test.go
@@ -10,7 +10,7 @@
 )
 
 // newSuccessor returns an owner that finds a record of targets: "a" and "b" are listed, "c" is not.
-func newSuccessor(t *testing.T) *harness {
+func newSuccessor(t *testing.T, earlier time.Duration) *harness {
 	b := newHarness(t, Options{ConfirmClaims: true, RecordTargets: true})
 	for _, id := range []string{"a", "b"} {
 		b.s.ListedAtStart(id, 0)
@@ -21,7 +21,7 @@
 	for _, id := range []string{"a", "b", "c"} {
 		recorded = append(recorded, work.Target{ID: id, Service: "s", Address: "at-" + id})
 	}
-	b.s.InheritTargets(b.now, Inheritance{Targets: recorded})
+	b.s.InheritTargets(b.now, Inheritance{AsOf: b.now - 10*ms, HasPredecessor: true, Targets: recorded, EarlierUntil: b.now + earlier})
 	b.s.AdoptTargets(b.now)
 	return b
 }
@@ -32,6 +32,21 @@
 	b.s.FinishResume(b.now)
 }
 
+// confirmedUntil confirms the claim, as the store does, while time passes, and returns the effects.
+func (b *harness) confirmedUntil(end time.Duration) []Effect {
+	var all []Effect
+	for b.now < end {
+		b.s.ClaimConfirmed(b.now, b.now)
+		all = append(all, b.advance(min(100*ms, end-b.now))...)
+		for id, target := range b.s.targets {
+			if target.fenced && target.pollPending {
+				b.answerPoll(id, work.PollAnswer{ClockMS: 5000 + (b.now - 10*time.Second).Milliseconds()})
+			}
+		}
+	}
+	return all
+}
+
 // settleTargets has targets obey the owner.
 func (b *harness) settleTargets(ids ...string) {
 	for _, id := range ids {
@@ -42,7 +57,7 @@
 // A successor polls a recorded target that the registry doesn't list at its recorded address, and continues the
 // run there. It starts nothing new there.
 func TestRecordedTargetIsPolledWithoutEntry(t *testing.T) {
-	b := newSuccessor(t)
+	b := newSuccessor(t, 0)
 	polls := map[string]bool{}
 	for _, poll := range pickEffects[Poll](b.effects()) {
 		polls[poll.To.Address] = true
@@ -61,10 +76,69 @@
 	must.Eq(t, []JobEnded{{Job: "old", State: work.StateCompleted}}, pickEffects[JobEnded](b.effects()))
 }
 
+// Nothing of a job that was taken over starts while a recorded target doesn't answer, until the leases of all
+// previous owners are over. Other jobs start at once.
+func TestJobsTakenOverWaitForUnreachableTarget(t *testing.T) {
+	b := newSuccessor(t, 0)
+	b.effects()
+	b.settleTargets("a", "b")
+	b.resume()
+	began := b.now
+	must.SliceEmpty(t, pickEffects[StartRun](b.confirmedUntil(began+time.Second)))
+	starts := b.startStoredJob("new", 1)
+	must.SliceLen(t, 1, starts)
+	b.answerStarts(starts)
+	b.answerPoll(starts[0].To.ID, pollWithCompletion(1, starts[0].Run, work.CompletionDone))
+	must.SliceEmpty(t, pickEffects[StartRun](b.confirmedUntil(began+PredecessorValidity-100*ms)))
+	must.SliceNotEmpty(t, pickEffects[StartRun](b.confirmedUntil(began+PredecessorValidity+200*ms)))
+}
+
+// The wait ends once the target answers, its incarnation has ended, or the predecessor has ended and its leases
+// are over. An earlier predecessor's leases count on.
+func TestWaitForUnreachableTargetEnds(t *testing.T) {
+	for name, test := range map[string]struct {
+		earlier time.Duration
+		end     func(b *harness)
+		within  time.Duration
+		not     time.Duration
+	}{
+		"the target answers":           {0, func(b *harness) { b.settleTargets("c") }, 40 * ms, 0},
+		"another incarnation answers":  {0, func(b *harness) { b.answerPollWith("c", work.PollAnswer{}, work.VerdictMisdirected) }, 40 * ms, 0},
+		"the predecessor has ended":    {0, func(b *harness) { b.s.PredecessorEnded(b.now) }, predecessorLeaseTime + 200*ms, predecessorLeaseTime - 100*ms},
+		"an earlier one may have runs": {5 * time.Second, func(b *harness) { b.s.PredecessorEnded(b.now) }, 5200 * ms, 4900 * ms},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newSuccessor(t, test.earlier)
+			b.effects()
+			b.settleTargets("a", "b")
+			b.resume()
+			b.effects()
+			began := b.now
+			test.end(b)
+			must.SliceEmpty(t, pickEffects[StartRun](b.confirmedUntil(began+test.not)))
+			must.SliceLen(t, 1, pickEffects[StartRun](b.confirmedUntil(began+test.within)))
+		})
+	}
+}
+
+// A target that isn't listed and doesn't answer isn't taken for gone while a previous owner may have runs there.
+func TestUnlistedTargetOfPredecessorIsNotLost(t *testing.T) {
+	b := newSuccessor(t, 0)
+	b.effects()
+	b.settleTargets("a", "b")
+	b.resume()
+	began := b.now
+	b.confirmedUntil(began + 2*unlistedTimeout)
+	must.NotNil(t, b.s.targets["c"])
+	effects := b.confirmedUntil(began + PredecessorValidity + 200*ms)
+	must.Nil(t, b.s.targets["c"])
+	must.Eq(t, []ForgetTarget{{ID: "c"}}, pickEffects[ForgetTarget](effects))
+}
+
 // Tasks of durable jobs start only at recorded targets; those of other jobs start at any.
 func TestDurableTaskStartsOnceTargetIsRecorded(t *testing.T) {
 	b := newHarness(t, Options{RecordTargets: true})
-	b.s.InheritTargets(b.now, Inheritance{})
+	b.s.InheritTargets(b.now, Inheritance{AsOf: b.now})
 	b.s.AdoptTargets(b.now)
 	b.s.FinishResume(b.now)
 	b.addUsableTarget("a", 4)
@@ -84,10 +158,83 @@
 	must.SliceLen(t, 1, pickEffects[StartRun](b.advance(40*ms)))
 }
 
+// An owner whose claim isn't confirmed any more stops the runs of durable jobs before it may extend their lease no
+// more, and no lease that it asks for ends later. Other runs go on.
+func TestUnconfirmedOwnerStopsDurableRuns(t *testing.T) {
+	b := newHarness(t, Options{RecordTargets: true})
+	b.s.InheritTargets(b.now, Inheritance{AsOf: b.now})
+	b.s.AdoptTargets(b.now)
+	began := b.now
+	clock := func() int64 { return 5000 + (b.now - began).Milliseconds() }
+	b.s.FinishResume(b.now)
+	b.addUsableTarget("a", 4)
+	long := b.durableJob("j", 1)
+	long.Job.Steps[0].DeclaredRunTime = time.Minute
+	b.s.Submit(b.now, long)
+	b.effects()
+	b.s.TargetRecorded("a")
+	b.s.HandleJobStored(b.now, "j", work.Outcome{Result: work.Accepted}, true)
+	durable := pickEffects[StartRun](b.effects())[0]
+	other := b.durableJob("loose", 1)
+	other.Job = work.Job{ID: "loose", Steps: long.Job.Steps}
+	b.s.Submit(b.now, other)
+	loose := pickEffects[StartRun](b.effects())[0]
+	b.answerStarts([]StartRun{durable, loose})
+	running := listing(durable.Run, loose.Run)
+	var stoppedAt time.Duration
+	asked := 0
+	for b.now < began+claimValidity+time.Second {
+		for _, effect := range b.advance(20 * ms) {
+			switch e := effect.(type) {
+			case ConfirmClaim:
+				asked++
+			case Poll:
+				must.True(t, stoppedAt > 0 || e.LeaseUntil <= 5000+claimValidity.Milliseconds(), must.Sprint(b.now-began))
+			case StopRun:
+				must.Eq(t, durable.Run, e.Run)
+				if stoppedAt == 0 {
+					stoppedAt = b.now
+					running = listing(loose.Run)
+				}
+				b.s.HandleStopAnswer(b.now, "a", e.Run, doneAnswer(clock()))
+			case StartRun:
+				t.Fatalf("%v starts at %v", e.Run, b.now-began)
+			}
+		}
+		answer := work.PollAnswer{ClockMS: clock(), Running: running}
+		if stoppedAt > 0 {
+			answer.Completions = []work.Completion{{Number: 1, Run: durable.Run, Kind: work.CompletionStopped}}
+		}
+		b.answerPoll("a", answer)
+	}
+	must.Between(t, claimValidity-validityReserve, stoppedAt-began, claimValidity-validityReserve+60*ms)
+	must.Between(t, 5, asked, 20)
+	must.NotNil(t, b.s.targets["a"].runs[loose.Run.Task])
+	b.s.ClaimConfirmed(b.now, b.now-10*ms)
+	must.SliceLen(t, 1, pickEffects[StartRun](b.advance(100*ms)))
+}
+
+// A lease with runs of durable jobs is short also where the target's clock was read long ago and may be slow.
+func TestDurableLeaseOfIdleTargetIsShort(t *testing.T) {
+	b := newHarness(t, Options{RecordTargets: true})
+	b.s.InheritTargets(b.now, Inheritance{AsOf: b.now})
+	b.s.AdoptTargets(b.now)
+	b.s.FinishResume(b.now)
+	b.addUsableTarget("a", 4)
+	b.s.startRecording()
+	b.s.TargetRecorded("a")
+	read := b.now
+	b.now += 25 * time.Second
+	b.s.ClaimConfirmed(b.now, b.now)
+	start := b.startStoredJob("j", 1)[0]
+	slowest := 5000 + int64(minClockRate*float64((b.now-read).Milliseconds()))
+	must.LessEq(t, slowest+int64(minClockRate*float64(maxDurableLease.Milliseconds())), start.LeaseUntilMS)
+}
+
 // A leaving owner keeps the record of its targets for its successor.
 func TestLeavingOwnerForgetsNoTarget(t *testing.T) {
 	b := newHarness(t, Options{RecordTargets: true})
-	b.s.InheritTargets(b.now, Inheritance{})
+	b.s.InheritTargets(b.now, Inheritance{AsOf: b.now})
 	b.s.AdoptTargets(b.now)
 	b.s.FinishResume(b.now)
 	b.addUsableTarget("a", 4)
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -43,8 +43,7 @@
 	// while its job can't be read because the store is away.
 	inheritedRunTimeout = time.Second
 	// handoverLease is for how long a leaving owner extends the leases of durable jobs' runs
-	// that it leaves to its successor. A successor that can't reach a target counts the runs
-	// there as over 2.5 s after its own start; by then all their leases have expired.
+	// that it leaves to its successor, which counts with it in predecessorLeaseTime.
 	handoverLease = time.Second
 )
 
@@ -335,7 +334,6 @@
 func (s *State) FinishResume(now time.Duration) {
 	s.allResumed = true
 	s.noteUnreached(now)
-	clear(s.succession.unsettled)
 	for _, task := range slices.Sorted(maps.Keys(s.unrecordedCompletions)) {
 		for _, o := range s.unrecordedCompletions[task] {
 			s.pendingWrites++
