Take no target for a successor's under a shared token

Callers would see a task of a durable job run twice. Found by reading; not seen played.

Cause: while an owner doesn't reach the store it hands its claim over by message, and its successor uses the same token. If the answer is lost and the two don't hear of each other, the previous owner goes on until its call ends. A successor that reaches the store took each target that answered for its own, though the target obeys the previous owner's token as well.

Evidence: TestSharedTokenTakesNoRecordsOver and TestTargetUnderSharedTokenIsNotSettled fail with either rule taken out.

Under a token of its own, an answer that was under way when the records were read counts (TestAnswerUnderWayWhenRecordIsReadSettlesTarget), so that no job waits for a target that obeys.

--- a/jobstore/targets.go
+++ b/jobstore/targets.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs/v2"
 	"golang.org/x/time/rate"
 
 	"github.com/burdockward/burdockward/platform"
@@ -54,6 +55,10 @@
 	EarlierUntil time.Duration
 }
 
+// ErrSharedToken means that the previous owner handed its claim over by message, so that targets obey
+// it like this owner: the record can't be taken over before the claim is written.
+const ErrSharedToken = errs.Tag("the previous owner has the same token")
+
 // TargetRecords keeps the record of a group's targets for one owner. It is safe for concurrent use.
 type TargetRecords struct {
 	options Options
@@ -129,6 +134,8 @@
 			return expected, nil
 		case present.Token > token:
 			return 0, ErrSuperseded.Errorf("token %d of the target records is above this owner's token %d: step down", present.Token, token)
+		case present.Token == token:
+			return 0, ErrSharedToken.Errorf("token %d: try again once the claim is written", token)
 		}
 		found = Inherited{HasPredecessor: true, VM: present.VM, Incarnation: present.Incarnation, EarlierUntil: present.EarlierUntil}
 		own.EarlierUntil = r.options.Clock() + validity
--- a/jobstore/targets_test.go
+++ b/jobstore/targets_test.go
@@ -158,3 +158,16 @@
 		}
 	})
 }
+
+// An owner with the token of its predecessor, which the targets obey as well, doesn't take the record over before
+// its own claim is written.
+func TestSharedTokenTakesNoRecordsOver(t *testing.T) {
+	store := newFakeStore()
+	openedRecords(t, store, 1)
+	successor := newTargetRecords(recordOptions(2), store, 2)
+	_, err := successor.Open(context.Background(), 1, validity)
+	must.ErrorIs(t, err, ErrSharedToken)
+	inherited, err := successor.Open(context.Background(), 3, validity)
+	must.NoError(t, err)
+	must.Eq(t, "vm-1", inherited.VM)
+}
--- a/owner/succession.go
+++ b/owner/succession.go
@@ -50,6 +50,7 @@
 func (o *Owner) inheritTargets(now, asOf time.Duration, inherited jobstore.Inherited) {
 	in := scheduler.Inheritance{
 		AsOf: asOf, HasPredecessor: inherited.HasPredecessor, Targets: inherited.Targets,
+		SharedToken: o.token.Load() != o.options.Token,
 	}
 	if inherited.EarlierUntil > 0 {
 		in.EarlierUntil = o.fromStoreClock(now, inherited.EarlierUntil)
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -258,11 +258,19 @@
 	if !t.fenced {
 		t.fenced, t.fencedAt = true, now
 	}
-	s.settle(now, t.ID, "it obeys this owner")
+	obeys := t.fencedAt == now
+	switch {
+	case !s.mayHaveForeignRuns(t):
+	case sentAt >= s.succession.ownTokenSince:
+		s.settle(now, t.ID, "it obeys this owner")
+		obeys = true
+	default:
+		t.doubtful = true
+	}
 	t.ackedCompletion = t.ackSent
 	t.answeredPollSentAt = sentAt
 	t.lease.update(answer.ClockMS, now)
-	if t.fencedAt == now {
+	if obeys {
 		t.previousLease = t.lease.endAfter(now, maxDurableLease)
 	}
 	for _, end := range answer.Completions {
--- a/scheduler/succession.go
+++ b/scheduler/succession.go
@@ -50,6 +50,8 @@
 type succession struct {
 	// inherited is set once the record of targets was read, adopted once its targets are known here.
 	inherited, adopted bool
+	// ownTokenSince is from when on polls are sent with a token that no previous owner has.
+	ownTokenSince time.Duration
 	// confirmedAt is the latest time as of which no later owner could run durable jobs; askedAt is
 	// when a confirmation was last requested for that reason.
 	confirmedAt, askedAt time.Duration
@@ -78,6 +80,9 @@
 	Targets []work.Target
 	// EarlierUntil is when the leases of the owners before the last one are over.
 	EarlierUntil time.Duration
+	// SharedToken says that this owner's orders had the token of the previous owner until now, as the
+	// claim was handed over by message. No answer so far shows that a target refuses that owner.
+	SharedToken bool
 }
 
 // RecordTarget has the store record a target; TargetRecorded then confirms it.
@@ -98,11 +103,19 @@
 	if in.HasPredecessor {
 		s.succession.leasesUntil = now + PredecessorValidity
 	}
+	if in.SharedToken {
+		s.succession.ownTokenSince = now
+	}
 	for _, recorded := range in.Targets {
 		s.succession.records = append(s.succession.records, recorded.ID)
 		t := s.targets[recorded.ID]
-		if t == nil || !t.fenced {
-			s.succession.unsettled[recorded.ID] = recorded
+		if t != nil && t.fenced && !in.SharedToken {
+			continue
+		}
+		s.succession.unsettled[recorded.ID] = recorded
+		if t != nil && t.fenced {
+			t.doubtful = true
+			s.markChanged(t)
 		}
 	}
 }
--- a/scheduler/succession_test.go
+++ b/scheduler/succession_test.go
@@ -231,6 +231,22 @@
 	must.LessEq(t, slowest+int64(minClockRate*float64(maxDurableLease.Milliseconds())), start.LeaseUntilMS)
 }
 
+// A run that this owner took over isn't given up while the lease lasts that its predecessor asked for.
+func TestRunTakenOverKeepsItsPreviousLease(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.s.ResumeJob(b.now, b.durableJob("j", 1), Progress{})
+	b.s.FinishResume(b.now)
+	b.listTargetWithCPU("a", 1)
+	b.listTargetWithCPU("b", 1)
+	b.effects()
+	b.s.targets["a"].needsClaim, b.s.options.ConfirmClaims = true, true
+	b.s.targets["a"].firstSeen = b.now
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Running: listing(work.RunID{Task: "j.0.0.0", Number: 31})})
+	b.answerPoll("b", work.PollAnswer{ClockMS: 5000})
+	must.SliceEmpty(t, pickEffects[StartRun](b.advance(maxDurableLease-20*ms)))
+	must.SliceLen(t, 1, pickEffects[StartRun](b.advance(200*ms)))
+}
+
 // A leaving owner keeps the record of its targets for its successor.
 func TestLeavingOwnerForgetsNoTarget(t *testing.T) {
 	b := newHarness(t, Options{RecordTargets: true})
@@ -250,18 +266,42 @@
 	must.SliceEmpty(t, pickEffects[ForgetTarget](b.effects()))
 }
 
-// A run that this owner took over isn't given up while the lease lasts that its predecessor asked for.
-func TestRunTakenOverKeepsItsPreviousLease(t *testing.T) {
-	b := newHarness(t, Options{})
-	b.s.ResumeJob(b.now, b.durableJob("j", 1), Progress{})
-	b.s.FinishResume(b.now)
-	b.listTargetWithCPU("a", 1)
-	b.listTargetWithCPU("b", 1)
+// Targets that have answered under a token that the previous owner has as well may still obey it. They count once
+// they have answered under this owner's own token, and get nothing before.
+func TestTargetUnderSharedTokenIsNotSettled(t *testing.T) {
+	b := newHarness(t, Options{ConfirmClaims: true, RecordTargets: true})
+	b.s.ListedAtStart("a", 0)
+	b.listTargetWithCPU("a", 4)
 	b.effects()
-	b.s.targets["a"].needsClaim, b.s.options.ConfirmClaims = true, true
-	b.s.targets["a"].firstSeen = b.now
-	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Running: listing(work.RunID{Task: "j.0.0.0", Number: 31})})
-	b.answerPoll("b", work.PollAnswer{ClockMS: 5000})
-	must.SliceEmpty(t, pickEffects[StartRun](b.advance(maxDurableLease-20*ms)))
-	must.SliceLen(t, 1, pickEffects[StartRun](b.advance(200*ms)))
+	b.settleTargets("a")
+	b.now += 40 * ms
+	b.s.InheritTargets(b.now, Inheritance{AsOf: b.now, HasPredecessor: true, SharedToken: true, Targets: []work.Target{{ID: "a", Service: "s"}}})
+	b.s.AdoptTargets(b.now)
+	must.False(t, b.s.TargetsFenced())
+	b.submit("loose", 1, 1, "")
+	effects := b.effects()
+	must.SliceEmpty(t, pickEffects[StartRun](effects))
+	must.SliceLen(t, 1, pickEffects[Poll](effects))
+	b.settleTargets("a")
+	must.True(t, b.s.TargetsFenced())
+	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
+}
+
+// A target whose answer is on its way when the record of targets is read obeys this owner with it: it isn't waited for
+// any longer.
+func TestAnswerUnderWayWhenRecordIsReadSettlesTarget(t *testing.T) {
+	for shared, settled := range map[bool]bool{false: true, true: false} {
+		b := newHarness(t, Options{ConfirmClaims: true, RecordTargets: true})
+		b.s.ListedAtStart("a", 0)
+		b.listTargetWithCPU("a", 4)
+		must.SliceLen(t, 1, pickEffects[Poll](b.effects()))
+		b.now += ms
+		b.s.InheritTargets(b.now, Inheritance{HasPredecessor: true, SharedToken: shared, Targets: []work.Target{{ID: "a", Service: "s"}}})
+		b.s.AdoptTargets(b.now)
+		b.settleTargets("a")
+		must.Eq(t, settled, b.s.TargetsFenced())
+		b.advance(40 * ms)
+		b.settleTargets("a")
+		must.True(t, b.s.TargetsFenced())
+	}
 }
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -61,7 +61,8 @@
 	retired       bool
 	// recorded says that the store has recorded the target, recordAsked that it was asked to.
 	recorded, recordAsked bool
-	// doubtful says that an idle target was found missing and has not answered since.
+	// doubtful says that an idle target was found missing, or may obey a previous owner as well, and has
+	// not answered since.
 	doubtful bool
 	// warmAt is when the target reaches its full speed after its start.
 	warmAt time.Duration
