Keep a target whose inherited run isn't read yet

Callers would see a task of a durable job run twice, for up to 0.8 s.

Cause: a target that the registry hasn't listed for 2.5 s is removed once this owner has no run there. A run of a previous owner whose job wasn't read yet didn't count, so that its task started elsewhere as soon as the job was read.

Evidence: TestUnlistedTargetWithInheritedRunIsNotLost fails without the new condition.

Why this works: the run keeps its target known until the job is read, or the target no longer lists it.

--- a/scheduler/succession_test.go
+++ b/scheduler/succession_test.go
@@ -305,3 +305,20 @@
 		must.True(t, b.s.TargetsFenced())
 	}
 }
+
+// A target without an entry isn't removed while it lists a run whose job isn't read yet: the run would start again.
+func TestUnlistedTargetWithInheritedRunIsNotLost(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.listTargetWithCPU("a", 1)
+	b.listTargetWithCPU("b", 1)
+	b.effects()
+	b.answerPoll("b", work.PollAnswer{ClockMS: 5000})
+	b.s.TargetUnlisted(b.now, "a")
+	b.advance(unlistedTimeout - 40*ms)
+	on := work.RunID{Task: "j.0.0.0", Number: 31}
+	b.answerPoll("a", work.PollAnswer{ClockMS: 7400, Running: listing(on)})
+	b.advance(100 * ms)
+	b.s.ResumeJob(b.now, b.durableJob("j", 1), Progress{})
+	b.s.FinishResume(b.now)
+	must.SliceEmpty(t, pickEffects[StartRun](b.effects()))
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -277,7 +277,7 @@
 	}
 	late := now-t.unlistedSince > unlistedTimeout
 	switch {
-	case len(t.runs) == 0 && (late || t.state == silent), late && t.failedPolls >= silentPolls && t.hasOnlyUnleasedRuns():
+	case t.hasNoRuns() && (late || t.state == silent), late && t.failedPolls >= silentPolls && t.hasOnlyUnleasedRuns():
 		s.loseTarget(now, t, "it is not listed any more")
 	case late && !t.retired:
 		t.retired = true
@@ -405,6 +405,9 @@
 	return o.acked == 0 && now-o.first > stopAnswerTimeout
 }
 
+// hasNoRuns reports whether no run is known at the target that may have to be waited for.
+func (t *target) hasNoRuns() bool { return len(t.runs) == 0 && len(t.inheritedRuns) == 0 }
+
 // isIdle reports whether the target has no run that this owner has to see end.
 func (t *target) isIdle() bool {
 	for _, r := range t.runs {
