Wait for the longest lease of an unknown incarnation

Callers would see a task run twice where targets grant leases of more than some 2 s. Found by reading, while listing the conclusions that rest on elapsed time; not seen played.

Cause: a start that either of two incarnations of a target may have carried out has no known lease end: the target shortens it to the longest lease that it grants. Once the target was silent and not listed for 2.5 s its run counted as over, whatever that longest lease is.

Evidence: TestRunOfUnknownIncarnationKeepsLongestLease (6 s) fails without the new bound.

Why this works: the run counts as over only when the longest lease, a setting of the platform, has passed on the slowest clock since the present incarnation was first seen. Such leases aren't renewed.

Measured: the test passes. Where the longest lease is 1 s nothing changes, as 2.5 s pass before.

--- a/node/node.go
+++ b/node/node.go
@@ -272,7 +272,7 @@
 	options := owner.Options{
 		Group: held.Group, FailureDomain: n.self.FailureDomain, Token: held.Version,
 		Schedule: scheduler.Options{
-			StopTimeout: n.options.Settings.MaxStopTime,
+			StopTimeout: n.options.Settings.MaxStopTime, MaxLease: n.options.Settings.MaxLease,
 			ResendDelay: n.options.Settings.MinResendDelay, KeepaliveTimeout: heartbeat.KeepaliveTimeout,
 		},
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.registry),
--- a/scheduler/incarnation.go
+++ b/scheduler/incarnation.go
@@ -161,8 +161,12 @@
 // present one's clock does not show when it is over.
 const noLeaseEnd = math.MaxInt64
 
-// hasOnlyUnleasedRuns reports whether all runs of a target have no known lease end.
-func (t *target) hasOnlyUnleasedRuns() bool {
+// hasOnlyExpiredRuns reports whether all runs of a target have no known lease end, and began so long ago
+// that their lease is over, however long the target granted it.
+func (s *State) hasOnlyExpiredRuns(now time.Duration, t *target) bool {
+	if now-t.firstSeen <= maxOrderTime+slowest(s.options.MaxLease) {
+		return false
+	}
 	for _, r := range t.runs {
 		if r.leaseUntil != noLeaseEnd {
 			return false
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -20,6 +20,9 @@
 // guarantees 2 % and this allows as much again for this VM's own clock.
 const minClockRate = 0.96
 
+// slowest returns how long a time span of the slowest clock lasts at most.
+func slowest(span time.Duration) time.Duration { return time.Duration(float64(span) / minClockRate) }
+
 func (l *lease) update(clock int64, at time.Duration) {
 	if clock == 0 || l.known && clock < l.clock {
 		return
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -6,6 +6,8 @@
 type Options struct {
 	// Lease is the length of the leases that the State asks for.
 	Lease time.Duration
+	// MaxLease is the longest lease that a target grants, however late an end is asked for.
+	MaxLease time.Duration
 	// PollWait is the longest wait of a poll at a target with work.
 	PollWait time.Duration
 	// StopTimeout bounds how long a target may take to carry out a stop.
@@ -35,6 +37,8 @@
 	// DefaultLease must outlast a poll and its margin, and lapse before a caller sends a job again,
 	// 1.3 s after a broken answer.
 	DefaultLease = 800 * time.Millisecond
+	// DefaultMaxLease is the platform's usual bound.
+	DefaultMaxLease = time.Second
 	// DefaultPollWait renews the lease twice within its length.
 	DefaultPollWait = 300 * time.Millisecond
 	// DefaultStopTimeout is the platform's bound.
@@ -50,6 +54,7 @@
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.Lease, DefaultLease)
+	setDefault(&o.MaxLease, DefaultMaxLease)
 	setDefault(&o.PollWait, DefaultPollWait)
 	setDefault(&o.StopTimeout, DefaultStopTimeout)
 	setDefault(&o.PauseThreshold, DefaultPauseThreshold)
--- a/scheduler/succession_test.go
+++ b/scheduler/succession_test.go
@@ -322,3 +322,31 @@
 	b.s.FinishResume(b.now)
 	must.SliceEmpty(t, pickEffects[StartRun](b.effects()))
 }
+
+// A start that the next incarnation of its target may have carried out has a lease of unknown end. Its run isn't
+// given up before the longest lease that a target grants is over, also where the registry has lost the target.
+func TestRunOfUnknownIncarnationKeepsLongestLease(t *testing.T) {
+	const longest = 6 * time.Second
+	b := newHarness(t, Options{MaxLease: longest})
+	b.listTarget(work.Target{ID: "a", Capacity: work.Resources{CPU: 4}, Incarnation: 100})
+	b.effects()
+	b.answerPoll("a", work.PollAnswer{ClockMS: 9000, Incarnation: 100})
+	b.submit("j", 1, 1, "")
+	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
+	b.s.TargetListed(b.now, work.Target{ID: "a", Service: "s", Capacity: work.Resources{CPU: 4}, Incarnation: 10_000})
+	b.s.TargetUnlisted(b.now, "a")
+	restarted := b.now
+	silent := func(until time.Duration) {
+		for b.now < until {
+			b.advance(20 * ms)
+			if b.s.targets["a"] != nil && b.s.targets["a"].pollPending {
+				b.answerPollWith("a", work.PollAnswer{}, work.VerdictUnknown)
+			}
+		}
+	}
+	silent(restarted + longest)
+	must.NotNil(t, b.s.targets["a"])
+	must.MapLen(t, 1, b.s.targets["a"].runs)
+	silent(restarted + slowest(longest) + time.Second)
+	must.Nil(t, b.s.targets["a"])
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -277,7 +277,7 @@
 	}
 	late := now-t.unlistedSince > unlistedTimeout
 	switch {
-	case t.hasNoRuns() && (late || t.state == silent), late && t.failedPolls >= silentPolls && t.hasOnlyUnleasedRuns():
+	case t.hasNoRuns() && (late || t.state == silent), late && t.failedPolls >= silentPolls && s.hasOnlyExpiredRuns(now, t):
 		s.loseTarget(now, t, "it is not listed any more")
 	case late && !t.retired:
 		t.retired = true
