Poll a target before a durable start on an old clock

Callers would see a task of a durable job run twice after a takeover.

Cause: a lease end is reckoned on the last reading of its target's clock. Idle targets aren't polled, and a clock may be 4 % slow, so that a lease at a target that was idle for a minute lasts up to 2.4 s longer than asked for, where the target grants that much. A successor that knows of its predecessor's end counts with 1.4 s.

Why this works: the reading is at most 5 s old when a task of a durable job starts, which bounds what a slow clock adds to 0.2 s. Callers' jobs start as before.

--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -91,19 +91,16 @@
 func (s *State) leaseEnd(now time.Duration, t *target, starting *job) int64 {
 	end := t.lease.endAfter(now, s.options.Lease)
 	if starting != nil {
-		end = s.limitLease(now, t, starting, end)
+		end = s.limitLease(t, starting, end)
 	}
 	for _, r := range t.runs {
-		end = s.limitLease(now, t, r.task.job, end)
+		end = s.limitLease(t, r.task.job, end)
 	}
 	return end
 }
 
 // limitLease returns a lease end that is not later than the runs of a job may go on.
-func (s *State) limitLease(now time.Duration, t *target, j *job, end int64) int64 {
-	if j.isDurable() && s.options.RecordTargets {
-		end = min(end, t.lease.clockAt(now+maxDurableLease))
-	}
+func (s *State) limitLease(t *target, j *job, end int64) int64 {
 	if by := s.mustEndBy(j); by != noTimeLimit {
 		return min(end, t.lease.clockAt(by))
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -164,7 +164,7 @@
 	if !st.canRunBeside(t) || t.runs[tk.name] != nil || t.reservedFor != nil && t.reservedFor != st || !s.canRenewLease(now, t) {
 		return false
 	}
-	if t.mayHaveRestarted(now) {
+	if t.mayHaveRestarted(now) || j.isDurable() && s.isClockOld(now, t) {
 		s.askIncarnation(now, t, len(st.pending))
 		return false
 	}
--- a/scheduler/succession.go
+++ b/scheduler/succession.go
@@ -35,9 +35,11 @@
 	// predecessorLeaseTime is how long leases last at most after their owner has ended or begun to
 	// leave: it renews them for handoverLease then.
 	predecessorLeaseTime = handoverLease + maxDurableLease + leaseEndMargin
-	// maxDurableLease is how long a lease with runs of durable jobs lasts at most, however long ago its
-	// target's clock was read, and on the slowest clock.
+	// maxDurableLease is how long a lease with runs of durable jobs lasts at most, on the slowest clock.
 	maxDurableLease = 1400 * time.Millisecond
+	// maxClockAge is how old the reading of a target's clock may be for a durable job's task to start: the
+	// slower the clock may have run since, the longer the lease could last.
+	maxClockAge = 5 * time.Second
 	// leaseEndMargin is the time that a target takes to end the runs of a lease that is over.
 	leaseEndMargin = 100 * time.Millisecond
 )
@@ -262,6 +264,11 @@
 	return !s.options.RecordTargets || s.succession.inherited && now < s.durableUntil()
 }
 
+// isClockOld reports whether a target has to be polled before a durable job's task starts there.
+func (s *State) isClockOld(now time.Duration, t *target) bool {
+	return s.options.RecordTargets && now-t.lease.readAt > maxClockAge
+}
+
 // checkClaim has the claim confirmed while there are durable jobs, and stops their runs before this
 // owner may extend their leases no more.
 func (s *State) checkClaim(now time.Duration) {
--- a/scheduler/succession_test.go
+++ b/scheduler/succession_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -214,8 +215,9 @@
 	must.SliceLen(t, 1, pickEffects[StartRun](b.advance(100*ms)))
 }
 
-// A lease with runs of durable jobs is short also where the target's clock was read long ago and may be slow.
-func TestDurableLeaseOfIdleTargetIsShort(t *testing.T) {
+// A lease with runs of durable jobs isn't longer than a successor counts with, and lasts until the next poll, also
+// where the target's clock was read long ago and may be slow: the target is polled first.
+func TestDurableLeaseOfIdleTargetIsBounded(t *testing.T) {
 	b := newHarness(t, Options{RecordTargets: true})
 	b.s.InheritTargets(b.now, Inheritance{AsOf: b.now})
 	b.s.AdoptTargets(b.now)
@@ -223,12 +225,24 @@
 	b.addUsableTarget("a", 4)
 	b.s.startRecording()
 	b.s.TargetRecorded("a")
-	read := b.now
-	b.now += 25 * time.Second
-	b.s.ClaimConfirmed(b.now, b.now)
-	start := b.startStoredJob("j", 1)[0]
-	slowest := 5000 + int64(minClockRate*float64((b.now-read).Milliseconds()))
-	must.LessEq(t, slowest+int64(minClockRate*float64(maxDurableLease.Milliseconds())), start.LeaseUntilMS)
+	for _, idle := range []time.Duration{maxClockAge - 100*ms, 25 * time.Second} {
+		read := b.now
+		b.now += idle
+		b.s.ClaimConfirmed(b.now, b.now)
+		starts := b.startStoredJob(fmt.Sprint("j", idle), 1)
+		clock := b.s.targets["a"].lease.clock + idle.Milliseconds()
+		if idle > maxClockAge {
+			must.SliceEmpty(t, starts)
+			b.answerPoll("a", work.PollAnswer{ClockMS: clock})
+			starts, read = pickEffects[StartRun](b.effects()), b.now
+		}
+		must.SliceLen(t, 1, starts)
+		slowest := b.s.targets["a"].lease.clock + int64(minClockRate*float64((b.now-read).Milliseconds()))
+		must.LessEq(t, slowest+int64(minClockRate*float64(maxDurableLease.Milliseconds())), starts[0].LeaseUntilMS)
+		must.GreaterEq(t, clock+DefaultPollWait.Milliseconds(), starts[0].LeaseUntilMS)
+		b.answerPoll("a", work.PollAnswer{ClockMS: clock, Completions: []work.Completion{{Number: b.s.targets["a"].lastCompletion + 1, Run: starts[0].Run, Kind: work.CompletionDone}}})
+		b.effects()
+	}
 }
 
 // A run that this owner took over isn't given up while the lease lasts that its predecessor asked for.
