Match the record of a target by its request

Callers would see a task of a durable job run twice after a takeover.

Causes: the confirmation of a target's record was matched by the target's ID. One that was on its way while the target was removed and listed again made the new target count as recorded while its row was away for a moment. And the lease of an inherited run could be renewed up to the very end of the claim's validity, and so end 0.8 s after it.

Evidence: TestRecordOfEarlierTargetDoesNotCount and TestInheritedRunIsNotRenewedWithoutClaim fail with either rule taken out.

Why this works: requests to record a target are numbered, and inherited runs are renewed only as long as durable tasks may start, a second less.

Measured: the tests of scheduler, but for some fuzz tests, owner, node and jobstore pass, and the end-to-end tests of durable jobs.

--- a/owner/succession.go
+++ b/owner/succession.go
@@ -112,7 +112,7 @@
 	switch e := effect.(type) {
 	case scheduler.RecordTarget:
 		o.options.Jobs.TargetRecords().Record(e.Target, func() {
-			o.post(ctx, func(time.Duration) { o.state.TargetRecorded(e.Target.ID) })
+			o.post(ctx, func(time.Duration) { o.state.TargetRecorded(e.Target.ID, e.Number) })
 		})
 	case scheduler.ForgetTarget:
 		o.options.Jobs.TargetRecords().Forget(e.ID)
--- a/scheduler/records_world_test.go
+++ b/scheduler/records_world_test.go
@@ -91,5 +91,5 @@
 			w.durableStore.records.targets = map[string]work.Target{}
 		}
 		w.durableStore.records.targets[e.Target.ID] = e.Target
-	}, func() { o.state.TargetRecorded(e.Target.ID) })
+	}, func() { o.state.TargetRecorded(e.Target.ID, e.Number) })
 }
--- a/scheduler/succession.go
+++ b/scheduler/succession.go
@@ -68,6 +68,8 @@
 	// recorded.
 	recording  bool
 	unrecorded int
+	// lastRecord is the number of the newest RecordTarget.
+	lastRecord int
 	// stopped says that the runs of durable jobs were stopped because the claim is not confirmed.
 	stopped bool
 }
@@ -88,7 +90,11 @@
 }
 
 // RecordTarget has the store record a target; TargetRecorded then confirms it.
-type RecordTarget struct{ Target work.Target }
+type RecordTarget struct {
+	Target work.Target
+	// Number tells this effect from those for earlier targets of the same ID.
+	Number int
+}
 
 // ForgetTarget has the store drop the record of a target at which nothing runs any more.
 type ForgetTarget struct{ ID string }
@@ -209,14 +215,20 @@
 
 // recordTarget has a target recorded unless that was done or nothing durable will start there.
 func (s *State) recordTarget(t *target) {
-	if s.succession.recording && !t.recorded && !t.recordAsked && !s.leaving {
-		t.recordAsked = true
-		s.emit(RecordTarget{Target: t.Target})
+	if s.succession.recording && !t.recorded && t.recordAsked == 0 && !s.leaving {
+		s.succession.lastRecord++
+		t.recordAsked = s.succession.lastRecord
+		s.emit(RecordTarget{Target: t.Target, Number: t.recordAsked})
 	}
 }
 
-// TargetRecorded says that the store has recorded a target.
-func (s *State) TargetRecorded(id string) { s.markRecorded(id) }
+// TargetRecorded says that the store has recorded a target, with the number of its RecordTarget. The
+// record of an earlier target of that ID may be removed since.
+func (s *State) TargetRecorded(id string, number int) {
+	if t := s.targets[id]; t != nil && t.recordAsked == number {
+		s.markRecorded(id)
+	}
+}
 
 func (s *State) markRecorded(id string) {
 	if t := s.targets[id]; t != nil && !t.recorded {
@@ -231,7 +243,7 @@
 	if !t.recorded {
 		s.succession.unrecorded--
 	}
-	if s.options.RecordTargets && !s.leaving && (t.recorded || t.recordAsked) {
+	if s.options.RecordTargets && !s.leaving && (t.recorded || t.recordAsked != 0) {
 		s.emit(ForgetTarget{ID: t.ID})
 	}
 }
@@ -261,7 +273,7 @@
 // mayRenewInherited reports whether the leases of inherited runs may be renewed: before this owner has
 // the record of targets, a successor doesn't count with its renewals.
 func (s *State) mayRenewInherited(now time.Duration) bool {
-	return !s.options.RecordTargets || s.succession.inherited && now < s.durableUntil()
+	return s.mayStartDurable(now)
 }
 
 // isClockOld reports whether a target has to be polled before a durable job's task starts there.
--- a/scheduler/succession_test.go
+++ b/scheduler/succession_test.go
@@ -48,6 +48,13 @@
 	return all
 }
 
+// confirmRecords has the store record all targets that it was asked to.
+func (b *harness) confirmRecords() {
+	for _, e := range pickEffects[RecordTarget](b.effects()) {
+		b.s.TargetRecorded(e.Target.ID, e.Number)
+	}
+}
+
 // settleTargets has targets obey the owner.
 func (b *harness) settleTargets(ids ...string) {
 	for _, id := range ids {
@@ -155,7 +162,7 @@
 	must.SliceEmpty(t, pickEffects[StartRun](b.effects()))
 	b.submit("other", 1, 1, "")
 	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
-	b.s.TargetRecorded("a")
+	b.s.TargetRecorded("a", records[0].Number)
 	must.SliceLen(t, 1, pickEffects[StartRun](b.advance(40*ms)))
 }
 
@@ -172,8 +179,7 @@
 	long := b.durableJob("j", 1)
 	long.Job.Steps[0].DeclaredRunTime = time.Minute
 	b.s.Submit(b.now, long)
-	b.effects()
-	b.s.TargetRecorded("a")
+	b.confirmRecords()
 	b.s.HandleJobStored(b.now, "j", work.Outcome{Result: work.Accepted}, true)
 	durable := pickEffects[StartRun](b.effects())[0]
 	other := b.durableJob("loose", 1)
@@ -224,7 +230,7 @@
 	b.s.FinishResume(b.now)
 	b.addUsableTarget("a", 4)
 	b.s.startRecording()
-	b.s.TargetRecorded("a")
+	b.confirmRecords()
 	for _, idle := range []time.Duration{maxClockAge - 100*ms, 25 * time.Second} {
 		read := b.now
 		b.now += idle
@@ -270,9 +276,7 @@
 	b.addUsableTarget("a", 4)
 	b.addUsableTarget("b", 4)
 	b.s.startRecording()
-	b.s.TargetRecorded("a")
-	b.s.TargetRecorded("b")
-	b.effects()
+	b.confirmRecords()
 	b.s.loseTarget(b.now, b.s.targets["b"], "another incarnation answers at its address")
 	must.Eq(t, []ForgetTarget{{ID: "b"}}, pickEffects[ForgetTarget](b.effects()))
 	b.s.Leave(b.now)
@@ -364,3 +368,40 @@
 	silent(restarted + slowest(longest) + time.Second)
 	must.Nil(t, b.s.targets["a"])
 }
+
+// The record of a target that was removed says nothing of a later target of the same ID, whose own record isn't
+// written yet.
+func TestRecordOfEarlierTargetDoesNotCount(t *testing.T) {
+	b := newHarness(t, Options{RecordTargets: true})
+	b.s.InheritTargets(b.now, Inheritance{AsOf: b.now})
+	b.s.AdoptTargets(b.now)
+	b.s.FinishResume(b.now)
+	b.s.startRecording()
+	b.addUsableTarget("a", 4)
+	b.s.loseTarget(b.now, b.s.targets["a"], "another incarnation answers at its address")
+	b.effects()
+	b.s.TargetListed(b.now, work.Target{ID: "a", Service: "s", Capacity: work.Resources{CPU: 4}})
+	again := pickEffects[RecordTarget](b.effects())
+	must.SliceLen(t, 1, again)
+	b.s.TargetRecorded("a", again[0].Number-1)
+	must.False(t, b.s.targets["a"].recorded)
+	b.s.TargetRecorded("a", again[0].Number)
+	must.True(t, b.s.targets["a"].recorded)
+}
+
+// An owner renews no lease of a run that it may take over later than a successor counts with.
+func TestInheritedRunIsNotRenewedWithoutClaim(t *testing.T) {
+	b := newHarness(t, Options{RecordTargets: true})
+	b.now += claimValidity
+	b.listTargetWithCPU("a", 1)
+	b.effects()
+	on := listing(work.RunID{Task: "j.0.0.0", Number: 31})
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Running: on})
+	must.Eq(t, 0, pickEffects[Poll](b.effects())[0].LeaseUntil)
+	b.s.InheritTargets(b.now, Inheritance{AsOf: b.now - claimValidity + validityReserve})
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Running: on})
+	must.Eq(t, 0, pickEffects[Poll](b.effects())[0].LeaseUntil)
+	b.s.ClaimConfirmed(b.now, b.now)
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Running: on})
+	must.Positive(t, pickEffects[Poll](b.effects())[0].LeaseUntil)
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -59,8 +59,10 @@
 	// retired says that it has been missing for too long and takes no new tasks.
 	unlistedSince time.Duration
 	retired       bool
-	// recorded says that the store has recorded the target, recordAsked that it was asked to.
-	recorded, recordAsked bool
+	// recorded says that the store has recorded the target; recordAsked is the number of the request to
+	// do so, 0 before.
+	recorded    bool
+	recordAsked int
 	// doubtful says that an idle target was found missing, or may obey a previous owner as well, and has
 	// not answered since.
 	doubtful bool
