Have the fuzz of target records tell late confirmations

The test meant to notice a record that is confirmed for an owner after its successor has begun; it does now, also for records that were asked for before.

--- a/jobstore/targets_test.go
+++ b/jobstore/targets_test.go
@@ -117,13 +117,19 @@
 		store := newFakeStore()
 		token := int64(1)
 		r, _ := openedRecords(rt, store, token)
-		confirmed, previous := map[string]bool{}, map[string]bool{}
+		confirmed := map[string]bool{}
 		superseded := []*TargetRecords{}
 		for range rapid.IntRange(5, 40).Draw(rt, "steps") {
 			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "target")
 			switch rapid.SampledFrom([]string{"record", "record", "forget", "write", "write", "fail", "late", "successor", "old"}).Draw(rt, "step") {
 			case "record":
-				r.Record(work.Target{ID: id}, func() { confirmed[id] = true })
+				owner := r
+				r.Record(work.Target{ID: id}, func() {
+					if owner != r {
+						rt.Errorf("%s was recorded by an owner that has a successor", id)
+					}
+					confirmed[id] = true
+				})
 			case "forget":
 				delete(confirmed, id)
 				r.Forget(id)
@@ -150,10 +156,6 @@
 					must.SliceContains(rt, found, id)
 				}
 				must.Eq(rt, fmt.Sprint("vm-", token-1), inherited.VM)
-				previous, confirmed = confirmed, map[string]bool{}
-				for id := range previous {
-					confirmed[id] = true
-				}
 			}
 		}
 	})
