Count stuck runs in the time that succession worlds allow

World 124032 of TestFuzzSuccessions fails each time: at the world's end one durable job isn't finished.

Cause, from its trace: a target hangs for a second while a run of task kept4.0.0.1 is due to end, so that the run never ends. A successor continues the run at 0 s of its own time, stops it as stuck at 36.02 s (hungFactor, 6, times the declared 6 s), starts the task again, and would finish the second step at about 58 s. The world allows 4 s a job, PredecessorValidity and 10 s. The limit of a stuck run is meant: run times reach four times their mean, and a run that is stopped too early loses its work. No rule bounds the end of a job of which a task runs, so the case is allowed.

The world now records runs that are due to end on a hung target, and allows the time during which one was stuck after the faults had ended, at most hungFactor times the longest run time. Worlds without such a run have the bound that they had.

Ruled out: a shorter limit from the run times of the other tasks of a step. Tasks of a step may differ by any factor, and durable jobs lose the work.

--- a/scheduler/failing_worlds_test.go
+++ b/scheduler/failing_worlds_test.go
@@ -87,3 +87,9 @@
 func TestInheritedRunIsGivenUpBeforeItsLease(t *testing.T) {
 	replayWorld(t, "3404", func(rt *rapid.T) { playRestartsBesidePreviousOwners(rt, nil) })
 }
+
+// A durable job ends although one of its runs never ends on a target that hung for a moment: the run is
+// stopped as stuck and started again.
+func TestDurableJobEndsBesideStuckRun(t *testing.T) {
+	replayWorld(t, "124032", func(rt *rapid.T) { playSuccessions(rt, nil) })
+}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -44,6 +44,8 @@
 	acknowledgedBy map[string]string
 	// startedAt is when each task was last started.
 	startedAt map[string]time.Duration
+	// stuckEnded is when a run last ended that was stuck.
+	stuckEnded time.Duration
 	// ackedFailures counts the acknowledged failed completions, by task.
 	ackedFailures map[string]int
 	// failedRuns counts all failed runs, by task and by gang.
@@ -153,6 +155,8 @@
 	number int64
 	cpu    int64
 	saved  string
+	// stuck is set once the run was due to end while its target hung: it goes on until it is stopped.
+	stuck bool
 }
 
 const fakeCPU = 4
