--- a/lab/replay/command.go
+++ b/lab/replay/command.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -25,7 +26,8 @@
 		Name:  "replay",
 		Usage: "simulate a site's load and compare burdockward's scheduling with simple policies and with an ideal scheduler",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "site", Usage: "name of the site: kasa or thapa", Value: "kasa"},
+			&cli.StringFlag{Name: "site", Usage: "name of the site: kasa, thapa or one of those of rounds", Value: "kasa"},
+			&cli.StringFlag{Name: "day", Usage: "kind of day, as for rounds; empty takes the burst and the hung targets of the other flags"},
 			&cli.FloatFlag{Name: "burst", Usage: "factor of the load during 6 of 30 s", Value: 1.5},
 			&cli.FloatFlag{Name: "hung", Usage: "share of targets that hang during 10 of 30 s, from 0 to 1", Value: 0.1},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the jobs and of the hung targets"},
@@ -35,6 +37,13 @@
 			if err != nil {
 				return err
 			}
+			if name := cmd.String("day"); name != "" {
+				at := slices.IndexFunc(Days, func(d Day) bool { return d.Name == name })
+				if at < 0 {
+					return fmt.Errorf("unknown day %q: choose one that rounds lists", name)
+				}
+				return comparePolicies(os.Stdout, Days[at].apply(site), cmd.Uint64("seed"))
+			}
 			site.Bursts = []Burst{{From: burstFrom, To: burstTo, Factor: cmd.Float("burst")}}
 			site.Faults = []Fault{{From: hungFrom, To: hungTo, Share: cmd.Float("hung"), Hang: true}}
 			return comparePolicies(os.Stdout, site, cmd.Uint64("seed"))
@@ -49,14 +58,19 @@
 			return site, nil
 		}
 	}
-	return Site{}, fmt.Errorf("unknown site %q: choose kasa or thapa", name)
+	for _, spec := range SiteSpecs {
+		if spec.Name == name {
+			return spec.site(), nil
+		}
+	}
+	return Site{}, fmt.Errorf("unknown site %q: choose kasa, thapa or one that rounds lists", name)
 }
 
 // comparePolicies simulates a day under each policy. For each it writes a row for all jobs, for
 // each kind of request and for each failure domain.
 func comparePolicies(to io.Writer, site Site, seed uint64) error {
 	out := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(out, "policy\tof\tworth\ton time\tlate\trefused\tfailed")
+	fmt.Fprintln(out, "policy\tof\tworth\ton time\tlate\trefused\tof them late\tfailed")
 	for _, p := range []struct {
 		name    string
 		options Options
@@ -86,7 +100,7 @@
 // shares formats the counts of outcomes as shares of all jobs.
 func (c Counts) shares() []string {
 	var shares []string
-	for _, n := range []int{c.OnTime, c.Late, c.Refused, c.Failed} {
+	for _, n := range []int{c.OnTime, c.Late, c.Refused, c.RefusedLate, c.Failed} {
 		shares = append(shares, fmt.Sprintf("%.3f", float64(n)/float64(max(c.Jobs, 1))))
 	}
 	return shares
--- a/lab/replay/days.go
+++ b/lab/replay/days.go
@@ -46,6 +46,28 @@
 	return site
 }
 
+// scarceDay is a day on which all callers together want more than twice what the targets can do,
+// while a fifth of the targets leaves.
+func scarceDay(site Site) Site {
+	site.Load *= 0.9
+	site.Bursts = []Burst{{From: seconds(8), To: seconds(16), Factor: 2.4}}
+	site.Faults = []Fault{{From: seconds(8), To: seconds(18), Share: 0.2, Leave: true}}
+	return site
+}
+
+// pressedDay is a day on which one failure domain after another gets 2.6 times its load while 30 %
+// of its targets leave.
+func pressedDay(site Site) Site {
+	site.Load *= 0.9
+	for domain := range 2 {
+		from := seconds(5 + 11*float64(domain))
+		where := Scope{OneDomain: true, Domain: domain}
+		site.Bursts = append(site.Bursts, Burst{From: from, To: from + seconds(8), Factor: 2.6, Where: where})
+		site.Faults = append(site.Faults, Fault{From: from, To: from + seconds(9), Share: 0.3, Leave: true, Where: where})
+	}
+	return site
+}
+
 // Day is a kind of day that can be simulated on any site.
 type Day struct {
 	Name string
@@ -56,4 +78,5 @@
 // Days are the kinds of days of the rounds.
 var Days = []Day{
 	{"usual", func(s Site) Site { return s }}, {"faulty", faultyDay}, {"crowded", crowdedDay}, {"flooded", floodedDay}, {"cordoned", cordonedDay}, {"returning", returningDay},
+	{"scarce", scarceDay}, {"pressed", pressedDay},
 }
--- a/lab/replay/site.go
+++ b/lab/replay/site.go
@@ -60,6 +60,9 @@
 	// Swing is the amplitude of the slow change of each failure domain's load, as a share of
 	// its mean.
 	Swing float64
+	// Speeds are the speeds of the targets in turn, as multiples of the usual speed; empty stands
+	// for targets of usual speed.
+	Speeds []float64
 	// Cordons are the cordons of failure domains, OwnerLosses the losses of all owners at once.
 	Cordons     []Cordon
 	OwnerLosses []OwnerLoss
@@ -79,8 +82,18 @@
 type Burst struct {
 	From, To time.Duration
 	Factor   float64
+	Where    Scope
 }
 
+// Scope limits a burst or a fault to one failure domain; the zero value covers all of them.
+type Scope struct {
+	OneDomain bool
+	Domain    int
+}
+
+// includes reports whether the scope covers a failure domain.
+func (s Scope) includes(domain int) bool { return !s.OneDomain || s.Domain == domain }
+
 // Fault affects a share of the targets for some time.
 type Fault struct {
 	From, To time.Duration
@@ -90,10 +103,11 @@
 	SlowFactor float64
 	// Hang keeps tasks that start meanwhile from ending.
 	Hang bool
-	// Gone has no effect.
-	Gone bool
+	// Leave has the targets drain: they end their runs and take no new ones until the fault ends.
+	Leave bool
 	// LostCalls is the share of calls that are neither carried out nor answered.
 	LostCalls float64
+	Where     Scope
 }
 
 // Parameters of the load that all sites share.
@@ -205,34 +219,36 @@
 func (s Site) drawStream(r *rand.Rand, domain, kind int, phase float64) []arrival {
 	var stream []arrival
 	rate := s.Kinds[kind].RatePerSecond * s.Load / float64(s.Domains)
-	peak := rate * (1 + s.Swing) * s.maxBurstFactor()
+	peak := rate * (1 + s.Swing) * s.maxBurstFactor(domain)
 	for at := time.Duration(0); ; {
 		at += time.Duration(r.ExpFloat64() / peak * float64(time.Second))
 		if at >= s.Length {
 			return stream
 		}
 		wave := 1 + s.Swing*math.Sin(2*math.Pi*(at.Seconds()/swingPeriod.Seconds()+phase))
-		if r.Float64()*peak > rate*wave*s.burstFactorAt(at) {
+		if r.Float64()*peak > rate*wave*s.burstFactorAt(at, domain) {
 			continue
 		}
 		stream = append(stream, s.drawJob(r, at, domain, kind))
 	}
 }
 
-// maxBurstFactor is the highest factor of all bursts, and at least 1.
-func (s Site) maxBurstFactor() float64 {
+// maxBurstFactor is the highest factor of all bursts of a failure domain, and at least 1.
+func (s Site) maxBurstFactor(domain int) float64 {
 	peak := 1.0
 	for _, b := range s.Bursts {
-		peak = max(peak, b.Factor)
+		if b.Where.includes(domain) {
+			peak = max(peak, b.Factor)
+		}
 	}
 	return peak
 }
 
-// burstFactorAt is the highest factor of the bursts at a time, and at least 1.
-func (s Site) burstFactorAt(at time.Duration) float64 {
+// burstFactorAt is the highest factor of a failure domain's bursts at a time, and at least 1.
+func (s Site) burstFactorAt(at time.Duration, domain int) float64 {
 	factor := 1.0
 	for _, b := range s.Bursts {
-		if at >= b.From && at < b.To {
+		if at >= b.From && at < b.To && b.Where.includes(domain) {
 			factor = max(factor, b.Factor)
 		}
 	}
--- a/lab/replay/target.go
+++ b/lab/replay/target.go
@@ -25,6 +25,8 @@
 	lastCompletion int64
 	// polls are the polls that wait for a completion.
 	polls []*pendingPoll
+	// speed divides the run times of its tasks.
+	speed float64
 	// fault is the fault that affects the target now; nil if none does.
 	fault *Fault
 }
@@ -56,7 +58,10 @@
 			ID: fmt.Sprintf("t-%d-%02d", domain, index), Service: "service",
 			Capacity: work.Resources{CPU: capacity, MemoryMB: 65536},
 		},
-		running: map[work.RunID]*runSim{},
+		running: map[work.RunID]*runSim{}, speed: 1,
+	}
+	if speeds := w.options.Site.Speeds; len(speeds) > 0 {
+		t.speed = speeds[index%len(speeds)]
 	}
 	t.free = t.Capacity
 	w.targets[t.ID] = t
@@ -65,15 +70,36 @@
 	o.state.TargetListed(0, t.Target)
 	for i := range w.options.Site.Faults {
 		fault := &w.options.Site.Faults[i]
-		if w.random.Float64() < fault.Share {
+		if fault.Where.includes(domain) && w.random.Float64() < fault.Share {
 			w.scheduleAt(fault.From+time.Second, func() { t.beginFault(fault) })
 			w.scheduleAt(fault.To+time.Second, func() { t.endFault() })
 		}
 	}
 }
 
-func (t *targetSim) beginFault(f *Fault) { t.fault = f }
-func (t *targetSim) endFault()           { t.fault = nil }
+func (t *targetSim) beginFault(f *Fault) {
+	t.fault = f
+	if f.Leave {
+		t.setDraining(true)
+	}
+}
+
+func (t *targetSim) endFault() {
+	t.fault = nil
+	if t.Draining {
+		t.setDraining(false)
+	}
+}
+
+// setDraining has the registry list the target as draining or not.
+func (t *targetSim) setDraining(draining bool) {
+	t.Draining = draining
+	o := t.world.owners[t.domain%len(t.world.owners)]
+	if !o.lost {
+		o.state.TargetListed(t.world.now, t.Target)
+		t.world.applyEffects(o)
+	}
+}
 
 // clockMS is the target's clock in milliseconds. It is 5 s ahead of the owner's.
 func (t *targetSim) clockMS() int64 { return t.world.now.Milliseconds() + 5000 }
@@ -132,7 +158,7 @@
 	r := &runSim{need: need, startedAt: t.world.now}
 	t.running[run] = r
 	t.free = t.free.Sub(need)
-	took := a.runTimes[taskIndex(run.Task)]
+	took := time.Duration(float64(a.runTimes[taskIndex(run.Task)]) / t.speed)
 	if t.fault != nil {
 		if t.fault.Hang {
 			return
--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -29,7 +29,9 @@
 
 // Counts are numbers of jobs by outcome. Failed jobs got no useful answer. Jobs that are
 // still open when the day ends count in Jobs only.
-type Counts struct{ Jobs, OnTime, Late, Refused, Failed int }
+// RefusedLate of the Refused ones were refused more than promptRefusalTime after their submission:
+// an owner had accepted them.
+type Counts struct{ Jobs, OnTime, Late, Refused, RefusedLate, Failed int }
 
 // Report is the result of one simulated day.
 type Report struct {
@@ -50,8 +52,8 @@
 
 // String formats the report as one line.
 func (r Report) String() string {
-	return fmt.Sprintf("worth %.4f kinds %.3f late refusals %.4f wasted %.4f: %d jobs, %d on time, %d late, %d refused, %d failed",
-		r.Worth, r.Kinds, r.LateRefusals, r.Wasted, r.Jobs, r.OnTime, r.Late, r.Refused, r.Failed)
+	return fmt.Sprintf("worth %.4f kinds %.3f late refusals %.4f wasted %.4f: %d jobs, %d on time, %d late, %d refused (%d after acceptance), %d failed",
+		r.Worth, r.Kinds, r.LateRefusals, r.Wasted, r.Jobs, r.OnTime, r.Late, r.Refused, r.RefusedLate, r.Failed)
 }
 
 // event is an action at a simulated time. seq orders events at the same time.
@@ -422,6 +424,7 @@
 		w.countJob(a, func(c *Counts) { c.Refused++ })
 		if w.now-a.submittedAt > promptRefusalTime {
 			w.lateRefusedWorth += a.worth
+			w.countJob(a, func(c *Counts) { c.RefusedLate++ })
 		}
 	default:
 		w.countJob(a, func(c *Counts) { c.Failed++ })
