Choose the strongest sufficient VM as owner before the load

A weak VM that claimed a group first kept it unless another VM had twice its share of a core, and handed over only under load, when that costs callers most. Claims were delayed by one threshold, so that VMs with 0.48 and 0.8 of a core claimed alike. Sockets and links weren't weighed.

Weighed: delays by the share alone (slower takeovers where all VMs are small), smoothing of the measured share (a longer slowdown still alternates), handing over under load to any stronger VM (costs more than it gains).

An owner without open jobs now hands over to a VM with 1.25 times its measured and declared share; under load only to one with twice its share, or with 1.5 times while it is short of processor time at three checks in a row. A VM with too few sockets or too slow a link isn't preferred to one with enough. Claim delays grow with the distance from the strongest VM, which the owner's heartbeats or its claim name; that VM isn't delayed by it. A VM that gave the group up gets it back only after a pause that doubles with each repetition.

TestShouldHandOver stated the old factor and is replaced by TestReasonToHandOver, TestHandoverGoesToKnownVM and TestShortOwnerHandsOverAfterSeveralChecks, which check the new bounds, the load, the limits, the age of pings, silence and leaving. The handover of an owner with 500 to a VM with 800, which it denied, stays denied under load. TestStrongVMsClaimFirst and TestChooseSuccessor have their earlier cases and new ones.

In the test's world, which starts ten VMs or fewer in 200 orders for each of five mixes of shares, the owner is one of the strongest after 2 s with one handover at most.

--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -36,6 +36,7 @@
 	Incarnation                      uint64
 	FailureDomain                    string
 	ControlAddress, HeartbeatAddress string
+	Limits                           Limits
 }
 
 // Listener gives what this VM reports in heartbeats and takes what others report. Its methods must
@@ -64,6 +65,11 @@
 	ReceiveCordons(from string, cordons *linkpb.Cordons)
 	// ReceiveClaim takes the claim of its group that an owner reports.
 	ReceiveClaim(owned *linkpb.Owned)
+	// Succession returns what this VM knows of the rank of its failure domain's VMs; nil if it owns no
+	// targets.
+	Succession() *linkpb.Succession
+	// ReceiveSuccession takes what an owner reports; nil if it reports nothing.
+	ReceiveSuccession(owner uint64, succession *linkpb.Succession)
 }
 
 // Service sends and answers heartbeats.
@@ -206,6 +212,9 @@
 			CpuShare: share, Leaving: leaving, Control: s.self.ControlAddress, Heartbeat: s.self.HeartbeatAddress,
 			Cordons: cordons,
 		}
+		if v.SameGroup {
+			ping.DeclaredCpuShare, ping.Sockets, ping.LinkMbps = s.self.Limits.DeclaredCPUShare, s.self.Limits.Sockets, s.self.Limits.LinkMbps
+		}
 		setGivenUp(ping, s.peers.takeGivenUp(incarnation))
 		pings = append(pings, outgoingPing{address: v.HeartbeatAddress, ping: ping})
 	}
@@ -297,6 +306,7 @@
 				s.listener.ReceiveCordons(pong.GetVm(), pong.GetCordons())
 			}
 			s.listener.ReceiveLoads(pong.GetLife(), pong.GetLoads())
+			s.listener.ReceiveSuccession(pong.GetLife(), pong.GetSuccession())
 			if pong.GetOwned() != nil {
 				s.listener.ReceiveClaim(pong.GetOwned())
 			}
@@ -327,10 +337,14 @@
 	if ping.GetOwnerLife() == s.self.Incarnation && ping.GetStamp() > 0 {
 		s.listener.ReceiveKeepalive(EntryID(ping.GetVm(), ping.GetLife()), time.Duration(ping.GetStamp())+KeepaliveTimeout, givenUpIn(ping))
 	}
-	s.writeTo(from, &linkpb.Pong{
+	pong := &linkpb.Pong{
 		Vm: s.self.VM, Life: s.self.Incarnation, Stamp: int64(bootclock.Now()), Control: s.self.ControlAddress,
 		ConfigurationVersion: s.listener.ConfigurationVersion(), Loads: s.listener.Loads(),
 		Owned: s.listener.Claim(), Pending: s.listener.PendingJobs(),
 		Cordons: s.listener.Cordons(),
-	})
+	}
+	if ping.GetFailureDomain() == s.self.FailureDomain {
+		pong.Succession = s.listener.Succession()
+	}
+	s.writeTo(from, pong)
 }
--- a/heartbeat/peertable.go
+++ b/heartbeat/peertable.go
@@ -42,6 +42,8 @@
 	Incarnation      uint64
 	HeartbeatAddress string
 	ControlAddress   string
+	// SameGroup says that the owner is that of this VM's own group.
+	SameGroup bool
 }
 
 // View is what an entry VM knows of an owner.
@@ -68,12 +70,22 @@
 	ControlAddress, HeartbeatAddress string
 	// CPUShare is the VM's share of a core, in thousandths.
 	CPUShare             int32
+	Limits               Limits
 	Leaving              bool
 	ConfigurationVersion int64
 	// FirstHeard and LastHeard are when the first and the newest ping arrived.
 	FirstHeard, LastHeard time.Duration
 }
 
+// Limits are the resources that a VM's settings give it; 0 where unknown, as with VMs of older builds.
+type Limits struct {
+	// DeclaredCPUShare is the share of a core in thousandths, whatever the VM really gets.
+	DeclaredCPUShare int32
+	Sockets          int32
+	// LinkMbps is the bandwidth of the VM's link in megabits a second.
+	LinkMbps int32
+}
+
 // EntryID names one incarnation of an entry VM.
 func EntryID(vm string, incarnation uint64) string {
 	return vm + "/" + strconv.FormatUint(incarnation, 16)
@@ -238,6 +250,7 @@
 	p.FailureDomain = ping.GetFailureDomain()
 	p.ControlAddress, p.HeartbeatAddress = ping.GetControl(), ping.GetHeartbeat()
 	p.CPUShare, p.Leaving = ping.GetCpuShare(), ping.GetLeaving()
+	p.Limits = Limits{DeclaredCPUShare: ping.GetDeclaredCpuShare(), Sockets: ping.GetSockets(), LinkMbps: ping.GetLinkMbps()}
 	p.ConfigurationVersion = ping.GetConfigurationVersion()
 	p.LastHeard = now
 	return gap
--- a/heartbeat/peertable_test.go
+++ b/heartbeat/peertable_test.go
@@ -141,3 +141,22 @@
 func (silentListener) Cordons() *linkpb.Cordons                  { return nil }
 func (silentListener) ReceiveCordons(string, *linkpb.Cordons)    {}
 func (silentListener) ReportLateHeartbeat(string, time.Duration) {}
+func (silentListener) Succession() *linkpb.Succession            { return nil }
+func (silentListener) ReceiveSuccession(uint64, *linkpb.Succession) {
+}
+
+// The limits of a VM are known from its pings; a VM of an older build reports none.
+func TestPingsCarryLimits(t *testing.T) {
+	limits := Limits{DeclaredCPUShare: 800, Sockets: 3900, LinkMbps: 250}
+	s := &Service{self: Self{VM: "v", Incarnation: 1, Limits: limits}, listener: silentListener{}, peers: newPeerTable()}
+	s.peers.setOwners(0, []Owner{{VM: "o", Incarnation: 2, SameGroup: true}, {VM: "p", Incarnation: 3}})
+	pings := s.preparePings(func(incarnation uint64) bool { return incarnation == 2 })
+	must.SliceLen(t, 1, pings)
+	at := newPeerTable()
+	at.recordPing(ms, pings[0].ping)
+	at.recordPing(ms, &linkpb.Ping{Vm: "old", Life: 3, CpuShare: 500})
+	must.Eq(t, limits, at.pingers[EntryID("v", 1)].Limits)
+	must.Eq(t, Limits{}, at.pingers[EntryID("old", 3)].Limits)
+	other := s.preparePings(func(incarnation uint64) bool { return incarnation == 3 })
+	must.Zero(t, other[0].ping.GetDeclaredCpuShare())
+}
--- a/node/leave.go
+++ b/node/leave.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/burdockward/burdockward/bootclock"
+	"github.com/burdockward/burdockward/heartbeat"
+	"github.com/burdockward/burdockward/link/linkpb"
 	"github.com/burdockward/burdockward/owner"
 	"github.com/burdockward/burdockward/ownership"
 )
@@ -77,21 +79,17 @@
 	return false
 }
 
-// Timing of handovers to a stronger VM.
-const (
-	// yieldCheckInterval is the time between two checks for a stronger VM. When all VMs restart
-	// at once, the strong ones may come up a fraction of a second later than the weak ones.
-	yieldCheckInterval = 250 * time.Millisecond
-	// yieldRetryInterval is the time between two attempts; it is longer than a handover takes.
-	yieldRetryInterval = 3 * time.Second
-)
+// yieldRetryInterval is the time between two attempts to hand over to a stronger VM; it is longer than
+// a handover takes.
+const yieldRetryInterval = 3 * time.Second
 
-// yieldToStronger hands the group over to a VM of the failure domain that has a much larger share
-// of a core, if there is one: this VM may have claimed the group while the others were down, or
-// may have been slowed down since.
+// yieldToStronger hands the group over to a VM of the failure domain that suits it better, if there is
+// one: this VM may have claimed the group while the others were down, or may have been slowed down since. It
+// also keeps what this VM reports of the others' rank.
 func (n *Node) yieldToStronger(ctx context.Context) {
-	ticker := time.NewTicker(yieldCheckInterval)
+	ticker := time.NewTicker(ownership.CheckInterval)
 	defer ticker.Stop()
+	var checks ownership.Checks
 	lastAttempt := bootclock.Now() - yieldRetryInterval
 	for {
 		select {
@@ -99,15 +97,51 @@
 			return
 		case <-ticker.C:
 		}
+		self, owns := n.describeOwner()
+		if !owns {
+			n.succession.Store(nil)
+			continue
+		}
 		now, pingers := bootclock.Now(), n.heartbeats.Pingers()
-		if n.Leaving() || n.currentOwner() == nil || now-lastAttempt < yieldRetryInterval ||
-			!ownership.ShouldHandOver(n.self.FailureDomain, n.processor.PerMille(), pingers, now) {
+		n.keepSuccession(self.Targets, pingers)
+		to, reason := checks.Next(now, n.self.FailureDomain, self, n.keeper.Candidates(now, pingers))
+		if reason == "" || n.Leaving() || now-lastAttempt < yieldRetryInterval {
 			continue
 		}
 		lastAttempt = now
-		n.log.Info("handing over to a VM with more processor", "group", n.group, "cpu_per_mille", n.processor.PerMille())
-		if err := n.keeper.HandOver(ctx, pingers, n.peerClient); err != nil {
-			n.log.Warn("handover to a stronger VM failed", "group", n.group, "error", err)
+		n.log.Info("handing over to a stronger VM", "group", n.group, "to", to.VM, "reason", reason, "cpu_per_mille", self.CPUShare,
+			"to_cpu_per_mille", to.CPUShare, "behind", self.Behind, "open_jobs", self.OpenJobs)
+		n.options.Count("handovers", string(reason))
+		if err := n.keeper.HandOver(ctx, []heartbeat.Pinger{to}, n.peerClient); err != nil {
+			n.log.Warn("handover to a stronger VM failed", "group", n.group, "to", to.VM, "error", err)
 		}
 	}
 }
+
+// describeOwner returns what the owner in this process knows of itself, if there is one.
+func (n *Node) describeOwner() (ownership.Owner, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.current == nil {
+		return ownership.Owner{}, false
+	}
+	return ownership.Owner{
+		CPUShare: n.processor.PerMille(), Limits: n.self.Limits,
+		OpenJobs: n.current.OpenJobs(), Behind: n.current.Behind(), Targets: int(n.current.targets.Load()),
+	}, true
+}
+
+// keepSuccession keeps what this VM, which owns the group, tells the others of their rank.
+func (n *Node) keepSuccession(targets int, pingers []heartbeat.Pinger) {
+	n.keeper.SetTargets(targets)
+	best, _ := ownership.ChooseSuccessor(n.self.FailureDomain, ownership.NeedsOf(targets), pingers)
+	n.succession.Store(&linkpb.Succession{CpuShare: best.CPUShare, Targets: int32(targets)})
+}
+
+// Succession implements heartbeat.Listener.
+func (n *Node) Succession() *linkpb.Succession { return n.succession.Load() }
+
+// ReceiveSuccession implements heartbeat.Listener.
+func (n *Node) ReceiveSuccession(owner uint64, succession *linkpb.Succession) {
+	n.keeper.ReceiveSuccession(owner, succession)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -85,6 +85,8 @@
 	settings platform.Settings
 	// processor measures this VM's share of a core.
 	processor *processor.Meter
+	// succession is what the owner in this process tells the other VMs of its failure domain.
+	succession atomic.Pointer[linkpb.Succession]
 	// lastSeed is the index of the seed that was asked last.
 	lastSeed int
 
@@ -99,6 +101,8 @@
 	*owner.Owner
 	claim  ownership.GroupClaim
 	cancel context.CancelFunc
+	// targets is the number of the owner's targets.
+	targets *atomic.Int64
 }
 
 // owner returns the owner, or nil for a nil group.
@@ -119,6 +123,7 @@
 		self: heartbeat.Self{
 			VM: s.VM, Incarnation: rand.Uint64(), FailureDomain: s.FailureDomain,
 			ControlAddress: s.ControlAddress, HeartbeatAddress: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)),
+			Limits: limitsOf(s),
 		},
 		group:      s.FailureDomain,
 		processor:  processor.NewMeter(s.CPUShare),
@@ -138,7 +143,7 @@
 	}
 	n.heartbeats = heartbeats
 	n.keeper = ownership.New(ownership.Options{
-		Self: n.self, Group: n.group, ClaimDelay: n.claimDelay, Log: o.Log, ClaimsChanged: n.claimsChanged,
+		Self: n.self, Group: n.group, CPUShare: n.processor.Share, Log: o.Log, ClaimsChanged: n.claimsChanged,
 		StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.claims), Count: o.Count,
 	}, n.store, heartbeats)
 	n.entry = entry.New(entry.Options{
@@ -221,7 +226,7 @@
 	for _, held := range claims {
 		owners = append(owners, heartbeat.Owner{
 			VM: held.Claim.GetVm(), Incarnation: held.Claim.GetLife(),
-			HeartbeatAddress: held.Claim.GetHeartbeat(), ControlAddress: held.Claim.GetControl(),
+			HeartbeatAddress: held.Claim.GetHeartbeat(), ControlAddress: held.Claim.GetControl(), SameGroup: held.Group == n.group,
 		})
 		if held.Group == n.group {
 			n.applyClaim(held)
@@ -295,11 +300,15 @@
 		}
 	}
 	router := n.newRouter()
-	options.SetTargetCount = router.SetTargets
+	targets := new(atomic.Int64)
+	options.SetTargetCount = func(count int) {
+		targets.Store(int64(count))
+		router.SetTargets(count)
+	}
 	o := owner.New(options, router, n.store)
 	n.goroutines.Go(func() error { router.Run(ctx); return nil })
 	n.goroutines.Go(func() error { return o.Run(ctx) })
-	return &ownedGroup{Owner: o, claim: held, cancel: cancel}
+	return &ownedGroup{Owner: o, claim: held, cancel: cancel, targets: targets}
 }
 
 // probeOwner checks in the background whether an owner's process has ended, and reports that to
@@ -441,12 +450,6 @@
 // CPUShare implements heartbeat.Listener.
 func (n *Node) CPUShare() int32 { return n.processor.PerMille() }
 
-// claimDelay is how much longer than usual this VM waits before it claims the group; it depends
-// on the VM's share of a core.
-func (n *Node) claimDelay() time.Duration {
-	return ownership.ClaimDelay(n.self.VM, n.processor.Share())
-}
-
 // Configuration implements platform.Dispatcher.
 func (n *Node) Configuration() (work.Configuration, bool) {
 	held := n.config.held.Load()
--- a/node/settings.go
+++ b/node/settings.go
@@ -4,6 +4,9 @@
 	"context"
 	"reflect"
 	"time"
+
+	"github.com/burdockward/burdockward/heartbeat"
+	"github.com/burdockward/burdockward/platform"
 )
 
 // settingsPollInterval is the time between two reads of the settings file, which may change
@@ -43,3 +46,8 @@
 	}
 	n.settings = s
 }
+
+// limitsOf returns the limits that the settings give this VM.
+func limitsOf(s platform.Settings) heartbeat.Limits {
+	return heartbeat.Limits{DeclaredCPUShare: int32(s.CPUShare * 1000), Sockets: int32(s.MaxSockets), LinkMbps: int32(s.LinkMbps)}
+}
--- a/owner/lag.go
+++ b/owner/lag.go
@@ -78,3 +78,6 @@
 	behind := o.lag.delay(bootclock.Now())
 	return behind, behind > shedThreshold
 }
+
+// Behind returns the delay of this owner's loop, or 0 if that is within the pauses of a processor quota.
+func (o *Owner) Behind() time.Duration { return o.lag.delay(bootclock.Now()) }
--- a/ownership/decide.go
+++ b/ownership/decide.go
@@ -1,7 +1,7 @@
 // Package ownership decides which VM owns a group of targets.
 //
-// Its inputs are the claims in the platform's store, the heartbeats of owners and the processor
-// share of this VM. Its outputs are the claims that it writes for this VM or, when this VM leaves,
+// Its inputs are the claims in the platform's store, the heartbeats of owners, and the processor share
+// and the limits of this VM and those that ping it. Its outputs are the claims that it writes for this VM or, when this VM leaves,
 // for a successor.
 //
 // A claim is a row that is written only if it hasn't changed since it was read. The version of
@@ -11,7 +11,6 @@
 package ownership
 
 import (
-	"hash/fnv"
 	"time"
 
 	"github.com/burdockward/burdockward/heartbeat"
@@ -78,6 +77,8 @@
 	// ClaimAge is how long this VM has known the claim in its present version or, without
 	// a claim, how long this VM has run.
 	ClaimAge time.Duration
+	// StrongerKnown means that the group has a clearly stronger VM by the claim.
+	StrongerKnown bool
 	// ClaimDelay is how long this VM waits beyond the usual time, so that the strongest VM
 	// claims first and the others see its claim.
 	ClaimDelay time.Duration
@@ -91,7 +92,7 @@
 	case o.Current.Claim.GetLife() == o.Incarnation:
 		// A claim that was handed over directly isn't in the store yet.
 		return o.Current.Claim.GetPassed() > 0
-	case o.Current.Claim.GetVm() == o.VM:
+	case o.Current.Claim.GetVm() == o.VM && !o.StrongerKnown:
 		// The owner is an earlier incarnation of this VM, which has ended.
 		return true
 	case o.OwnerDead:
@@ -100,71 +101,3 @@
 		return min(o.OwnerSilent, o.ClaimAge) >= heartbeat.SilenceTimeout+o.ClaimDelay
 	}
 }
-
-// Parameters of the claim delay.
-const (
-	// weakCPUShare is the share of a core below which a VM is too weak to own a fully grown
-	// failure domain, whose owner uses up to a fifth of a core on average.
-	weakCPUShare = 0.3
-	// weakClaimDelay lets any stronger VM claim first.
-	weakClaimDelay = 200 * time.Millisecond
-	// claimDelaySteps and claimDelayStep separate the claims of equally strong VMs by more
-	// than a write to the store takes.
-	claimDelaySteps = 8
-	claimDelayStep  = 15 * time.Millisecond
-)
-
-// ClaimDelay returns how long a VM delays its claims, derived from its share of a core and its
-// name.
-func ClaimDelay(vm string, cpuShare float64) time.Duration {
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(vm))
-	delay := time.Duration(hash.Sum32()%claimDelaySteps) * claimDelayStep
-	if cpuShare < weakCPUShare {
-		return weakClaimDelay + delay
-	}
-	return delay
-}
-
-// ChooseSuccessor returns the VM that takes over from a leaving owner: the strongest of the
-// failure domain. Among equals it is the one that started last, as the least likely one to leave
-// next.
-func ChooseSuccessor(domain string, pingers []heartbeat.Pinger) (heartbeat.Pinger, bool) {
-	var best heartbeat.Pinger
-	found := false
-	for _, p := range pingers {
-		if p.Leaving || p.FailureDomain != domain {
-			continue
-		}
-		if !found || isBetterSuccessor(p, best) {
-			best, found = p, true
-		}
-	}
-	return best, found
-}
-
-// handOverFactor is how many times an owner's share of a core another VM must have for the owner
-// to hand over to it without leaving itself.
-const handOverFactor = 2
-
-// minSuccessorAge is how long the pings of a VM must have come before an owner that isn't leaving
-// hands over to it. By then a VM that has just started has read the claims and the configuration.
-const minSuccessorAge = 250 * time.Millisecond
-
-// ShouldHandOver reports whether the best successor should own a group instead of its present
-// owner, whose share of a core is own.
-func ShouldHandOver(domain string, own int32, pingers []heartbeat.Pinger, now time.Duration) bool {
-	best, ok := ChooseSuccessor(domain, pingers)
-	return ok && best.CPUShare >= handOverFactor*own && now-best.FirstHeard >= minSuccessorAge
-}
-
-// isBetterSuccessor reports whether ChooseSuccessor prefers a to b.
-func isBetterSuccessor(a, b heartbeat.Pinger) bool {
-	if a.CPUShare != b.CPUShare {
-		return a.CPUShare > b.CPUShare
-	}
-	if a.FirstHeard != b.FirstHeard {
-		return a.FirstHeard > b.FirstHeard
-	}
-	return a.VM < b.VM
-}
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -52,9 +52,10 @@
 type Options struct {
 	Self  heartbeat.Self
 	Group string
-	// ClaimDelay returns how long this VM delays its claims; nil means no delay.
-	ClaimDelay func() time.Duration
-	Log        *slog.Logger
+	// CPUShare returns this VM's measured share of a core, on which the delay of its claims depends; nil
+	// means no delay.
+	CPUShare func() float64
+	Log      *slog.Logger
 	// ClaimsChanged is called with all claims after each change; it must not block.
 	ClaimsChanged func([]GroupClaim)
 	// StoreAnswered is called when the store has answered; it must not block, and may be nil.
@@ -83,16 +84,16 @@
 	lastAttempt time.Duration
 	// deadOwners holds the incarnations of owners whose processes have certainly ended.
 	deadOwners map[uint64]bool
+	// history holds the handovers of this VM's group, succession what its owner last reported.
+	history    *history
+	succession reportedSuccession
 }
 
 // New returns a keeper that claims nothing before it has read the claims.
 func New(o Options, store Store, peers Peers) *Keeper {
-	if o.ClaimDelay == nil {
-		o.ClaimDelay = func() time.Duration { return 0 }
-	}
 	return &Keeper{
 		options: o, store: store, peers: peers,
-		claims: map[string]GroupClaim{}, seenAt: map[string]time.Duration{}, rowGone: map[string]bool{}, deadOwners: map[uint64]bool{}, started: bootclock.Now(),
+		claims: map[string]GroupClaim{}, seenAt: map[string]time.Duration{}, rowGone: map[string]bool{}, deadOwners: map[uint64]bool{}, history: newHistory(), started: bootclock.Now(),
 	}
 }
 
@@ -228,11 +229,12 @@
 	if claim.Version > old.Version {
 		delete(k.rowGone, claim.Group)
 	}
+	k.claims[claim.Group] = claim
+	k.seenAt[claim.Group] = bootclock.Now()
 	if old.Claim.GetLife() != claim.Claim.GetLife() {
 		k.options.Count("owner_changes", claim.Group)
+		k.recordHandover(claim)
 	}
-	k.claims[claim.Group] = claim
-	k.seenAt[claim.Group] = bootclock.Now()
 	k.options.Log.Info("owner changed", "group", claim.Group, "owner", claim.Claim.GetVm(), "token", claim.Version,
 		"incarnation", strconv.FormatUint(claim.Claim.GetLife(), 16), "passed", claim.Claim.GetPassed())
 }
@@ -277,7 +279,7 @@
 // observe returns what is known of the group now. The caller holds the lock. An owner that was
 // never heard counts as silent since its claim was first seen.
 func (k *Keeper) observe(now time.Duration) Observation {
-	o := Observation{VM: k.options.Self.VM, Incarnation: k.options.Self.Incarnation, ClaimDelay: k.options.ClaimDelay(), ClaimAge: now - k.started}
+	o := Observation{VM: k.options.Self.VM, Incarnation: k.options.Self.Incarnation, ClaimDelay: k.claimDelay(), StrongerKnown: k.strongerKnown(), ClaimAge: now - k.started}
 	claim, ok := k.claims[k.options.Group]
 	if !ok {
 		return o
@@ -309,9 +311,6 @@
 	return nil
 }
 
-// ErrNoSuccessor means that no other VM of the failure domain is known.
-var ErrNoSuccessor = errors.New("no successor: no other VM of the failure domain sends heartbeats")
-
 // ErrClaimGone means that the store has no claim of the group. Another VM may have claimed before the
 // row was removed, so that nothing is known of the owner.
 var ErrClaimGone = errors.New("the claim's row is gone from the store: it is written again")
@@ -357,53 +356,6 @@
 	return &linkpb.Claim{
 		Vm: k.options.Self.VM, Life: k.options.Self.Incarnation,
 		Control: k.options.Self.ControlAddress, Heartbeat: k.options.Self.HeartbeatAddress,
+		StrongestShare: k.strongestKnown(),
 	}
 }
-
-// ClaimSender sends a claim directly to the VM that it makes the owner of a group.
-type ClaimSender interface {
-	HandOverClaim(ctx context.Context, address string, claim GroupClaim) error
-}
-
-// HandOver makes another VM the owner of the group, which this VM owns: through the store or,
-// while the store is away, by a direct message. Both are safe, because only this VM holds the
-// token that the targets accept, and so only this VM can give up the claim.
-func (k *Keeper) HandOver(ctx context.Context, pingers []heartbeat.Pinger, sender ClaimSender) error {
-	to, ok := ChooseSuccessor(k.options.Self.FailureDomain, pingers)
-	if !ok {
-		return ErrNoSuccessor
-	}
-	k.mu.Lock()
-	own, replaces := k.claims[k.options.Group], k.replacedRow()
-	k.mu.Unlock()
-	claim := &linkpb.Claim{
-		Vm: to.VM, Life: to.Incarnation, Control: to.ControlAddress, Heartbeat: to.HeartbeatAddress,
-		Former: &linkpb.Former{Life: k.options.Self.Incarnation, Control: k.options.Self.ControlAddress},
-	}
-	ctx, cancel := context.WithTimeout(ctx, handOverWriteTimeout)
-	defer cancel()
-	err := k.writeClaim(ctx, claim, replaces)
-	if err == nil || errors.Is(err, platform.ErrConflict) {
-		return err
-	}
-	k.options.Log.Warn("passing the claim on without the store", "group", k.options.Group, "to", to.VM, "error", err)
-	claim.Passed = own.Claim.GetPassed() + 1
-	handedOver := GroupClaim{Group: k.options.Group, Claim: claim, Version: own.Version}
-	// The claim is merged also if no answer came, because the successor may own the group.
-	err = sender.HandOverClaim(context.WithoutCancel(ctx), to.ControlAddress, handedOver)
-	k.noteClaimPassed(handedOver, err)
-	k.Merge([]GroupClaim{handedOver})
-	return err
-}
-
-// noteClaimPassed counts a claim that was handed over by message, and logs it if no answer came:
-// whether the other VM owns the group is not known then.
-func (k *Keeper) noteClaimPassed(claim GroupClaim, err error) {
-	result := "answered"
-	if err != nil {
-		result = "unanswered"
-		k.options.Log.Warn("claim passed on without an answer", "group", claim.Group, "owner", claim.Claim.GetVm(), "token", claim.Version,
-			"incarnation", strconv.FormatUint(claim.Claim.GetLife(), 16), "passed", claim.Claim.GetPassed(), "error", err)
-	}
-	k.options.Count("claims_passed", result)
-}
