Count the other work of an owner's process in its relay plan

A plan takes a fixed share of the owner's processor for calls to targets. It doesn't know what callers' requests, calls between VMs and decisions take, so an owner on a busy VM can be short of processor time while relays are available.

Weighed: a controller that moves targets while the process is above a limit (its measurement lags, so it would move too many), a model of each kind of other work (wrong whenever that work changes). The plan now takes the average usage of the process, which the operating system measures, subtracts the owner's own calls at the cost of a call, and leaves to calls what the rest leaves of 0.8 of the processor. On a slowed VM the usage is scaled by its speed. An unknown usage changes nothing.

In the test with 117 targets and 2000 calls a second, an owner with 0.8 of a core uses no relays at 0.4 of a core of other work, as before, and some at 0.5; at a steady load the plan changes once in 100 steps. Without the usage the plan uses no relays there. Not measured in a running deployment. The router's count of all calls counts polls more than once, as before, which makes a plan use relays rather early; own calls are counted once.

--- a/node/relays.go
+++ b/node/relays.go
@@ -17,7 +17,7 @@
 		Direct: n.targets,
 		Budget: func() relay.Budget {
 			s := n.options.Settings
-			return relay.Budget{CPU: n.processor.Share(), Sockets: s.MaxSockets, MemoryMB: s.MemoryMB}
+			return relay.Budget{CPU: n.processor.Share(), Used: n.processor.Used(), Sockets: s.MaxSockets, MemoryMB: s.MemoryMB}
 		},
 		Candidates: n.relayCandidates,
 		StoreAge:   func() time.Duration { return bootclock.Now() - time.Duration(n.storeReadTimes.registry.Load()) },
--- a/processor/processor.go
+++ b/processor/processor.go
@@ -3,7 +3,7 @@
 //
 // Its inputs are the share that the settings declare and the time that a fixed piece of work takes
 // at regular intervals. Its output is the declared share times the present speed, as a fraction
-// of the best speed seen. VMs use it to decide which of them owns targets. Until enough samples
+// of the best speed seen, and the processor time that the process uses. VMs use it to decide which of them owns targets. Until enough samples
 // were taken, and within the usual variation of speed, the VM counts as running at full speed.
 package processor
 
@@ -12,6 +12,8 @@
 	"hash/crc32"
 	"sync/atomic"
 	"time"
+
+	"github.com/burdockward/burdockward/bootclock"
 )
 
 // Parameters of the measurement.
@@ -76,6 +78,8 @@
 type Meter struct {
 	declared float64
 	share    atomic.Int64
+	// used is the average usage of the process, in thousandths of a core.
+	used atomic.Int64
 }
 
 // NewMeter returns a meter for a VM whose settings declare this share of a core.
@@ -96,9 +100,19 @@
 // Share returns the share of a core at the present speed.
 func (m *Meter) Share() float64 { return float64(m.share.Load()) / perMille }
 
+// Used returns the share of a core that the process uses, at the present speed: a slowed VM that uses all of its
+// declared share uses all that it has.
+func (m *Meter) Used() float64 {
+	if m.declared <= 0 {
+		return 0
+	}
+	return float64(m.used.Load()) / perMille * m.Share() / m.declared
+}
+
 // Run takes samples until the context ends.
 func (m *Meter) Run(ctx context.Context) {
 	var speed Speed
+	var usage Usage
 	data := make([]byte, sampleBytes)
 	ticker := time.NewTicker(sampleInterval)
 	defer ticker.Stop()
@@ -111,6 +125,10 @@
 			runSample(data)
 			speed.Add(time.Since(began))
 			m.setSpeed(speed.Fraction())
+			if spent, err := processTime(); err == nil {
+				usage.Add(bootclock.Now(), spent)
+				m.used.Store(int64(usage.Cores() * perMille))
+			}
 		}
 	}
 }
--- a/processor/processor_test.go
+++ b/processor/processor_test.go
@@ -53,3 +53,35 @@
 		must.Eq(t, 48, m.PerMille())
 	})
 }
+
+// The average follows what the process uses, and a clock that stands still doesn't change it.
+func TestUsageFollowsTheProcess(t *testing.T) {
+	var u Usage
+	now, spent := time.Second, time.Minute
+	add := func(elapsed time.Duration, cores float64) {
+		now += elapsed
+		spent += time.Duration(cores * float64(elapsed))
+		u.Add(now, spent)
+	}
+	add(0, 0)
+	must.Zero(t, u.Cores())
+	for range 30 {
+		add(100*time.Millisecond, 0.5)
+	}
+	must.Between(t, 0.49, u.Cores(), 0.51)
+	before := u.Cores()
+	add(0, 1)
+	must.Eq(t, before, u.Cores())
+	add(100*time.Millisecond, 1)
+	must.Between(t, before, u.Cores(), 0.61)
+}
+
+// A VM that is slowed down to a fifth and uses all of its declared share uses all that it has.
+func TestUsedFollowsTheSpeed(t *testing.T) {
+	m := NewMeter(0.8)
+	m.used.Store(800)
+	must.Between(t, 0.799, m.Used(), 0.801)
+	m.setSpeed(0.2)
+	must.Between(t, 0.159, m.Used(), 0.161)
+	must.Zero(t, NewMeter(0).Used())
+}
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -23,6 +23,8 @@
 type Budget struct {
 	// CPU is the VM's present share of a core.
 	CPU float64
+	// Used is what the process really uses of it, on average; 0 while that is unknown.
+	Used float64
 	// Sockets and MemoryMB are the limits of the process.
 	Sockets  int
 	MemoryMB int64
@@ -33,6 +35,8 @@
 	Targets int
 	// Calls is the number of orders and polls sent per second.
 	Calls float64
+	// OwnCalls is the number of those that the owner's process sends itself.
+	OwnCalls float64
 }
 
 // Costs of a target for the process that sends its orders, and the limits for them.
@@ -46,6 +50,9 @@
 	takeoverPollTime = 100 * time.Millisecond
 	// steadyCallShare is the share of a processor that calls may use in steady operation.
 	steadyCallShare = 0.3
+	// usableShare is the share of a processor up to which a process may use it: beyond that, work waits more
+	// than four times as long as it takes.
+	usableShare = 0.8
 	// socketsPerTarget covers a poll and a few simultaneous orders; targetSocketShare is the
 	// share of a process's sockets that may be used for targets.
 	socketsPerTarget  = 4
@@ -69,7 +76,18 @@
 // maxTargets returns how many targets a process can send orders to, limited by processor, sockets
 // or memory, whichever is exhausted first.
 func (b Budget) maxTargets(l Load) float64 {
-	return min(b.CPU/l.coresPerTarget(), targetSocketShare*float64(b.Sockets)/socketsPerTarget, targetMemoryShare*float64(b.MemoryMB)/megabytesPerTarget)
+	limit := min(b.CPU/l.coresPerTarget(), targetSocketShare*float64(b.Sockets)/socketsPerTarget, targetMemoryShare*float64(b.MemoryMB)/megabytesPerTarget)
+	if l.Calls > 0 && l.Targets > 0 {
+		limit = min(limit, b.coresForCalls(l)/(l.Calls/float64(l.Targets)*callCost.Seconds()))
+	}
+	return limit
+}
+
+// coresForCalls returns the processor capacity that is left for calls to targets, in cores: what all else that the
+// process does leaves, such as the requests of callers and the calls of other VMs.
+func (b Budget) coresForCalls(l Load) float64 {
+	others := max(b.Used-l.OwnCalls*callCost.Seconds(), 0)
+	return max(usableShare*b.CPU-others, 0)
 }
 
 // Parameters of plans.
--- a/relay/plan_test.go
+++ b/relay/plan_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/work"
 )
 
 // weak and strong are shares of a core that VMs have.
@@ -108,3 +110,55 @@
 	plan = plan.Next(time.Second+releaseDelay+1, budget(strong), load, vms(10, weak))
 	must.SliceEmpty(t, plan.Relays)
 }
+
+// An owner whose process is busy with other work has relays send what its processor doesn't suffice for. Its own calls
+// aren't other work, and an unknown usage changes nothing.
+func TestOtherWorkLeavesLessForTargets(t *testing.T) {
+	load := Load{Targets: 117, Calls: 2000, OwnCalls: 2000}
+	own := load.OwnCalls * callCost.Seconds()
+	for name, test := range map[string]struct {
+		cpu, used   float64
+		least, most int
+	}{
+		"unknown":              {strong, 0, 0, 0},
+		"its own calls":        {strong, own, 0, 0},
+		"some other work":      {strong, own + 0.4, 0, 0},
+		"much other work":      {strong, own + 0.5, 1, 5},
+		"more than it has":     {strong, own + strong, 4, 12},
+		"weak, no other work":  {weak, own, 2, 8},
+		"weak, its other work": {weak, own + weak, 6, 16},
+	} {
+		b := budget(test.cpu)
+		b.Used = test.used
+		plan := Plan{}.Next(0, b, load, vms(46, weak))
+		must.Between(t, test.least, len(plan.Relays), test.most, must.Sprint(name, " has ", len(plan.Relays)))
+	}
+}
+
+// When relays have taken over targets, the other work is the same as before, and the plan stays as it is.
+func TestPlanIsStableUnderOtherWork(t *testing.T) {
+	const others = 0.55
+	load := Load{Targets: 117, Calls: 2000, OwnCalls: 2000}
+	plan, changes := Plan{}, 0
+	for i := range 100 {
+		b := budget(strong)
+		b.Used = others + load.OwnCalls*callCost.Seconds()
+		next := plan.Next(time.Duration(i)*planInterval, b, load, vms(46, weak))
+		if !next.SameAssignment(plan) {
+			changes++
+		}
+		plan = next
+		load.OwnCalls = load.Calls * plan.OwnTargets / float64(load.Targets)
+	}
+	must.SliceNotEmpty(t, plan.Relays)
+	must.Eq(t, 1, changes)
+}
+
+// Orders and polls that the owner sends itself are counted apart from those that relays send.
+func TestOwnCallsAreCounted(t *testing.T) {
+	r := NewRouter(Options{Direct: &fakeTargets{}, StoreAge: func() time.Duration { return 0 }, Count: func(string, string) {}})
+	r.Start(t.Context(), address(1), work.StartOrder{}, 1)
+	r.Stop(t.Context(), address(1), work.RunID{}, 1)
+	r.Poll(t.Context(), address(1), 1, 0, 0, 0)
+	must.Eq(t, 3, r.ownCalls.Load())
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -63,6 +63,8 @@
 	options Options
 	// calls counts the orders and polls since the last plan.
 	calls atomic.Int64
+	// ownCalls counts those of them that this VM has sent itself.
+	ownCalls atomic.Int64
 	// targets is the number of the owner's targets.
 	targets atomic.Int64
 	// firstPolls has an item for each poll without a wait that is in progress from this VM.
@@ -103,7 +105,7 @@
 	defer r.close()
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
-	rate, last := 0.0, bootclock.Now()
+	rate, ownRate, last := 0.0, 0.0, bootclock.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -114,9 +116,10 @@
 		now := bootclock.Now()
 		if now-last >= planInterval/2 {
 			rate += rateWeight * (float64(r.calls.Swap(0))/(now-last).Seconds() - rate)
+			ownRate += rateWeight * (float64(r.ownCalls.Swap(0))/(now-last).Seconds() - ownRate)
 			last = now
 		}
-		r.replan(ctx, now, Load{Targets: int(r.targets.Load()), Calls: rate})
+		r.replan(ctx, now, Load{Targets: int(r.targets.Load()), Calls: rate, OwnCalls: ownRate})
 	}
 }
 
@@ -132,13 +135,15 @@
 		}
 	}
 	r.closeUnusedStreams(now)
-	next := r.plan.Next(now, r.options.Budget(), load, candidates)
+	own := r.options.Budget()
+	next := r.plan.Next(now, own, load, candidates)
 	if next.SameAssignment(r.plan) {
 		r.plan = next
 		return
 	}
 	if len(next.Relays) != len(r.plan.Relays) {
-		r.options.Log.Info("relays changed", "targets", load.Targets, "calls_per_s", int(load.Calls), "own", int(next.OwnTargets), "relays", len(next.Relays))
+		r.options.Log.Info("relays changed", "targets", load.Targets, "calls_per_s", int(load.Calls), "own", int(next.OwnTargets), "relays", len(next.Relays),
+			"cpu", own.CPU, "cpu_used", own.Used)
 	}
 	r.plan, r.coresPerTarget = next, load.coresPerTarget()
 	clear(r.routes)
@@ -202,19 +207,25 @@
 	return s
 }
 
+// direct returns what sends an order or a poll from this VM, and counts it.
+func (r *Router) direct() Targets {
+	r.ownCalls.Add(1)
+	return r.options.Direct
+}
+
 // Start implements Targets.
 func (r *Router) Start(ctx context.Context, to work.TargetAddress, order work.StartOrder, token int64) work.OrderAnswer {
 	s := r.usableStream(to.ID)
 	if s == nil || r.options.StoreAge() > maxStoreAge && s.storeAge() < r.options.StoreAge() {
 		r.options.Count("start_routes", "own")
-		return r.options.Direct.Start(ctx, to, order, token)
+		return r.direct().Start(ctx, to, order, token)
 	}
 	start := startToWire(order)
 	if order.SendBy != 0 {
 		sendBy, known := s.relayTime(bootclock.Now(), order.SendBy)
 		if !known {
 			r.options.Count("start_routes", "own, limited")
-			return r.options.Direct.Start(ctx, to, order, token)
+			return r.direct().Start(ctx, to, order, token)
 		}
 		start.Start.SendByUs = sendBy.Microseconds()
 	}
@@ -228,7 +239,7 @@
 func (r *Router) Stop(ctx context.Context, to work.TargetAddress, run work.RunID, token int64) work.OrderAnswer {
 	s := r.usableStream(to.ID)
 	if s == nil {
-		return r.options.Direct.Stop(ctx, to, run, token)
+		return r.direct().Stop(ctx, to, run, token)
 	}
 	return r.sendOrder(ctx, s, to, &linkpb.Carry{Token: token, What: &linkpb.Carry_Stop{Stop: &linkpb.CarryStop{Run: runToWire(run)}}})
 }
@@ -252,7 +263,7 @@
 		s = r.usableStream(to.ID)
 	}
 	if s == nil {
-		return r.options.Direct.Poll(ctx, to, token, until, seen, wait)
+		return r.direct().Poll(ctx, to, token, until, seen, wait)
 	}
 	answer := s.call(ctx, to, &linkpb.Carry{Token: token, What: &linkpb.Carry_Look{Look: &linkpb.CarryLook{
 		UntilMs: until, Seen: seen, WaitUs: wait.Microseconds(),
