--- a/lab/prepared/deployment.go
+++ b/lab/prepared/deployment.go
@@ -28,6 +28,16 @@
 	// CPUShare is the share of a core that the settings give each VM; 0 stands for
 	// defaultCPUShare.
 	CPUShare float64
+	// CPUShares are shares for the first VMs of each failure domain, in place of CPUShare.
+	CPUShares []float64
+}
+
+// cpuShare returns the share of a core of a VM of a failure domain.
+func (o Options) cpuShare(index int) float64 {
+	if index < len(o.CPUShares) {
+		return o.CPUShares[index]
+	}
+	return o.CPUShare
 }
 
 // defaultCPUShare is that of the smallest VM of the sites kasa and thapa.
@@ -120,7 +130,7 @@
 			}
 			d.VMs = append(d.VMs, &VM{
 				Name: fmt.Sprintf("vm-%d-%d", domain, i), Domain: domainName(domain),
-				IP: fmt.Sprintf("127.0.%d.%d", 10+domain, 1+i), dir: o.Dir, binary: o.Binary, storeAddress: store, StoreIP: storeIP, adviserAddress: d.adviserAddress,
+				IP: fmt.Sprintf("127.0.%d.%d", 10+domain, 1+i), dir: o.Dir, binary: o.Binary, storeAddress: store, StoreIP: storeIP, adviserAddress: d.adviserAddress, cpuShare: o.cpuShare(i),
 			})
 		}
 	}
@@ -131,7 +141,7 @@
 	}
 	for _, vm := range d.VMs {
 		vm.seeds = strings.Join(seeds[:min(3, len(seeds))], ",")
-		vm.domains, vm.cpuShare = o.Domains, o.CPUShare
+		vm.domains = o.Domains
 		if err := vm.Start(); err != nil {
 			return nil, err
 		}
