Hand over only a claim that this VM holds

HandOver took the newest known claim without checking whose it is. After a lost write or a conflict that claim may be another VM's: the next attempt of a planned stop then replaced a living owner's claim, or, while the store was away, passed the other owner's token on. After a message without an answer the next attempt could pass the same token to a second VM.

Weighed: checking in the node, which sees the claim later than the keeper does. The keeper now returns ErrNotOwner for another VM's claim. An unanswered message is repeated to the same VM with the same claim, which that VM ignores if it has it.

Before, both new tests failed: the handover succeeded. Now they pass, and so do the other tests of ownership and node.

--- a/node/leave.go
+++ b/node/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/burdockward/burdockward/bootclock"
@@ -55,7 +56,7 @@
 	}
 	for bootclock.Now()-began < handOverTimeout {
 		err := n.keeper.HandOver(ctx, n.heartbeats.Pingers(), n.peerClient)
-		if err == nil {
+		if err == nil || errors.Is(err, ownership.ErrNotOwner) {
 			return
 		}
 		n.log.Warn("handover failed", "group", n.group, "error", err)
--- a/ownership/pass.go
+++ b/ownership/pass.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 
 	"github.com/burdockward/burdockward/heartbeat"
@@ -13,6 +14,9 @@
 // ErrNoSuccessor means that no other VM of the failure domain is known.
 var ErrNoSuccessor = errors.New("no successor: no other VM of the failure domain sends heartbeats")
 
+// ErrNotOwner means that another VM holds the newest claim of the group.
+var ErrNotOwner = errors.New("not handed over: another VM has claimed the group, which needs no handover from this one")
+
 // ClaimSender sends a claim directly to the VM that it makes the owner of a group.
 type ClaimSender interface {
 	HandOverClaim(ctx context.Context, address string, claim GroupClaim) error
@@ -22,13 +26,21 @@
 // while the store is away, by a direct message. Both are safe, because only this VM holds the
 // token that the targets accept, and so only this VM can give up the claim.
 func (k *Keeper) HandOver(ctx context.Context, pingers []heartbeat.Pinger, sender ClaimSender) error {
-	to, ok := ChooseSuccessor(k.options.Self.FailureDomain, k.needs(), pingers)
-	if !ok {
-		return ErrNoSuccessor
-	}
 	k.mu.Lock()
 	own, replaces := k.claims[k.options.Group], k.replacedRow()
 	k.mu.Unlock()
+	passed := own.Claim.GetPassed() + 1
+	repeated := k.passedOn(own)
+	if repeated {
+		pingers, passed = only(pingers, own.Claim.GetLife()), own.Claim.GetPassed()
+	}
+	to, ok := ChooseSuccessor(k.options.Self.FailureDomain, k.needs(), pingers)
+	switch {
+	case !ok:
+		return ErrNoSuccessor
+	case own.Claim.GetLife() != k.options.Self.Incarnation && !repeated:
+		return ErrNotOwner
+	}
 	claim := &linkpb.Claim{
 		Vm: to.VM, Life: to.Incarnation, Control: to.ControlAddress, Heartbeat: to.HeartbeatAddress,
 		Former:         &linkpb.Former{Life: k.options.Self.Incarnation, Control: k.options.Self.ControlAddress},
@@ -41,7 +53,7 @@
 		return err
 	}
 	k.options.Log.Warn("passing the claim on without the store", "group", k.options.Group, "to", to.VM, "error", err)
-	claim.Passed = own.Claim.GetPassed() + 1
+	claim.Passed = passed
 	handedOver := GroupClaim{Group: k.options.Group, Claim: claim, Version: own.Version}
 	// The claim is merged also if no answer came, because the successor may own the group.
 	err = sender.HandOverClaim(context.WithoutCancel(ctx), to.ControlAddress, handedOver)
@@ -50,6 +62,17 @@
 	return err
 }
 
+// passedOn reports whether this VM passed a claim on by message. If no answer came, it may do so again, but only to
+// the same VM, which may hold the token by now.
+func (k *Keeper) passedOn(claim GroupClaim) bool {
+	return claim.Claim.GetPassed() > 0 && claim.Claim.GetFormer().GetLife() == k.options.Self.Incarnation
+}
+
+// only returns the VM with an incarnation, if it is among the given ones.
+func only(pingers []heartbeat.Pinger, incarnation uint64) []heartbeat.Pinger {
+	return slices.DeleteFunc(slices.Clone(pingers), func(p heartbeat.Pinger) bool { return p.Incarnation != incarnation })
+}
+
 // noteClaimPassed counts a claim that was handed over by message, and logs it if no answer came:
 // whether the other VM owns the group is not known then.
 func (k *Keeper) noteClaimPassed(claim GroupClaim, err error) {
