Delay no claims for limits that no VM meets

A VM whose limits don't suffice for the targets delays its claim by 320 ms, so that one whose limits suffice comes first. Where no VM has enough (for example 1024 descriptors and more than 206 targets, or a link that is narrower everywhere) every VM waited, and each takeover was 320 ms slower than before.

Weighed: a new field with the limits of the best VM. The owner now reports no targets in Succession if the limits of its best successor don't suffice for them; older readers of the field take that as no needs.

Before, in the new test, the claim was delayed by 320 ms more; now by as much as without limits. The tests of ownership and node pass.

--- a/node/leave.go
+++ b/node/leave.go
@@ -135,8 +135,7 @@
 // keepSuccession keeps what this VM, which owns the group, tells the others of their rank.
 func (n *Node) keepSuccession(targets int, pingers []heartbeat.Pinger) {
 	n.keeper.SetTargets(targets)
-	best, _ := ownership.ChooseSuccessor(n.self.FailureDomain, ownership.NeedsOf(targets), pingers)
-	n.succession.Store(&linkpb.Succession{CpuShare: best.CPUShare, Targets: int32(targets)})
+	n.succession.Store(ownership.SuccessionOf(n.self.FailureDomain, targets, pingers))
 }
 
 // Succession implements heartbeat.Listener.
--- a/ownership/pass_test.go
+++ b/ownership/pass_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -38,3 +39,16 @@
 	must.Eq(t, "w:1", sender.to)
 	must.Eq(t, 1, sender.claim.Claim.GetPassed())
 }
+
+// Where the limits of no VM suffice for the targets, takeovers are as fast as without limits.
+func TestLimitsThatNoVMMeetsDelayNoClaim(t *testing.T) {
+	few, enough := heartbeat.Limits{Sockets: 300}, heartbeat.Limits{Sockets: 3900}
+	pingers := []heartbeat.Pinger{{VM: "a", FailureDomain: "g", CPUShare: 800, Limits: few}, {VM: "b", FailureDomain: "g", CPUShare: 800, Limits: few}}
+	delay := func() time.Duration {
+		reported := SuccessionOf("g", 100, pingers)
+		return ClaimDelay("a", 0.8, few, Rank{Strongest: float64(reported.GetCpuShare()) / shareUnit, Needs: NeedsOf(int(reported.GetTargets()))})
+	}
+	must.Eq(t, ClaimDelay("a", 0.8, heartbeat.Limits{}, Rank{Strongest: 0.8}), delay())
+	pingers[1].Limits = enough
+	must.LessEq(t, delay(), fullDelay)
+}
--- a/ownership/succession.go
+++ b/ownership/succession.go
@@ -25,6 +25,17 @@
 	}
 }
 
+// SuccessionOf returns what an owner with a number of targets reports. It reports no targets where the limits of no
+// successor suffice for them: all VMs would delay their claims, and none would come first for it.
+func SuccessionOf(domain string, targets int, pingers []heartbeat.Pinger) *linkpb.Succession {
+	needs := NeedsOf(targets)
+	best, _ := ChooseSuccessor(domain, needs, pingers)
+	if !needs.MetBy(best.Limits) {
+		targets = 0
+	}
+	return &linkpb.Succession{CpuShare: best.CPUShare, Targets: int32(targets)}
+}
+
 // SetTargets tells the keeper of an owner's VM how many targets the owner has.
 func (k *Keeper) SetTargets(targets int) {
 	k.ReceiveSuccession(k.options.Self.Incarnation, &linkpb.Succession{Targets: int32(targets)})
