Use no relays for a few calls of a busy owner

Since the plan counts other work, an owner whose process uses 0.8 of its processor or more has no capacity for calls left. It then gives nearly all its targets to relays, also where the calls take hardly any of its processor: with 3 targets and 10 calls a second one relay, which saves 0.004 of the processor of a VM with 0.192 of a core.

Weighed: no plan by usage below a number of targets, which says nothing of their calls. Calls may now always use 0.05 of the processor.

Before, the new test found a relay at 3 and at 6 targets; now there is none. The other tests of relay pass unchanged.

--- a/relay/plan.go
+++ b/relay/plan.go
@@ -53,6 +53,9 @@
 	// usableShare is the share of a processor up to which a process may use it: beyond that, work waits more
 	// than four times as long as it takes.
 	usableShare = 0.8
+	// leastCallShare is the share of a processor that calls may always use: relays for fewer calls hardly relieve
+	// a process that is busy with other work.
+	leastCallShare = 0.05
 	// socketsPerTarget covers a poll and a few simultaneous orders; targetSocketShare is the
 	// share of a process's sockets that may be used for targets.
 	socketsPerTarget  = 4
@@ -87,7 +90,7 @@
 // process does leaves, such as the requests of callers and the calls of other VMs.
 func (b Budget) coresForCalls(l Load) float64 {
 	others := max(b.Used-l.OwnCalls*callCost.Seconds(), 0)
-	return max(usableShare*b.CPU-others, 0)
+	return max(usableShare*b.CPU-others, leastCallShare*b.CPU)
 }
 
 // Parameters of plans.
--- a/relay/plan_test.go
+++ b/relay/plan_test.go
@@ -135,6 +135,17 @@
 	}
 }
 
+// An owner whose process is busy with callers keeps a few targets with few calls to itself: relays wouldn't relieve it.
+func TestFewCallsNeedNoRelaysUnderOtherWork(t *testing.T) {
+	for _, load := range []Load{{Targets: 3, Calls: 10, OwnCalls: 10}, {Targets: 6, Calls: 100, OwnCalls: 100}} {
+		for _, used := range []float64{0.8, 1, 1.2} {
+			b := budget(weak)
+			b.Used = used * weak
+			must.SliceEmpty(t, Plan{}.Next(0, b, load, vms(5, weak)).Relays)
+		}
+	}
+}
+
 // When relays have taken over targets, the other work is the same as before, and the plan stays as it is.
 func TestPlanIsStableUnderOtherWork(t *testing.T) {
 	const others = 0.55
