Don't move a group through all VMs when load slows its owner

The history of handovers holds back the single VM that gave a group up or took it. If the load itself slows each owner (to 0.6 or 0.45 of its share), the owner hands over to the next VM that never had the group, and so on every 0.25 to 0.75 s.

Weighed: a pause of the whole group that doubles, which planned stops would lengthen too, and a reason for the handover in the claim. After two handovers within 10 s, only VMs with 1.25 times the owner's declared share are candidates; declared shares don't vary, so that the strongest VM of those that start still gets the group at once.

--- a/ownership/choice_test.go
+++ b/ownership/choice_test.go
@@ -282,7 +282,7 @@
 		}
 	}
 	own := w.vms[w.owner]
-	to, reason := w.checks.Next(now, "d", Owner{CPUShare: own.CPUShare, Limits: own.Limits, OpenJobs: jobs}, w.history.allowed(now, pingers))
+	to, reason := w.checks.Next(now, "d", Owner{CPUShare: own.CPUShare, Limits: own.Limits, OpenJobs: jobs}, w.history.candidates(now, own.Limits.DeclaredCPUShare, pingers))
 	if reason == "" {
 		return
 	}
@@ -343,3 +343,34 @@
 		must.Less(t, 25, len(w.handovers), must.Sprint(seed))
 	}
 }
+
+// A load that slows down whichever VM owns the group doesn't move it through all VMs.
+func TestLoadThatSlowsEachOwnerDoesNotMoveTheGroupOn(t *testing.T) {
+	for _, slowed := range []int32{480, 360} {
+		w := newChoiceWorld(rand.New(rand.NewPCG(1, 9)), 800, 800, 800, 800, 800, 800, 800, 800, 800, 800, 800)
+		for now := time.Duration(0); now < time.Minute; now += worldStep {
+			for i := range w.vms {
+				w.vms[i].CPUShare = 800
+			}
+			if w.owner >= 0 {
+				w.vms[w.owner].CPUShare = slowed
+			}
+			w.step(now, 1)
+		}
+		must.Between(t, 1, len(w.handovers), maxRecent*int(time.Minute/firstPause))
+	}
+}
+
+// After several handovers a VM with a larger declared share still gets the group at once.
+func TestStrongerVMDoesNotWaitAfterHandovers(t *testing.T) {
+	h := newHistory()
+	for giver := range uint64(maxRecent) {
+		h.record(0, giver+1, "v", false)
+	}
+	as := func(declared int32) heartbeat.Pinger {
+		return heartbeat.Pinger{Incarnation: 9, CPUShare: 800, Limits: heartbeat.Limits{DeclaredCPUShare: declared}}
+	}
+	must.SliceEmpty(t, h.candidates(time.Second, 480, []heartbeat.Pinger{as(480)}))
+	must.SliceLen(t, 1, h.candidates(time.Second, 480, []heartbeat.Pinger{as(800)}))
+	must.SliceLen(t, 1, h.candidates(firstPause, 480, []heartbeat.Pinger{as(480)}))
+}
--- a/ownership/history.go
+++ b/ownership/history.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/burdockward/burdockward/heartbeat"
@@ -12,6 +13,9 @@
 	// hand over to the same VM again. It doubles with each repetition up to maxPause.
 	firstPause = 10 * time.Second
 	maxPause   = 320 * time.Second
+	// maxRecent is the number of handovers within firstPause after which a slowed owner keeps the group: if the load
+	// itself slows each owner, further ones don't help.
+	maxRecent = 2
 	// historyRetention is how long a handover counts as one that is repeated.
 	historyRetention = 10 * time.Minute
 	// maxHistory bounds the VMs in the history.
@@ -57,6 +61,29 @@
 	return list
 }
 
+// candidates returns the VMs to which an owner with a declared share of a core may hand over now. After several
+// recent handovers these are only VMs with a clearly larger declared share.
+func (h *history) candidates(now time.Duration, declared int32, pingers []heartbeat.Pinger) []heartbeat.Pinger {
+	list := h.allowed(now, pingers)
+	if h.recent(now) < maxRecent {
+		return list
+	}
+	return slices.DeleteFunc(list, func(p heartbeat.Pinger) bool {
+		return float64(declaredShare(p.Limits, p.CPUShare)) < idleFactor*float64(declared)
+	})
+}
+
+// recent returns how many VMs handed the group over within firstPause.
+func (h *history) recent(now time.Duration) int {
+	count := 0
+	for _, r := range h.givers {
+		if now-r.at < firstPause {
+			count++
+		}
+	}
+	return count
+}
+
 // permits reports whether the pause after the last repetition is over.
 func (r repetition) permits(now time.Duration) bool {
 	if r.times == 0 {
--- a/ownership/succession.go
+++ b/ownership/succession.go
@@ -101,5 +101,5 @@
 func (k *Keeper) Candidates(now time.Duration, pingers []heartbeat.Pinger) []heartbeat.Pinger {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.history.allowed(now, pingers)
+	return k.history.candidates(now, k.options.Self.Limits.DeclaredCPUShare, pingers)
 }
