Place and admit jobs by the shares of profiles

Which queues lose jobs under overload follows from one sort key, and nothing bounds the loss of a queue whose jobs need several places, or places for long.

With profiles in force each pool has a ledger. It picks the profile whose next job is placed; within a profile the order stays. A job yields once its profile has its guarantee while another one is below its own. The forecast counts the waiting work of the job's own profile only, and the capacity that the profile can expect; the rate beyond that is the one of its own runs, as the pool's rate overestimated it 3.6 times for a profile of long tasks. Capacity and use count the targets that take tasks, so that a leaving target takes its runs along, and a successor counts runs as it adopts them. A lowered limit refuses the newest waiting jobs of its excess.

Weighed: charging whole jobs at a pick, which lets a wide job run past its guarantee; and counting the pool's open targets, whose number falls while targets are reserved for a gang, which a limit would then hold up for ever.

Without profiles no decision changes: a world with an empty version has the same trace as one without.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -131,7 +131,7 @@
 			return "the targets can't hold all tasks of a gang at once: ask for less"
 		}
 	}
-	return ""
+	return s.profileLimitReason(j)
 }
 
 // describeLoad describes how busy the targets are, for job histories.
@@ -153,6 +153,9 @@
 
 // forecastStart estimates how long a job waits for targets, and reports whether to accept it.
 func (s *State) forecastStart(now time.Duration, j *job) (time.Duration, bool) {
+	if j.pool.shares != nil {
+		return s.forecastByShares(now, j)
+	}
 	need := j.initialNeed()
 	free, rate := j.pool.supply(now, need.each)
 	if j.canDelegate() {
@@ -204,6 +207,9 @@
 	}
 	// The job itself is among the waiting ones that cpuAhead counts.
 	wait := drainTime(s.cpuAhead(j)-free-j.pool.arrivingCPU(need.each), rate*j.pool.shareLeft(now, Priorities))
+	if j.pool.shares != nil {
+		wait = s.waitByShares(now, j, need, s.profileCPUAhead(j), Priorities)
+	}
 	if wait <= j.usefulUntil-j.expectedRuntime()-now {
 		return
 	}
@@ -241,6 +247,7 @@
 	}
 	p.typicalCPU += typicalWeight * (cpu - p.typicalCPU)
 	p.decayDemand(now)
+	p.recordProfileDemand(now, j)
 	for _, st := range j.steps[:len(j.sub.Job.Steps)] {
 		p.demand[priorityOf(j.sub.Queue)] += float64(st.PerTask.CPU) * float64(st.Tasks) * st.expectedRuntime.Seconds()
 	}
--- a/scheduler/callers_world_test.go
+++ b/scheduler/callers_world_test.go
@@ -45,7 +45,7 @@
 		Job: work.Job{ID: c.id, Steps: []work.Step{{
 			Tasks: c.tasks, PerTask: work.Resources{CPU: 1}, DeclaredRunTime: time.Duration(w.longest/2) * ms,
 		}}},
-		Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 3, Stretch: 10, Allowance: 500 * ms},
+		Queue: work.Queue{Name: w.queueName(c), Service: "s", MaxAttempts: 3, Stretch: 10, Allowance: 500 * ms},
 	}
 }
 
--- a/scheduler/delegate.go
+++ b/scheduler/delegate.go
@@ -214,7 +214,7 @@
 
 // canTakePart reports whether a part of another owner's job can start here now or very soon.
 func (s *State) canTakePart(now time.Duration, j *job) bool {
-	return s.stoppingRuns[j.sub.Job.ID] == 0 && s.acceptableTasks(now, j.pool)[priorityOf(j.sub.Queue)] > 0
+	return s.stoppingRuns[j.sub.Job.ID] == 0 && s.isUnderLimit(j) && s.acceptableTasks(now, j.pool)[priorityOf(j.sub.Queue)] > 0
 }
 
 // partStartTimeout is how long a part may wait for its first target. It should start at once, and
--- a/scheduler/durable.go
+++ b/scheduler/durable.go
@@ -223,6 +223,7 @@
 // runs.
 func (s *State) drop(j *job) {
 	j.ended, j.dropped = true, true
+	s.noteWaiting(j)
 	delete(s.jobs, j.sub.Ref)
 	delete(s.jobsByKey, j.sub.key())
 	delete(s.recurringJobs, j)
--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/burdockward/burdockward/shares"
 	"github.com/burdockward/burdockward/work"
 )
 
@@ -18,13 +19,16 @@
 }
 
 // playOwnership plays one random history of faults.
-func playOwnership(rt *rapid.T, trace *worldTrace) {
+func playOwnership(rt *rapid.T, trace *worldTrace) { playOwnershipWith(rt, trace, nil) }
+
+// playOwnershipWith plays one random history of faults under profiles.
+func playOwnershipWith(rt *rapid.T, trace *worldTrace, profiles *shares.Profiles) {
 	share := func(name string) float64 { return float64(rapid.IntRange(0, 25).Draw(rt, name)) / 100 }
 	w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
 		lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: share("failing"),
 		broken: share("broken"),
 	})
-	w.trace = trace
+	w.trace, w.profiles = trace, profiles
 	w.longest = rapid.SampledFrom([]int{100, 800, 2500}).Draw(rt, "longest")
 	if rapid.Bool().Draw(rt, "lending") {
 		w.addOtherOwner(rapid.IntRange(1, 3).Draw(rt, "others"))
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -88,7 +88,7 @@
 	s.unreserveUnfit(st)
 	st.pending = slices.DeleteFunc(st.pending, func(tk *task) bool {
 		t := tk.reservedTarget
-		if t == nil || !s.canStart(now, t, j, st, tk) {
+		if t == nil || !s.mayStart(j, st.PerTask.CPU) || !s.canStart(now, t, j, st, tk) {
 			return false
 		}
 		s.startRun(now, t, tk, s.nextRunNumber(now, j.isDurable()))
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -14,6 +14,10 @@
 	sub      Submission
 	estimate *queueEstimate
 	pool     *pool
+	// account is that of its profile in pool.shares. notedWaiting is the processor of its waiting
+	// tasks that the account has.
+	account      int
+	notedWaiting int64
 	// objective is when the answer is due. latestStart is when the first task has to start to
 	// meet it. After usefulUntil the answer is worth nothing to the caller.
 	objective, latestStart, usefulUntil time.Duration
@@ -194,6 +198,7 @@
 		openTasks:     sub.Job.TaskCount() * sub.Job.Occurrences(),
 		failedTargets: map[string]bool{}, returned: returned,
 	}
+	s.assignAccount(j)
 	for occurrence := range sub.Job.Occurrences() {
 		for i, declared := range sub.Job.Steps {
 			j.addStep(occurrence, i, declared)
@@ -323,6 +328,7 @@
 	j.queued = true
 	at, _ := slices.BinarySearchFunc(s.waiting, j, compareJobs)
 	s.waiting = slices.Insert(s.waiting, at, j)
+	s.noteWaiting(j)
 }
 
 // compareJobs orders waiting jobs by their sort key.
@@ -348,6 +354,7 @@
 		return
 	}
 	j.ended, j.endedAt = true, now
+	s.noteWaiting(j)
 	delete(s.jobs, j.sub.Ref)
 	delete(s.jobsByKey, j.sub.key())
 	s.removeOpen(j)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -18,6 +18,10 @@
 		s.requireCordonConfirmation(now)
 	}
 	s.awaitsIncarnation = false
+	if s.hasShares() {
+		s.placeByShares(now)
+		return
+	}
 	failed := failedPlacements{}
 	remaining := s.waiting[:0]
 	reordered := false
@@ -85,7 +89,7 @@
 		return
 	}
 	for _, st := range j.currentSteps() {
-		if len(st.pending) == 0 || !j.isReady(st) {
+		if len(st.pending) == 0 || !j.isReady(st) || !s.mayStart(j, startCPU(st, len(st.pending))) {
 			continue
 		}
 		if st.Gang {
@@ -93,7 +97,7 @@
 		} else {
 			s.placeStep(now, j, st, failed)
 		}
-		if len(st.pending) > 0 {
+		if len(st.pending) > 0 && !s.isHeldBack(j) {
 			s.askAdviser(now, j, st)
 			if !s.awaitsIncarnation {
 				s.delegateStep(now, j, st)
@@ -118,7 +122,7 @@
 		s.startReservedSuspects(now, j, st)
 		st.sortSuspectsLast()
 	}
-	for len(st.pending) > 0 && !(unconstrained && failed.cannotFit(j.pool, st.PerTask)) {
+	for len(st.pending) > 0 && s.mayStart(j, st.PerTask.CPU) && !(unconstrained && failed.cannotFit(j.pool, st.PerTask)) {
 		if st.Lasting && !st.moveDueFirst(now) {
 			return
 		}
@@ -215,6 +219,7 @@
 	t.lease.until = max(t.lease.until, r.leaseUntil)
 	j.recordRun(now, "started", r, "")
 	r.resumeFrom, r.ticket = tk.savedState().value, tk.step.advice.ticketFor(t.ID)
+	s.chargeStart(r)
 	s.sendStart(now, r)
 }
 
@@ -238,6 +243,7 @@
 		r.releaseRate = float64(st.PerTask.CPU) / r.expectedMillis()
 	}
 	t.releaseRate += r.releaseRate
+	s.countRun(r)
 	t.countSharing(st, 1)
 	if st.runsOn != nil {
 		st.runsOn[t.ID]++
--- a/scheduler/place_bench_test.go
+++ b/scheduler/place_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/burdockward/burdockward/shares"
 	"github.com/burdockward/burdockward/work"
 )
 
@@ -12,16 +13,17 @@
 // completion, on nearly full targets that hold three tasks each.
 func BenchmarkTask(b *testing.B) {
 	for _, targets := range []int{16, 117, 1167} {
-		b.Run(fmt.Sprintf("places=%d", 3*targets), func(b *testing.B) { benchmarkTasks(b, targets) })
+		b.Run(fmt.Sprintf("places=%d", 3*targets), func(b *testing.B) { benchmarkTasks(b, targets, nil) })
 	}
 }
 
 const benchTasks = 8
 
-func benchmarkTasks(b *testing.B, targets int) {
+func benchmarkTasks(b *testing.B, targets int, profiles *shares.Profiles) {
 	s := New(Options{})
 	s.RegistryRead()
 	now := time.Second
+	s.SetProfiles(now, profiles)
 	for i := range targets {
 		id := fmt.Sprintf("t%05d", i)
 		s.TargetListed(now, work.Target{ID: id, Service: "s", Address: id, Capacity: work.Resources{CPU: 46000 + int64(i%7)*500}})
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -36,6 +36,8 @@
 	// reservedFor is the gang that targets are reserved for since reservedAt; nil for none.
 	reservedFor *step
 	reservedAt  time.Duration
+	// shares divides the targets' processor among the operator's profiles; nil without profiles.
+	shares *poolShares
 }
 
 // Sizes of the index of open targets.
@@ -75,6 +77,7 @@
 	if s.targets[t.ID] == t {
 		t.pool.insert(t)
 	}
+	s.syncShares(t)
 	s.checkPoll(t)
 }
 
--- a/scheduler/repeatable_world_test.go
+++ b/scheduler/repeatable_world_test.go
@@ -74,6 +74,7 @@
 		"beside a predecessor": {1075, func(rt *rapid.T, trace *worldTrace) { playCrashing(rt, false, trace) }},
 		"cordons":              {1, func(rt *rapid.T, trace *worldTrace) { playCordons(rt, trace) }},
 		"capacity":             {1, playCapacity},
+		"profiles":             {1, playProfiles},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 import (
 	"time"
 
+	"github.com/burdockward/burdockward/shares"
 	"github.com/burdockward/burdockward/work"
 )
 
@@ -118,9 +119,11 @@
 // for concurrent use.
 type State struct {
 	options Options
-	targets map[string]*target
-	pools   map[string]*pool
-	jobs    map[Ref]*job
+	// profiles are the operator's profiles; nil before the first.
+	profiles *shares.Profiles
+	targets  map[string]*target
+	pools    map[string]*pool
+	jobs     map[Ref]*job
 	// dirty holds the targets that changed since the last call of Effects.
 	dirty []*target
 	// jobsByKey holds the jobs that have not ended, by Submission.key.
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -25,7 +25,7 @@
 func (s *State) poolOf(service string) *pool {
 	p := s.pools[service]
 	if p == nil {
-		p = &pool{blocked: s.cordon.blocksStarts()}
+		p = &pool{blocked: s.cordon.blocksStarts(), shares: s.newPoolShares()}
 		s.pools[service] = p
 	}
 	return p
@@ -76,6 +76,10 @@
 	// poll it.
 	indexed indexEntry
 	dirty   bool
+	// sharesCounted says that its runs count in the shares of their profiles, and sharedCPU is its
+	// part of the capacity that is divided.
+	sharesCounted bool
+	sharedCPU     int64
 	// unknownRuns are runs whose owner or job is not known here; they are stopped.
 	unknownRuns map[work.RunID]*stopTry
 	// inheritedRuns are a previous owner's runs of durable jobs that are not read from the store
@@ -180,6 +184,8 @@
 	// adopted runs were started by a previous owner; ordered is then when this owner took them
 	// over.
 	adopted bool
+	// counted says that the run counts in the share of its profile.
+	counted bool
 	// releaseRate is the processor per millisecond that the run contributes to its target's.
 	releaseRate float64
 	// stop is set once the run was ordered to stop.
@@ -332,6 +338,7 @@
 func (s *State) releaseRun(r *run) {
 	t := r.target
 	r.endIsolation()
+	s.uncountRun(r)
 	delete(t.runs, r.Task)
 	t.free = t.free.Add(r.task.step.PerTask)
 	t.releaseRate -= r.releaseRate
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/burdockward/burdockward/shares"
 	"github.com/burdockward/burdockward/work"
 )
 
@@ -61,6 +62,8 @@
 	ticketRefusals int
 	// cordons is the operator's setting for the owners' failure domain; nil if the test has none.
 	cordons *fakeCordons
+	// profiles are the operator's profiles; nil if the test has none.
+	profiles *shares.Profiles
 	// lasting is set once a lasting job was submitted.
 	lasting bool
 	// poisonJobs are the jobs whose tasks crash their targets; crashed counts the targets that each
@@ -229,6 +232,9 @@
 		state: New(Options{AwaitCordon: w.cordons != nil, ConfirmClaims: true, RecordTargets: true}), token: w.token, refs: map[Ref]*caller{},
 		name: fmt.Sprintf("o%d", w.token), delegated: map[Part]*sentPart{},
 	}
+	if w.profiles != nil {
+		o.state.SetProfiles(w.now, w.profiles)
+	}
 	for _, id := range w.targetIDs() {
 		if t := w.targets[id]; !t.down && !t.ofOtherOwner && !t.unlisted {
 			o.state.ListedAtStart(id, t.listed().Incarnation)
@@ -334,6 +340,7 @@
 			w.reportCordon(o)
 		case StartRun:
 			w.checkCordon(o, e)
+			w.checkLimit(o, e)
 			w.checkOrderFits(o, e)
 			w.deliverOrder(o, e.To.ID, func(token int64) work.OrderAnswer { return w.targets[e.To.ID].start(token, e) },
 				func(a work.OrderAnswer) { o.state.HandleStartAnswer(w.now, e.To.ID, e.Run, a) })
