--- a/lab/replay/command.go
+++ b/lab/replay/command.go
@@ -4,13 +4,17 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/burdockward/burdockward/shares"
 )
 
 // Times of the burst and of the hung targets, from the first arrival.
@@ -31,26 +35,44 @@
 			&cli.FloatFlag{Name: "burst", Usage: "factor of the load during 6 of 30 s", Value: 1.5},
 			&cli.FloatFlag{Name: "hung", Usage: "share of targets that hang during 10 of 30 s, from 0 to 1", Value: 0.1},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the jobs and of the hung targets"},
+			&cli.StringMapFlag{Name: "guarantee", Usage: "guaranteed share of the capacity of a queue, from 0 to 1, as `QUEUE=SHARE`; each queue has a profile of its own"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			site, err := siteByName(cmd.String("site"))
 			if err != nil {
 				return err
 			}
+			profiles, err := profilesOf(cmd.StringMap("guarantee"))
+			if err != nil {
+				return err
+			}
 			if name := cmd.String("day"); name != "" {
 				at := slices.IndexFunc(Days, func(d Day) bool { return d.Name == name })
 				if at < 0 {
 					return fmt.Errorf("unknown day %q: choose one that rounds lists", name)
 				}
-				return comparePolicies(os.Stdout, Days[at].apply(site), cmd.Uint64("seed"))
+				return comparePolicies(os.Stdout, Days[at].apply(site), cmd.Uint64("seed"), profiles)
 			}
 			site.Bursts = []Burst{{From: burstFrom, To: burstTo, Factor: cmd.Float("burst")}}
 			site.Faults = []Fault{{From: hungFrom, To: hungTo, Share: cmd.Float("hung"), Hang: true}}
-			return comparePolicies(os.Stdout, site, cmd.Uint64("seed"))
+			return comparePolicies(os.Stdout, site, cmd.Uint64("seed"), profiles)
 		},
 	}
 }
 
+// profilesOf returns a profile for each queue with a guarantee.
+func profilesOf(guarantees map[string]string) ([]shares.Profile, error) {
+	all := shares.Profiles{Version: 1}
+	for _, queue := range slices.Sorted(maps.Keys(guarantees)) {
+		guarantee, err := strconv.ParseFloat(guarantees[queue], 64)
+		if err != nil {
+			return nil, fmt.Errorf("guarantee of queue %q: write a share from 0 to 1: %w", queue, err)
+		}
+		all.Profiles = append(all.Profiles, shares.Profile{Name: queue, Queues: []string{queue}, Guarantee: guarantee, Limit: 1, Weight: 1})
+	}
+	return all.Profiles, all.Check()
+}
+
 // siteByName returns the site that a flag names.
 func siteByName(name string) (Site, error) {
 	for _, site := range []Site{Kasa(), Thapa()} {
@@ -68,7 +90,7 @@
 
 // comparePolicies simulates a day under each policy. For each it writes a row for all jobs, for
 // each kind of request and for each failure domain.
-func comparePolicies(to io.Writer, site Site, seed uint64) error {
+func comparePolicies(to io.Writer, site Site, seed uint64, profiles []shares.Profile) error {
 	out := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(out, "policy\tof\tworth\ton time\tlate\trefused\tof them late\tfailed")
 	for _, p := range []struct {
@@ -76,7 +98,7 @@
 		options Options
 	}{
 		{"ideal", Options{OneOwner: true, Clairvoyant: true}},
-		{"burdockward", Options{}},
+		{"burdockward", Options{Profiles: profiles}},
 		{string(FIFO), Options{Policy: FIFO}},
 		{string(LeastOutstanding), Options{Policy: LeastOutstanding}},
 		{string(Random), Options{Policy: Random}},
--- a/lab/replay/cordons_losses.go
+++ b/lab/replay/cordons_losses.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/burdockward/burdockward/scheduler"
+	"github.com/burdockward/burdockward/shares"
 	"github.com/burdockward/burdockward/work"
 )
 
@@ -130,5 +131,9 @@
 
 // newState creates the scheduler of an owner's process.
 func (w *world) newState() *scheduler.State {
-	return scheduler.New(scheduler.Options{SendOnce: w.options.SendOnce})
+	state := scheduler.New(scheduler.Options{SendOnce: w.options.SendOnce})
+	if profiles := w.options.Profiles; len(profiles) > 0 {
+		state.SetProfiles(w.now, &shares.Profiles{Version: 1, Profiles: profiles})
+	}
+	return state
 }
--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/burdockward/burdockward/scheduler"
+	"github.com/burdockward/burdockward/shares"
 	"github.com/burdockward/burdockward/work"
 )
 
@@ -23,6 +24,8 @@
 	Clairvoyant bool
 	// SendOnce keeps owners from resending unanswered orders.
 	SendOnce bool
+	// Profiles are the operator's profiles; empty for none.
+	Profiles []shares.Profile
 	// Policy decides where tasks run; Owners stands for burdockward's own scheduler.
 	Policy Policy
 }
