Put the operator's profiles in force at all owners

Profiles are an operator's setting; owners need the newest valid version also where the store can't be reached.

It comes by the existing mirror of the table. Pings and Pongs carry the version in force, TablesReply the row, so that a VM fetches newer profiles from a peer within some 0.2 s of its heartbeat. An invalid row, an older version, a change without a new version and the removal of the row are reported once and leave the last valid profiles in force. An owner starts with the profiles of its VM. Unknown queues are logged.

VMs of older builds report version 0 and are not asked. Profiles that a build can't use are not fetched again, as it would ask five times a second.

--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -49,6 +49,8 @@
 	// PendingJobs counts this VM's durable jobs of which nothing has started, by queue.
 	PendingJobs() map[string]int32
 	ConfigurationVersion() int64
+	// ProfilesVersion is the version of the profiles in force; 0 before the first.
+	ProfilesVersion() int64
 	Leaving() bool
 	// CPUShare returns this VM's present share of a core, in thousandths.
 	CPUShare() int32
@@ -192,7 +194,7 @@
 // preparePings returns the pings to the owners that the predicate accepts, except this VM.
 func (s *Service) preparePings(matches func(incarnation uint64) bool) []outgoingPing {
 	version, leaving, share := s.listener.ConfigurationVersion(), s.listener.Leaving(), s.listener.CPUShare()
-	cordons := s.listener.Cordons()
+	cordons, profiles := s.listener.Cordons(), s.listener.ProfilesVersion()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	pings := make([]outgoingPing, 0, len(s.peers.views))
@@ -204,7 +206,7 @@
 			Vm: s.self.VM, Life: s.self.Incarnation, FailureDomain: s.self.FailureDomain,
 			Stamp: v.Timestamp, OwnerLife: incarnation, ConfigurationVersion: version,
 			CpuShare: share, Leaving: leaving, Control: s.self.ControlAddress, Heartbeat: s.self.HeartbeatAddress,
-			Cordons: cordons,
+			Cordons: cordons, ProfilesVersion: profiles,
 		}
 		setGivenUp(ping, s.peers.takeGivenUp(incarnation))
 		pings = append(pings, outgoingPing{address: v.HeartbeatAddress, ping: ping})
@@ -331,6 +333,6 @@
 		Vm: s.self.VM, Life: s.self.Incarnation, Stamp: int64(bootclock.Now()), Control: s.self.ControlAddress,
 		ConfigurationVersion: s.listener.ConfigurationVersion(), Loads: s.listener.Loads(),
 		Owned: s.listener.Claim(), Pending: s.listener.PendingJobs(),
-		Cordons: s.listener.Cordons(),
+		Cordons: s.listener.Cordons(), ProfilesVersion: s.listener.ProfilesVersion(),
 	})
 }
--- a/heartbeat/peertable.go
+++ b/heartbeat/peertable.go
@@ -56,8 +56,8 @@
 	LastHeard time.Duration
 	// Alive ends when the owner has been silent for SilenceTimeout.
 	Alive context.Context
-	// ConfigurationVersion is the version in force at the owner.
-	ConfigurationVersion int64
+	// ConfigurationVersion and ProfilesVersion are the versions in force at the owner.
+	ConfigurationVersion, ProfilesVersion int64
 }
 
 // Pinger is an entry VM as its pings describe it.
@@ -70,6 +70,7 @@
 	CPUShare             int32
 	Leaving              bool
 	ConfigurationVersion int64
+	ProfilesVersion      int64
 	// FirstHeard and LastHeard are when the first and the newest ping arrived.
 	FirstHeard, LastHeard time.Duration
 }
@@ -157,7 +158,7 @@
 	v.LastHeard = now
 	v.Loads = pong.GetLoads()
 	v.PendingJobs = pong.GetPending()
-	v.ConfigurationVersion = pong.GetConfigurationVersion()
+	v.ConfigurationVersion, v.ProfilesVersion = pong.GetConfigurationVersion(), pong.GetProfilesVersion()
 	return gap
 }
 
@@ -238,7 +239,7 @@
 	p.FailureDomain = ping.GetFailureDomain()
 	p.ControlAddress, p.HeartbeatAddress = ping.GetControl(), ping.GetHeartbeat()
 	p.CPUShare, p.Leaving = ping.GetCpuShare(), ping.GetLeaving()
-	p.ConfigurationVersion = ping.GetConfigurationVersion()
+	p.ConfigurationVersion, p.ProfilesVersion = ping.GetConfigurationVersion(), ping.GetProfilesVersion()
 	p.LastHeard = now
 	return gap
 }
--- a/heartbeat/peertable_test.go
+++ b/heartbeat/peertable_test.go
@@ -131,6 +131,7 @@
 func (silentListener) ReceiveKeepalive(string, time.Duration, []GivenUp) {}
 func (silentListener) Loads() []*linkpb.Load                             { return nil }
 func (silentListener) ConfigurationVersion() int64                       { return 0 }
+func (silentListener) ProfilesVersion() int64                            { return 0 }
 func (silentListener) PendingJobs() map[string]int32                     { return nil }
 
 func (silentListener) Leaving() bool                             { return false }
--- a/link/link.go
+++ b/link/link.go
@@ -63,7 +63,9 @@
 type Tables struct {
 	// Configuration is encoded as in the store; empty before the first.
 	Configuration []byte
-	Claims        []ownership.GroupClaim
+	// Profiles are the operator's profiles, encoded as in the store; empty before the first.
+	Profiles []byte
+	Claims   []ownership.GroupClaim
 	// StoreClock is the VM's estimate of the store's clock; 0 while it has none.
 	StoreClock time.Duration
 	Cordons    cordon.View
@@ -135,7 +137,7 @@
 // Tables implements linkpb.Fleet.
 func (s server) Tables(context.Context, *linkpb.TablesRequest) (*linkpb.TablesReply, error) {
 	tables := s.handler.Tables()
-	reply := &linkpb.TablesReply{Configuration: tables.Configuration, StoreClockUs: micros(tables.StoreClock), Cordons: tables.Cordons.ToWire()}
+	reply := &linkpb.TablesReply{Configuration: tables.Configuration, Profiles: tables.Profiles, StoreClockUs: micros(tables.StoreClock), Cordons: tables.Cordons.ToWire()}
 	for _, held := range tables.Claims {
 		reply.Owners = append(reply.Owners, held.ToWire())
 	}
@@ -297,7 +299,7 @@
 	if err != nil {
 		return Tables{}, err
 	}
-	tables := Tables{Configuration: reply.GetConfiguration(), StoreClock: duration(reply.GetStoreClockUs()), Cordons: cordon.FromWire(reply.GetCordons())}
+	tables := Tables{Configuration: reply.GetConfiguration(), Profiles: reply.GetProfiles(), StoreClock: duration(reply.GetStoreClockUs()), Cordons: cordon.FromWire(reply.GetCordons())}
 	for _, owned := range reply.GetOwners() {
 		tables.Claims = append(tables.Claims, ownership.FromWire(owned))
 	}
--- a/node/calls.go
+++ b/node/calls.go
@@ -143,5 +143,6 @@
 	if held := p.node.config.held.Load(); held != nil {
 		tables.Configuration = held.raw
 	}
+	_, tables.Profiles = p.node.profiles.inForce()
 	return tables
 }
--- a/node/node.go
+++ b/node/node.go
@@ -71,6 +71,7 @@
 	entry          *entry.Entry
 	config         configuration
 	cordons        cordons
+	profiles       profiles
 	servers        servers
 	storeReadTimes storeReadTimes
 	leaving        atomic.Bool
@@ -85,6 +86,9 @@
 	settings platform.Settings
 	// processor measures this VM's share of a core.
 	processor *processor.Meter
+	// unusableProfiles is the version of a peer's profiles that this build can't use; only pollPeers
+	// uses it.
+	unusableProfiles int64
 	// lastSeed is the index of the seed that was asked last.
 	lastSeed int
 
@@ -128,6 +132,7 @@
 	}
 	n.peerClient.Log = o.Log
 	n.cordons.init(n)
+	n.profiles = profiles{log: o.Log, count: o.Count, changed: n.profilesChanged}
 	n.store = platform.NewStore(s.StoreAddress, platform.StoreEvents{Called: o.recordStoreCall, Clock: n.storeClock.setFromStore, Unreadable: o.reportUnreadableRow})
 	if s.AdvisorAddress != "" {
 		n.adviser = platform.NewAdvisor(s.AdvisorAddress)
@@ -211,7 +216,12 @@
 func (n *Node) applyOperatorRows(update mirror.Update) {
 	// The cordons come first, so that a VM that has a configuration also knows the cordons.
 	n.cordons.applyUpdate(update)
+	before := n.config.version()
 	n.config.applyUpdate(update)
+	if n.config.version() != before {
+		n.reportUnknownQueues(n.profilesInForce())
+	}
+	n.profiles.applyUpdate(update)
 }
 
 // claimsChanged takes all claims after a change: it sets the owners to ping and starts or ends the
@@ -277,7 +287,7 @@
 		},
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.registry),
 		Delegate: n.delegate, NeedsCapacity: n.heartbeats.RequestLoads, StoreClock: n.storeClock.nowIfKnown,
-		HasEnded: n.newEndedCheck(), Cordons: n.cordons.board.View, ConfirmCordons: n.confirmCordons, ConfirmClaim: n.keeper.ConfirmOwnership,
+		HasEnded: n.newEndedCheck(), Cordons: n.cordons.board.View, ConfirmCordons: n.confirmCordons, Profiles: n.profilesInForce, ConfirmClaim: n.keeper.ConfirmOwnership,
 		Jobs: jobstore.New(jobstore.Options{
 			Group: held.Group, VM: n.self.VM, Incarnation: n.self.Incarnation, Retention: n.options.Settings.JobRetention, Log: n.log, Count: n.options.Count, Clock: n.storeClock.now,
 		}, n.store),
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -27,6 +27,7 @@
 	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/ring"
 	"github.com/burdockward/burdockward/scheduler"
+	"github.com/burdockward/burdockward/shares"
 	"github.com/burdockward/burdockward/work"
 )
 
@@ -97,6 +98,9 @@
 	// ConfirmCordons reads them from the store. Both are nil if there are no cordons.
 	Cordons        func() cordon.View
 	ConfirmCordons func(ctx context.Context) (cordon.View, error)
+	// Profiles returns the operator's profiles as far as this VM knows them; nil before the first. It
+	// may be nil.
+	Profiles func() *shares.Profiles
 	// ConfirmClaim asks the store whether the claim is still this owner's; with nil, targets
 	// are used without asking.
 	ConfirmClaim func(ctx context.Context) (bool, error)
@@ -146,6 +150,7 @@
 	lag         lag
 	// cordonsVersion is the version of the newest view of cordons.
 	cordonsVersion int64
+	profiles       profiles
 	// loadsAt is when the loads were last published.
 	loadsAt time.Duration
 	// statusAt is when the status was last logged.
@@ -217,6 +222,9 @@
 	if o.options.Cordons != nil {
 		o.UpdateCordons(ctx, o.options.Cordons())
 	}
+	if o.options.Profiles != nil {
+		o.UpdateProfiles(ctx, o.options.Profiles())
+	}
 	if o.options.AskPredecessor != nil {
 		g.Go(func() error { o.takeOverTargets(ctx); return nil })
 	}
--- a/owner/status.go
+++ b/owner/status.go
@@ -31,6 +31,7 @@
 	} {
 		o.options.Gauge(what, float64(value))
 	}
+	o.publishProfiles()
 }
 
 // cordonedValue returns the gauge's value: 1 while nothing may be started on the targets.
--- a/shares/ledger.go
+++ b/shares/ledger.go
@@ -6,7 +6,7 @@
 )
 
 // RestName names the account of the queues in no profile.
-const RestName = "(rest)"
+const RestName = "rest"
 
 // Band ranks profiles by whether they are below their guarantee.
 type Band int
--- a/shares/profile.go
+++ b/shares/profile.go
@@ -13,6 +13,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/zeebo/errs/v2"
 )
@@ -62,8 +63,8 @@
 	}
 	names, owners, total := map[string]bool{}, map[string]string{}, 0.0
 	for _, profile := range p.Profiles {
-		if profile.Name == "" || names[profile.Name] {
-			return ErrName.Errorf("%q is empty or given twice: give each profile a name of its own", profile.Name)
+		if !isValidName(profile.Name) || names[profile.Name] {
+			return ErrName.Errorf("%q: give each profile a name of its own of 1 to %d lower-case letters, digits, '-' and '_', but not %q", profile.Name, maxName, RestName)
 		}
 		names[profile.Name] = true
 		if err := profile.checkShares(); err != nil {
@@ -83,6 +84,14 @@
 	return nil
 }
 
+// maxName is the longest name of a profile, in bytes. Names are parts of names of metrics.
+const maxName = 63
+
+func isValidName(name string) bool {
+	isOther := func(r rune) bool { return !(r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || r == '-' || r == '_') }
+	return name != "" && len(name) <= maxName && name != RestName && !strings.ContainsFunc(name, isOther)
+}
+
 // checkShares returns the first fault of a profile's guarantee, limit and weight.
 func (p Profile) checkShares() error {
 	switch {
--- a/shares/shares_test.go
+++ b/shares/shares_test.go
@@ -184,8 +184,10 @@
 	}{
 		"version is 0":        {ErrVersion, Profiles{Profiles: []Profile{valid}}},
 		"at most 128":         {ErrTooManyProfiles, Profiles{1, make([]Profile, MaxProfiles+1)}},
-		`"a" is empty or gi`:  {ErrName, Profiles{1, []Profile{valid, with(func(p *Profile) { p.Queues = nil })}}},
-		`"" is empty`:         {ErrName, Profiles{1, []Profile{{Limit: 1, Weight: 1}}}},
+		`"a": give each`:      {ErrName, Profiles{1, []Profile{valid, with(func(p *Profile) { p.Queues = nil })}}},
+		`"": give each`:       {ErrName, Profiles{1, []Profile{{Limit: 1, Weight: 1}}}},
+		`"rest": give each`:   {ErrName, Profiles{1, []Profile{{Name: RestName, Limit: 1, Weight: 1}}}},
+		`"A b": give each`:    {ErrName, Profiles{1, []Profile{{Name: "A b", Limit: 1, Weight: 1}}}},
 		"guarantee -0.1":      {ErrShare, Profiles{1, []Profile{with(func(p *Profile) { p.Guarantee = -0.1 })}}},
 		"limit 1.5":           {ErrShare, Profiles{1, []Profile{with(func(p *Profile) { p.Limit = 1.5 })}}},
 		"guarantee NaN":       {ErrShare, Profiles{1, []Profile{with(func(p *Profile) { p.Guarantee = math.NaN() })}}},
