Hold a target for large tasks of guaranteed profiles

A profile below its guarantee goes first, but where its tasks are larger than those of others each place that becomes free goes to a smaller task, and it may wait without end.

After 30 ms the emptiest target that could run such a task is reserved for it, by the same reservation as for latency-sensitive steps: one target a profile, for a second at most. Weighed: holding all starts of profiles above their guarantee, which leaves every target partly idle. A target that is removed ends its hold; the reservation of a latency-sensitive step does not end so, which is left as it is since decisions without profiles must not change.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -98,6 +98,7 @@
 			s.placeStep(now, j, st, failed)
 		}
 		if len(st.pending) > 0 && !s.isHeldBack(j) {
+			s.holdTarget(now, j, st)
 			s.askAdviser(now, j, st)
 			if !s.awaitsIncarnation {
 				s.delegateStep(now, j, st)
@@ -117,7 +118,7 @@
 
 // placeStep starts tasks of a step until one fits no target.
 func (s *State) placeStep(now time.Duration, j *job, st *step, failed *failedPlacements) {
-	unconstrained := st.RequiredLabel == "" && st.runsOn == nil && st.advice == nil && !st.Background && !st.LatencySensitive && !s.awaitsRecords(j)
+	unconstrained := st.RequiredLabel == "" && st.runsOn == nil && st.advice == nil && !st.Background && !st.LatencySensitive && st.evictionTarget == nil && !s.awaitsRecords(j)
 	if st.hasSuspects {
 		s.startReservedSuspects(now, j, st)
 		st.sortSuspectsLast()
--- a/scheduler/profiles.go
+++ b/scheduler/profiles.go
@@ -27,6 +27,8 @@
 	// free per millisecond.
 	demand      []demandMeter
 	releaseRate []float64
+	// holds has the target that is held for each account.
+	holds []hold
 }
 
 // SetProfiles puts profiles in force; nil and empty ones switch the shares off. The processor that
@@ -34,8 +36,9 @@
 func (s *State) SetProfiles(now time.Duration, p *shares.Profiles) {
 	before := s.profiles
 	s.profiles = p
-	for _, pool := range s.pools {
-		pool.shares = s.newPoolShares()
+	for _, service := range slices.Sorted(maps.Keys(s.pools)) {
+		s.endHolds(s.pools[service])
+		s.pools[service].shares = s.newPoolShares()
 	}
 	for _, j := range s.jobs {
 		s.assignAccount(j)
@@ -65,7 +68,7 @@
 	l := shares.NewLedger(s.profiles.Profiles)
 	return &poolShares{
 		Ledger: l, waiting: make([][]*job, l.Accounts()), heldBack: make([]bool, l.Accounts()), demand: make([]demandMeter, l.Accounts()),
-		releaseRate: make([]float64, l.Accounts()),
+		releaseRate: make([]float64, l.Accounts()), holds: make([]hold, l.Accounts()),
 	}
 }
 
--- a/scheduler/profiles_test.go
+++ b/scheduler/profiles_test.go
@@ -194,6 +194,68 @@
 	must.Eq(t, map[string]int{"tills": 2, "other": 2}, b.startedQueues())
 }
 
+// A profile below its guarantee gets a place for a large task, although smaller tasks of others fit into
+// each place that becomes free.
+func TestLargeTaskOfGuaranteedProfileGetsPlace(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "tills", Guarantee: 0.5, Limit: 1})
+	b.addUsableTarget("a", 4)
+	b.addUsableTarget("b", 4)
+	b.submitTo("other", 4, 2)
+	must.Eq(t, map[string]int{"other": 4}, b.startedQueues())
+	b.submitTo("tills", 1, 4)
+	for range 6 {
+		b.submitWith("other", 2, 2, 10*time.Second)
+	}
+	b.effects()
+	b.advance(2 * holdDelay)
+	started := map[string]int{}
+	for range 3 {
+		for _, target := range []string{"a", "b"} {
+			b.endRuns(target, "other", 1)
+			for queue, n := range b.startedQueues() {
+				started[queue] += n
+			}
+		}
+	}
+	must.Eq(t, 1, started["tills"])
+	must.Greater(t, 2, started["other"], must.Sprint("the other target isn't held"))
+}
+
+// A hold ends with its target, and after a while where the target's runs last.
+func TestHoldEnds(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "tills", Guarantee: 0.5, Limit: 1})
+	b.addUsableTarget("a", 4)
+	b.addUsableTarget("b", 4)
+	b.submitWith("other", 4, 2, 10*time.Second)
+	b.effects()
+	b.submitWith("tills", 1, 4, 10*time.Second)
+	b.advance(2 * holdDelay)
+	held := func() (ids []string) {
+		for _, target := range b.s.sortedTargets() {
+			if target.reservedFor != nil {
+				ids = append(ids, target.ID)
+			}
+		}
+		return ids
+	}
+	must.SliceLen(t, 1, held())
+	st := b.s.targets[held()[0]].reservedFor
+	b.s.loseTarget(b.now, b.s.targets[held()[0]], "gone")
+	must.Nil(t, st.evictionTarget)
+	b.advance(40 * ms)
+	must.SliceLen(t, 1, held())
+	b.s.expireHold(b.now+holdTimeout, &b.s.pools["s"].shares.holds[0])
+	must.SliceEmpty(t, held())
+	b.s.holdTarget(b.now+holdTimeout, st.job, st)
+	must.SliceEmpty(t, held())
+	b.s.holdTarget(b.now+2*holdTimeout, st.job, st)
+	must.SliceLen(t, 1, held())
+	b.s.SetProfiles(b.now, &shares.Profiles{Version: 9})
+	must.SliceEmpty(t, held())
+}
+
 // BenchmarkTaskWithProfiles measures the same decisions as BenchmarkTask under as many profiles as are
 // allowed.
 func BenchmarkTaskWithProfiles(b *testing.B) {
--- a/scheduler/profiles_world_test.go
+++ b/scheduler/profiles_world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -64,6 +65,9 @@
 					continue
 				}
 				capacity += t.Capacity.CPU
+				if st := t.reservedFor; st != nil && !st.Gang && !slices.ContainsFunc(p.shares.holds, func(h hold) bool { return h.st == st }) {
+					w.violations = append(w.violations, fmt.Sprintf("%v: %s is reserved without a hold", w.now, t.ID))
+				}
 				for _, r := range t.runs {
 					used[p.shares.AccountOf(r.task.job.sub.Queue.Name)] += r.task.step.PerTask.CPU
 				}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -337,6 +337,7 @@
 	s.expirePredecessors(now)
 	s.checkClaim(now)
 	s.retryAwaitingClaim(now)
+	s.expireHolds(now)
 	for _, p := range s.pools {
 		p.medianSpeed = p.computeMedianSpeed()
 	}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -304,6 +304,7 @@
 		s.unreserveForSuspect(t.isolated)
 	}
 	delete(s.targets, t.ID)
+	s.endHoldOf(t)
 	s.forgetTarget(t)
 	s.awaitWholeList(t, false)
 	s.markChanged(t)
