Count all refusals by profile, and test the forecast at a limit

Jobs that are refused late, or that a limit never lets start, were not counted by profile. Nothing showed that the forecast at a limit takes the rate of the profile's own runs.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -215,6 +215,7 @@
 	}
 	outcome := j.giveUpOutcome("late, and too much work goes first")
 	outcome.RetryAfter = wait
+	s.countProfileRefusal(j)
 	s.finish(now, j, outcome)
 }
 
--- a/scheduler/profiles.go
+++ b/scheduler/profiles.go
@@ -224,6 +224,7 @@
 	}
 	for _, st := range j.steps[:len(j.sub.Job.Steps)] {
 		if startCPU(st, len(st.members)) > sh.Limit(j.account, sh.capacity) && !j.pool.hasUnusableTargets() {
+			s.countProfileRefusal(j)
 			return "the limit of profile " + sh.Name(j.account) + " is below one of its tasks: ask for less, or raise the limit"
 		}
 	}
--- a/scheduler/profiles_test.go
+++ b/scheduler/profiles_test.go
@@ -165,6 +165,27 @@
 	must.SliceContains(t, pickEffects[Count](effects), Count{"profile_refused", "tills"})
 }
 
+// A profile at its limit gets what its own long runs free, however fast those of others end.
+func TestForecastAtLimitFollowsOwnRuns(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "batch", Limit: 0.2})
+	b.addUsableTarget("a", 10)
+	submit := func(queue string, tasks int, runs, allowance time.Duration) {
+		b.ref++
+		b.s.Submit(b.now, Submission{
+			Ref: b.ref, Job: work.Job{ID: fmt.Sprint(b.ref), Steps: []work.Step{{Tasks: tasks, PerTask: work.Resources{CPU: 1}, DeclaredRunTime: runs}}},
+			Queue: work.Queue{Name: queue, Service: "s", MaxAttempts: 2, Stretch: 1, Allowance: allowance},
+		})
+	}
+	submit("batch", 2, 2*time.Second, time.Second)
+	submit("other", 7, 10*ms, time.Second)
+	must.Eq(t, map[string]int{"batch": 2, "other": 7}, b.startedQueues())
+	submit("batch", 1, 2*time.Second, 300*ms)
+	answers := pickEffects[Answer](b.effects())
+	must.SliceLen(t, 1, answers)
+	must.Between(t, 500*ms, answers[0].Outcome.RetryAfter, 2*time.Second)
+}
+
 // A successor counts the runs that it continues: the profile is at its limit at once.
 func TestSuccessorCountsContinuedRuns(t *testing.T) {
 	b := newHarness(t, Options{})
