Complete the guards of profiles

The mutant of a forecast that counts waiting work of other profiles survived, as the other jobs of its test were less urgent, and one mutant did not build. The test has more urgent ones now.

--- a/node/profiles_test.go
+++ b/node/profiles_test.go
@@ -43,6 +43,7 @@
 	} {
 		p.applyUpdate(update)
 	}
+	must.True(t, p.updateIfNewer([]byte(`{"version": 2, "profiles": []}`), "peer"), must.Sprint("a peer may be behind"))
 	must.Eq(t, []int64{3}, *versions)
 	must.Eq(t, 0.5, p.held.Profiles[0].Guarantee)
 	must.Eq(t, 4, counts["profiles refused"])
--- a/scheduler/profiles_test.go
+++ b/scheduler/profiles_test.go
@@ -150,10 +150,12 @@
 	b.submitTo("other", 10, 1)
 	must.Eq(t, map[string]int{"other": 10}, b.startedQueues())
 	for range 10 {
-		b.submitTo("other", 10, 1)
+		b.submitWith("other", 10, 1, 500*ms)
 	}
-	b.effects()
-	ref := b.submitWith("tills", 4, 1, 100*ms)
+	must.SliceNotEmpty(t, pickEffects[Answer](b.effects()), must.Sprint("the others have as much waiting work as is accepted"))
+	b.submitWith("tills", 1, 1, 510*ms)
+	must.SliceEmpty(t, pickEffects[Answer](b.effects()), must.Sprint("the others' jobs are more urgent"))
+	ref := b.submitWith("tills", 3, 1, 100*ms)
 	must.SliceEmpty(t, pickEffects[Answer](b.effects()))
 	b.submitWith("other", 4, 1, 100*ms)
 	answers := pickEffects[Answer](b.effects())
