Pick the profile again only after a start

While many jobs wait and nothing fits, the ledger was asked for each of them, though its answer changes only with a start.

A round keeps its pick until something starts or the profile has no more jobs, and updates the waiting work of jobs that changed.

--- a/scheduler/profiles_place.go
+++ b/scheduler/profiles_place.go
@@ -61,27 +61,32 @@
 	sh, failed := p.shares, failedPlacements{}
 	next := make([]int, sh.Accounts())
 	hasWork := func(i int) bool { return !sh.heldBack[i] && next[i] < len(sh.waiting[i]) }
+	pick, picked := shares.Pick{}, false
 	for !failed.limitReached() {
-		pick, ok := sh.Next(sh.capacity, hasWork)
-		if !ok {
-			break
+		// Without a start the same profile would be picked again.
+		if !picked || sh.startedInPick > 0 || !hasWork(pick.Account) {
+			if pick, picked = sh.Next(sh.capacity, hasWork); !picked {
+				break
+			}
 		}
 		j := sh.waiting[pick.Account][next[pick.Account]]
+		sh.pick, sh.startedInPick = pick, 0
 		if j.ended {
 			next[pick.Account]++
 			continue
 		}
-		sh.pick, sh.startedInPick = pick, 0
+		before, starts := j.sortKey, j.possibleStarts
 		s.placeJob(now, j, &failed)
 		if !s.yields(j) {
 			next[pick.Account]++
 		}
-		before := j.sortKey
 		if j.queued = j.hasPendingTasks(); j.queued {
 			j.updateSortKey()
 			reordered = reordered || j.sortKey != before
 		}
-		s.noteWaiting(j)
+		if j.possibleStarts != starts || len(j.steps) > 1 || !j.queued {
+			s.noteWaiting(j)
+		}
 	}
 	return reordered
 }
