--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/burdockward/burdockward/scheduler"
+	"github.com/burdockward/burdockward/shares"
 	"github.com/burdockward/burdockward/work"
 )
 
@@ -25,6 +26,8 @@
 	SendOnce bool
 	// PlaceByEnd has owners prefer targets on which a task is expected to end in time.
 	PlaceByEnd bool
+	// Profiles are the operator's profiles; empty for none.
+	Profiles []shares.Profile
 	// Policy decides where tasks run; Owners stands for burdockward's own scheduler.
 	Policy Policy
 }
