Have the node tests' target refuse a run that has ended

TestRequestOfGoneEntryVMIsNotStarted failed once beside a load average of 20 to 30, with two starts instead of one, and in none of 360 further runs. The likely cause, not proved: the owner sends a start again that isn't answered within 15 to 30 ms, and the copy arrives after the run has ended. A target refuses a run that has ended there; the tests' target counted it as a second start. It now refuses it. The check of the number of starts is unchanged, so that a start for a gone VM still fails the test.

--- a/node/rejoin_test.go
+++ b/node/rejoin_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -98,6 +99,9 @@
 func (j *fakeTarget) Start(_ context.Context, _ work.TargetAddress, order work.StartOrder, _ int64) work.OrderAnswer {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if slices.ContainsFunc(j.ended, func(c work.Completion) bool { return c.Run == order.Run }) {
+		return work.OrderAnswer{Verdict: work.VerdictStaleRun, ClockMS: j.clock()}
+	}
 	if !j.runs[order.Run] {
 		j.starts++
 		j.runs[order.Run] = true
