Correct the forecasts by which jobs are accepted

More urgent work was subtracted from the drain rate as a share of all processor, while short tasks take as many places as they free. Nearly all other jobs had large tasks: a run that ends leaves too little for them, and smaller tasks take it.

Accepted jobs of other queues that can't give way go before a new job. A margin for each queue and width of job, learned from outcomes, bounded and decaying, covers what is left. Refused jobs are compared with their neighbours. Off, decisions are the same.

World tests with an odd seed play owners with the part on.

--- a/lab/replay/command.go
+++ b/lab/replay/command.go
@@ -31,6 +31,7 @@
 			&cli.FloatFlag{Name: "burst", Usage: "factor of the load during 6 of 30 s", Value: 1.5},
 			&cli.FloatFlag{Name: "hung", Usage: "share of targets that hang during 10 of 30 s, from 0 to 1", Value: 0.1},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the jobs and of the hung targets"},
+			correctAdmissionFlag(),
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			site, err := siteByName(cmd.String("site"))
@@ -42,15 +43,22 @@
 				if at < 0 {
 					return fmt.Errorf("unknown day %q: choose one that rounds lists", name)
 				}
-				return comparePolicies(os.Stdout, Days[at].apply(site), cmd.Uint64("seed"))
+				return comparePolicies(os.Stdout, Days[at].apply(site), cmd.Uint64("seed"), cmd.Bool(correctAdmission))
 			}
 			site.Bursts = []Burst{{From: burstFrom, To: burstTo, Factor: cmd.Float("burst")}}
 			site.Faults = []Fault{{From: hungFrom, To: hungTo, Share: cmd.Float("hung"), Hang: true}}
-			return comparePolicies(os.Stdout, site, cmd.Uint64("seed"))
+			return comparePolicies(os.Stdout, site, cmd.Uint64("seed"), cmd.Bool(correctAdmission))
 		},
 	}
 }
 
+// correctAdmission is the name of the flag that switches Options.CorrectAdmission on.
+const correctAdmission = "correct-admission"
+
+func correctAdmissionFlag() cli.Flag {
+	return &cli.BoolFlag{Name: correctAdmission, Usage: "correct the forecasts by which jobs are accepted or refused"}
+}
+
 // siteByName returns the site that a flag names.
 func siteByName(name string) (Site, error) {
 	for _, site := range []Site{Kasa(), Thapa()} {
@@ -68,7 +76,7 @@
 
 // comparePolicies simulates a day under each policy. For each it writes a row for all jobs, for
 // each kind of request and for each failure domain.
-func comparePolicies(to io.Writer, site Site, seed uint64) error {
+func comparePolicies(to io.Writer, site Site, seed uint64, corrected bool) error {
 	out := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(out, "policy\tof\tworth\ton time\tlate\trefused\tof them late\tfailed")
 	for _, p := range []struct {
@@ -76,7 +84,7 @@
 		options Options
 	}{
 		{"ideal", Options{OneOwner: true, Clairvoyant: true}},
-		{"burdockward", Options{}},
+		{"burdockward", Options{CorrectAdmission: corrected}},
 		{string(FIFO), Options{Policy: FIFO}},
 		{string(LeastOutstanding), Options{Policy: LeastOutstanding}},
 		{string(Random), Options{Policy: Random}},
--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -23,6 +23,8 @@
 	Clairvoyant bool
 	// SendOnce keeps owners from resending unanswered orders.
 	SendOnce bool
+	// CorrectAdmission switches the part of the scheduler of this name on.
+	CorrectAdmission bool
 	// Policy decides where tasks run; Owners stands for burdockward's own scheduler.
 	Policy Policy
 }
--- a/scheduler/delegate.go
+++ b/scheduler/delegate.go
@@ -124,6 +124,7 @@
 	s.lastPart++
 	s.parts[s.lastPart] = &delegatedPart{job: j, step: st, tasks: tasks, to: to, since: now}
 	j.possibleStarts++
+	j.lastOrdered = now
 	names := make([]string, len(tasks))
 	for i, t := range tasks {
 		names[i] = t.name
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -32,6 +32,8 @@
 	p.typicalCPU += typicalWeight * (cpu - p.typicalCPU)
 	p.decayDemand(now)
 	for _, st := range j.steps[:len(j.sub.Job.Steps)] {
+		p.arrivedJobs[priorityOf(j.sub.Queue)]++
+		p.arrivedCPU[priorityOf(j.sub.Queue)] += float64(st.PerTask.CPU) * float64(st.Tasks)
 		p.demand[priorityOf(j.sub.Queue)] += float64(st.PerTask.CPU) * float64(st.Tasks) * st.expectedRuntime.Seconds()
 	}
 }
@@ -41,6 +43,8 @@
 	factor := math.Exp(-(now - p.demandAt).Seconds() / demandWindow.Seconds())
 	for i := range p.demand {
 		p.demand[i] *= factor
+		p.arrivedCPU[i] *= factor
+		p.arrivedJobs[i] *= factor
 	}
 	p.demandAt = now
 }
--- a/scheduler/forecast.go
+++ b/scheduler/forecast.go
@@ -10,6 +10,9 @@
 
 // forecastStart estimates how long a job waits for targets, and reports whether to accept it.
 func (s *State) forecastStart(now time.Duration, j *job) (time.Duration, bool) {
+	if s.options.CorrectAdmission {
+		return s.correctedForecast(now, j)
+	}
 	need := j.initialNeed()
 	free, rate := j.pool.supply(now, need.each)
 	if j.canDelegate() {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -24,6 +24,9 @@
 	// submitted is when this owner took the job. firstOrdered is when it first ordered a run of
 	// it; 0 before.
 	submitted, firstOrdered time.Duration
+	// lastOrdered is when it last ordered or delegated a task of it; 0 before.
+	lastOrdered time.Duration
+	forecast    forecast
 	// sortKey orders the waiting jobs: the smallest is placed first.
 	sortKey time.Duration
 	// late jobs can't meet their objective any more.
@@ -361,6 +364,7 @@
 		s.rememberOutcome(now, j.sub, outcome)
 		s.emit(Answer{Ref: j.sub.Ref, Outcome: outcome, Times: j.times(now)})
 	}
+	s.noteOutcome(now, j, outcome.Result)
 	s.noteUncleanEnd(now, j, outcome)
 	s.logHistory(now, j, outcome)
 	s.stopRuns(now, j)
@@ -426,6 +430,7 @@
 		j.late = true
 		j.record(now, "late", "", "", "no capacity in time; queued behind jobs that can be on time")
 		s.reorder(j)
+		s.noteMissed(now, j, now-j.submitted)
 		s.refuseLate(now, j)
 	}
 }
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -30,6 +30,8 @@
 	// RecordTargets starts tasks of durable jobs only at targets that the store has recorded, and
 	// only while the claim is confirmed.
 	RecordTargets bool
+	// CorrectAdmission corrects the forecasts by which jobs are accepted or refused.
+	CorrectAdmission bool
 }
 
 // Defaults of Options.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -208,6 +208,7 @@
 		cold:       t.isCold(now),
 	}
 	j.possibleStarts++
+	j.lastOrdered = now
 	if j.firstOrdered == 0 {
 		j.firstOrdered = now
 	}
--- a/scheduler/place_bench_test.go
+++ b/scheduler/place_bench_test.go
@@ -12,14 +12,17 @@
 // completion, on nearly full targets that hold three tasks each.
 func BenchmarkTask(b *testing.B) {
 	for _, targets := range []int{16, 117, 1167} {
-		b.Run(fmt.Sprintf("places=%d", 3*targets), func(b *testing.B) { benchmarkTasks(b, targets) })
+		b.Run(fmt.Sprintf("places=%d", 3*targets), func(b *testing.B) { benchmarkTasks(b, targets, Options{}) })
+		b.Run(fmt.Sprintf("places=%d/corrected", 3*targets), func(b *testing.B) {
+			benchmarkTasks(b, targets, Options{CorrectAdmission: true})
+		})
 	}
 }
 
 const benchTasks = 8
 
-func benchmarkTasks(b *testing.B, targets int) {
-	s := New(Options{})
+func benchmarkTasks(b *testing.B, targets int, o Options) {
+	s := New(o)
 	s.RegistryRead()
 	now := time.Second
 	for i := range targets {
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -24,6 +24,8 @@
 	// free per millisecond.
 	openCPU     int64
 	releaseRate float64
+	// fits is kept for the corrected forecast; nil without it.
+	fits *fitRates
 	// medianSpeed is the median of the targets' health.speed.
 	medianSpeed float64
 	// typicalCPU is the moving average of a task's need, in thousandths of a core; 0 before the
@@ -31,8 +33,11 @@
 	typicalCPU float64
 	// demand is the recently accepted work by priority, in thousandths of a core times seconds, as
 	// of demandAt.
-	demand   [Priorities]float64
-	demandAt time.Duration
+	demand [Priorities]float64
+	// arrivedCPU is the processor of the recently accepted tasks by priority, in thousandths of a core,
+	// arrivedJobs the number of their jobs; both as of demandAt.
+	arrivedCPU, arrivedJobs [Priorities]float64
+	demandAt                time.Duration
 	// reservedFor is the gang that targets are reserved for since reservedAt; nil for none.
 	reservedFor *step
 	reservedAt  time.Duration
@@ -103,6 +108,7 @@
 	p.buckets[bucket] = append(p.buckets[bucket], t)
 	p.openCPU += t.indexed.cpu
 	p.releaseRate += t.indexed.releaseRate
+	p.fits.add(t)
 }
 
 func (p *pool) remove(t *target) {
@@ -121,6 +127,7 @@
 		p.buckets[t.indexed.bucket] = list[:last]
 		p.openCPU -= t.indexed.cpu
 		p.releaseRate -= t.indexed.releaseRate
+		p.fits.remove(t)
 	}
 	t.indexed = indexEntry{}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -136,6 +136,7 @@
 	// run time estimate of each queue.
 	keepalives map[string]time.Duration
 	estimates  map[string]*queueEstimate
+	outcomes   outcomes
 	// reportedCapacity is the free capacity that other owners reported; parts holds the tasks
 	// delegated to them.
 	reportedCapacity map[capacityKey]capacityReport
@@ -220,6 +221,7 @@
 		stoppingRuns:          map[string]int{},
 		keepalives:            map[string]time.Duration{},
 		estimates:             map[string]*queueEstimate{},
+		outcomes:              outcomes{},
 		reportedCapacity:      map[capacityKey]capacityReport{},
 		parts:                 map[Part]*delegatedPart{},
 		unrecordedCompletions: map[string][]unrecordedCompletion{},
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -26,6 +26,9 @@
 	p := s.pools[service]
 	if p == nil {
 		p = &pool{blocked: s.cordon.blocksStarts()}
+		if s.options.CorrectAdmission {
+			p.fits = &fitRates{}
+		}
 		s.pools[service] = p
 	}
 	return p
@@ -75,7 +78,9 @@
 	// indexed is its entry in the pool's index; dirty says that the next Effects checks whether to
 	// poll it.
 	indexed indexEntry
-	dirty   bool
+	// fits is what the pool's fitRates have counted of it.
+	fits  []fitShare
+	dirty bool
 	// unknownRuns are runs whose owner or job is not known here; they are stopped.
 	unknownRuns map[work.RunID]*stopTry
 	// inheritedRuns are a previous owner's runs of durable jobs that are not read from the store
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -17,15 +17,17 @@
 // clocks and carry out orders late, and callers that send again. It checks only what callers and
 // targets can see.
 type world struct {
-	now     time.Duration
-	random  *rand.Rand
-	queue   eventQueue
-	seq     int
-	targets map[string]*fakeTarget
-	owners  []*fakeOwner
-	callers map[string]*caller
-	token   int64
-	faults  worldFaults
+	// corrected says that the owners correct their admission.
+	corrected bool
+	now       time.Duration
+	random    *rand.Rand
+	queue     eventQueue
+	seq       int
+	targets   map[string]*fakeTarget
+	owners    []*fakeOwner
+	callers   map[string]*caller
+	token     int64
+	faults    worldFaults
 	// violations lists the invariants that were broken.
 	violations []string
 	// running counts the executing runs of each task.
@@ -169,6 +171,7 @@
 		ackedFailures: map[string]int{}, failedRuns: map[string]int{}, done: map[string]bool{}, saved: map[string]map[string]bool{}, gangs: map[string]*fakeGang{}, tickets: map[string]time.Duration{},
 	}
 	w.acknowledgedBy = map[string]string{}
+	w.corrected = seed%2 == 1
 	w.poisonJobs, w.crashed, w.lostUnder, w.lostRuns = map[string]bool{}, map[string]int{}, map[string]bool{}, map[string]int{}
 	w.lostAlone = map[string]bool{}
 	for range targets {
@@ -226,7 +229,7 @@
 	w.token++
 	o := &fakeOwner{
 		fails: map[string]map[int]int{},
-		state: New(Options{AwaitCordon: w.cordons != nil, ConfirmClaims: true, RecordTargets: true}), token: w.token, refs: map[Ref]*caller{},
+		state: New(Options{AwaitCordon: w.cordons != nil, ConfirmClaims: true, RecordTargets: true, CorrectAdmission: w.corrected}), token: w.token, refs: map[Ref]*caller{},
 		name: fmt.Sprintf("o%d", w.token), delegated: map[Part]*sentPart{},
 	}
 	for _, id := range w.targetIDs() {
