Carry the forecast wait beside a refusal's retry delay

An entry VM offers a refused job to another owner if that one's wait is shorter than the refusal's retry delay, which was the forecast wait. A retry delay that spreads callers over seconds says nothing of the owner's queue, so the outcome and the reply between VMs get a field for the forecast wait. Without it, as from VMs of older builds, the retry delay counts as before.

Weighed: a fraction of a second in the retry delay that stands for the wait; it would be no plain number any more.

go test ./entry ./link passes; without the guard ./entry fails.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -227,10 +227,14 @@
 
 // noBetterOwner reports whether no other owner is worth asking after a refusal. One that has not
 // refused the job itself is worth it if its forecast wait plus farPenalty is shorter than the
-// refusal's retry delay.
+// refusal's forecast wait, which is its retry delay unless it names another one.
 func noBetterOwner(candidates []Candidate, refused int, outcome work.Outcome) bool {
+	wait := outcome.RetryAfter
+	if outcome.ForecastWait > 0 {
+		wait = outcome.ForecastWait
+	}
 	for i, c := range candidates {
-		if i != refused && !c.HasRefused && c.Wait+farPenalty < outcome.RetryAfter {
+		if i != refused && !c.HasRefused && c.Wait+farPenalty < wait {
 			return false
 		}
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -261,3 +261,14 @@
 			strings.Join([]string{line.Msg, line.Job, line.Group, line.Before, line.Result, line.Reason}, " "))
 	}
 }
+
+// A return time says when to come again, not how long the owner's queue is: a job is not offered to
+// owners whose wait is longer than the one that was forecast.
+func TestReturnTimeIsNotTakenForWait(t *testing.T) {
+	for wait, asked := range map[time.Duration][]string{ms / 10: {"near"}, time.Second: {"near", "far"}} {
+		refused := []work.Outcome{{Result: work.Refused, RetryAfter: 5 * time.Second, ForecastWait: wait}}
+		f := newFakePeers(refused, refused)
+		must.Eq(t, 5*time.Second, newEntry(f).Dispatch(t.Context(), job, queue, 0).RetryAfter)
+		must.Eq(t, asked, f.asked)
+	}
+}
--- a/link/convert.go
+++ b/link/convert.go
@@ -126,16 +126,18 @@
 
 func outcomeToWire(outcome work.Outcome) *linkpb.RunReply {
 	return &linkpb.RunReply{
-		Result:       int32(outcome.Result),
-		Reason:       outcome.Reason,
-		RetryAfterUs: micros(outcome.RetryAfter),
+		Result:         int32(outcome.Result),
+		Reason:         outcome.Reason,
+		RetryAfterUs:   micros(outcome.RetryAfter),
+		ForecastWaitUs: micros(outcome.ForecastWait),
 	}
 }
 
 func outcomeFromWire(wire *linkpb.RunReply) work.Outcome {
 	return work.Outcome{
-		Result:     work.Result(wire.GetResult()),
-		Reason:     wire.GetReason(),
-		RetryAfter: duration(wire.GetRetryAfterUs()),
+		Result:       work.Result(wire.GetResult()),
+		Reason:       wire.GetReason(),
+		RetryAfter:   duration(wire.GetRetryAfterUs()),
+		ForecastWait: duration(wire.GetForecastWaitUs()),
 	}
 }
--- a/link/convert_test.go
+++ b/link/convert_test.go
@@ -59,3 +59,13 @@
 	queue := filled[work.Queue]()
 	must.Eq(t, queue, queueFromWire(queueToWire(queue)))
 }
+
+// A VM of an older build sends no forecast wait; its retry delay is one.
+func TestOutcomeRoundTrip(t *testing.T) {
+	for _, outcome := range []work.Outcome{
+		{Result: work.Refused, Reason: "full", RetryAfter: 3 * time.Second, ForecastWait: 70 * time.Millisecond},
+		{Result: work.Refused, Reason: "full", RetryAfter: 70 * time.Millisecond},
+	} {
+		must.Eq(t, outcome, outcomeFromWire(outcomeToWire(outcome)))
+	}
+}
--- a/work/work.go
+++ b/work/work.go
@@ -216,4 +216,7 @@
 	Reason string
 	// RetryAfter is how soon a refused job is likely to be accepted; 0 means not known.
 	RetryAfter time.Duration
+	// ForecastWait is the wait that was forecast for a refused job, where RetryAfter is a return time
+	// and not that wait; else 0.
+	ForecastWait time.Duration
 }
