Give each refused caller its own time to come again

Callers that are refused at one moment were told the same forecast wait, come again at one moment, and were placed behind those that came meanwhile.

A refused caller is told the first second with budget left, not before the forecast wait; when none is left the second with the least promised. A caller that comes whole seconds after it first came, by its remaining wait and up to 100 ms later, counts as new and keeps its deadline. The plan has a fixed size; nothing of a promise has to be remembered. Off, decisions are the same.

Weighed: a record of each promise (lost with its VM, unbounded); all callers with less wait than a newcomer counting as new (after a loss of all VMs those whose time has run out would go first again).

Not measured under load: the replay's callers don't come again.

--- a/cmd/burdockward/serve.go
+++ b/cmd/burdockward/serve.go
@@ -40,6 +40,8 @@
 			Name: "metrics-port", Usage: "serve metrics (/metrics) and profiles (/debug/pprof/) at TCP `PORT` of the VM's address; 0 serves neither", Value: defaultMetricsPort,
 		}, &cli.BoolFlag{
 			Name: "correct-admission", Usage: "correct the forecasts by which jobs are accepted or refused, by their outcomes",
+		}, &cli.BoolFlag{
+			Name: "return-times", Usage: "give each refused caller its own time to come again",
 		}},
 		Action: a.serve,
 	}
@@ -65,7 +67,7 @@
 		Settings: s, LoadSettings: load, Reload: reload, Log: log,
 		Count:   func(what, label string) { counters.Add(what, label, 1) },
 		Observe: counters.Observe, Gauge: counters.Set,
-		CorrectAdmission: cmd.Bool("correct-admission"),
+		CorrectAdmission: cmd.Bool("correct-admission"), ReturnTimes: cmd.Bool("return-times"),
 	})
 	if err != nil {
 		return &exitError{status: exitStatus(err), err: err}
--- a/lab/replay/cordons_losses.go
+++ b/lab/replay/cordons_losses.go
@@ -131,6 +131,6 @@
 // newState creates the scheduler of an owner's process.
 func (w *world) newState() *scheduler.State {
 	return scheduler.New(scheduler.Options{
-		SendOnce: w.options.SendOnce, CorrectAdmission: w.options.CorrectAdmission,
+		SendOnce: w.options.SendOnce, CorrectAdmission: w.options.CorrectAdmission, ReturnTimes: w.options.ReturnTimes,
 	})
 }
--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -23,8 +24,8 @@
 	Clairvoyant bool
 	// SendOnce keeps owners from resending unanswered orders.
 	SendOnce bool
-	// CorrectAdmission switches the part of the scheduler of this name on.
-	CorrectAdmission bool
+	// CorrectAdmission and ReturnTimes switch the parts of the scheduler of these names on.
+	CorrectAdmission, ReturnTimes bool
 	// Policy decides where tasks run; Owners stands for burdockward's own scheduler.
 	Policy Policy
 }
@@ -316,7 +317,7 @@
 			}
 			refused[index] = true
 			late := w.now-a.at-time.Second > offerPeriod
-			if late || len(refused) >= len(w.owners) || !w.hasBetterOwner(refused, answer.Outcome.RetryAfter) {
+			if late || len(refused) >= len(w.owners) || !w.hasBetterOwner(refused, cmp.Or(answer.Outcome.ForecastWait, answer.Outcome.RetryAfter)) {
 				return false
 			}
 			delete(o.callers, ref)
--- a/node/node.go
+++ b/node/node.go
@@ -54,8 +54,8 @@
 	Observe func(what string, took time.Duration)
 	// Gauge sets the value of a gauge; it must not block.
 	Gauge func(what string, value float64)
-	// CorrectAdmission switches the part of the scheduler of this name on.
-	CorrectAdmission bool
+	// CorrectAdmission and ReturnTimes switch the parts of the scheduler of these names on.
+	CorrectAdmission, ReturnTimes bool
 }
 
 // Node is one entry VM.
@@ -276,7 +276,7 @@
 		Schedule: scheduler.Options{
 			StopTimeout: n.options.Settings.MaxStopTime, MaxLease: n.options.Settings.MaxLease,
 			ResendDelay: n.options.Settings.MinResendDelay, KeepaliveTimeout: heartbeat.KeepaliveTimeout,
-			CorrectAdmission: n.options.CorrectAdmission,
+			CorrectAdmission: n.options.CorrectAdmission, ReturnTimes: n.options.ReturnTimes,
 		},
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.registry),
 		Delegate: n.delegate, NeedsCapacity: n.heartbeats.RequestLoads, StoreClock: n.storeClock.nowIfKnown,
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -185,6 +185,10 @@
 // yet.
 func (s *State) newJob(now time.Duration, sub Submission) *job {
 	before, returned := sub.waitedBefore(), sub.isReturned()
+	if s.options.ReturnTimes && sub.isAtReturnTime() {
+		s.emit(Count{"return_times", "returned"})
+		before = 0
+	}
 	sub.Age += before
 	if sub.Wait > 0 {
 		sub.Wait += before
@@ -351,6 +355,7 @@
 		return
 	}
 	j.ended, j.endedAt = true, now
+	outcome = s.withReturnTime(now, j, outcome)
 	delete(s.jobs, j.sub.Ref)
 	delete(s.jobsByKey, j.sub.key())
 	s.removeOpen(j)
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -32,6 +32,8 @@
 	RecordTargets bool
 	// CorrectAdmission corrects the forecasts by which jobs are accepted or refused.
 	CorrectAdmission bool
+	// ReturnTimes gives each refused caller its own time to come again.
+	ReturnTimes bool
 }
 
 // Defaults of Options.
--- a/scheduler/place_bench_test.go
+++ b/scheduler/place_bench_test.go
@@ -14,7 +14,7 @@
 	for _, targets := range []int{16, 117, 1167} {
 		b.Run(fmt.Sprintf("places=%d", 3*targets), func(b *testing.B) { benchmarkTasks(b, targets, Options{}) })
 		b.Run(fmt.Sprintf("places=%d/corrected", 3*targets), func(b *testing.B) {
-			benchmarkTasks(b, targets, Options{CorrectAdmission: true})
+			benchmarkTasks(b, targets, Options{CorrectAdmission: true, ReturnTimes: true})
 		})
 	}
 }
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -26,6 +26,8 @@
 	releaseRate float64
 	// fits is kept for the corrected forecast; nil without it.
 	fits *fitRates
+	// returns is what refused callers are promised.
+	returns returnPlan
 	// medianSpeed is the median of the targets' health.speed.
 	medianSpeed float64
 	// typicalCPU is the moving average of a task's need, in thousandths of a core; 0 before the
--- a/scheduler/refuse.go
+++ b/scheduler/refuse.go
@@ -11,6 +11,7 @@
 	j.record(now, "refused", "", "", fmt.Sprintf("forecast wait %v, slack %v, %s",
 		wait.Round(time.Millisecond), (j.latestStart-now).Round(time.Millisecond), s.describeLoad(j)))
 	outcome := work.Outcome{Result: work.Refused, Reason: "too much work waits", RetryAfter: wait}
+	outcome = s.withReturnTime(now, j, outcome)
 	s.logHistory(now, j, outcome)
 	s.answer(j.sub, outcome)
 }
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -17,7 +17,7 @@
 // clocks and carry out orders late, and callers that send again. It checks only what callers and
 // targets can see.
 type world struct {
-	// corrected says that the owners correct their admission.
+	// corrected says that the owners correct their admission and promise return times.
 	corrected bool
 	now       time.Duration
 	random    *rand.Rand
@@ -229,7 +229,7 @@
 	w.token++
 	o := &fakeOwner{
 		fails: map[string]map[int]int{},
-		state: New(Options{AwaitCordon: w.cordons != nil, ConfirmClaims: true, RecordTargets: true, CorrectAdmission: w.corrected}), token: w.token, refs: map[Ref]*caller{},
+		state: New(Options{AwaitCordon: w.cordons != nil, ConfirmClaims: true, RecordTargets: true, CorrectAdmission: w.corrected, ReturnTimes: w.corrected}), token: w.token, refs: map[Ref]*caller{},
 		name: fmt.Sprintf("o%d", w.token), delegated: map[Part]*sentPart{},
 	}
 	for _, id := range w.targetIDs() {
