--- a/cmd/burdockward/serve.go
+++ b/cmd/burdockward/serve.go
@@ -41,6 +41,8 @@
 				Name: "metrics-port", Usage: "serve metrics (/metrics) and profiles (/debug/pprof/) at TCP `PORT` of the VM's address; 0 serves neither", Value: defaultMetricsPort,
 			},
 			&cli.BoolFlag{Name: "place-by-end", Usage: "start tasks where they are expected to end in time, by the usual speed of each target"},
+			&cli.BoolFlag{Name: "correct-admission", Usage: "correct the forecasts by which jobs are accepted or refused, by their outcomes"},
+			&cli.BoolFlag{Name: "return-times", Usage: "give each refused caller its own time to come again"},
 		},
 		Action: a.serve,
 	}
@@ -66,7 +68,8 @@
 		Settings: s, LoadSettings: load, Reload: reload, Log: log,
 		Count:   func(what, label string) { counters.Add(what, label, 1) },
 		Observe: counters.Observe, Gauge: counters.Set,
-		PlaceByEnd: cmd.Bool("place-by-end"),
+		PlaceByEnd:       cmd.Bool("place-by-end"),
+		CorrectAdmission: cmd.Bool("correct-admission"), ReturnTimes: cmd.Bool("return-times"),
 	})
 	if err != nil {
 		return &exitError{status: exitStatus(err), err: err}
--- a/lab/replay/command.go
+++ b/lab/replay/command.go
@@ -36,6 +36,7 @@
 			&cli.FloatFlag{Name: "hung", Usage: "share of targets that hang during 10 of 30 s, from 0 to 1", Value: 0.1},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the jobs and of the hung targets"},
 			&cli.StringMapFlag{Name: "guarantee", Usage: "guaranteed share of the capacity of a queue, from 0 to 1, as `QUEUE=SHARE`; each queue has a profile of its own"},
+			correctAdmissionFlag(), placeByEndFlag(),
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			site, err := siteByName(cmd.String("site"))
@@ -46,16 +47,17 @@
 			if err != nil {
 				return err
 			}
+			parts := Options{Profiles: profiles, CorrectAdmission: cmd.Bool(correctAdmission), PlaceByEnd: cmd.Bool(placeByEnd)}
 			if name := cmd.String("day"); name != "" {
 				at := slices.IndexFunc(Days, func(d Day) bool { return d.Name == name })
 				if at < 0 {
 					return fmt.Errorf("unknown day %q: choose one that rounds lists", name)
 				}
-				return comparePolicies(os.Stdout, Days[at].apply(site), cmd.Uint64("seed"), profiles)
+				return comparePolicies(os.Stdout, Days[at].apply(site), cmd.Uint64("seed"), parts)
 			}
 			site.Bursts = []Burst{{From: burstFrom, To: burstTo, Factor: cmd.Float("burst")}}
 			site.Faults = []Fault{{From: hungFrom, To: hungTo, Share: cmd.Float("hung"), Hang: true}}
-			return comparePolicies(os.Stdout, site, cmd.Uint64("seed"), profiles)
+			return comparePolicies(os.Stdout, site, cmd.Uint64("seed"), parts)
 		},
 	}
 }
@@ -73,6 +75,20 @@
 	return all.Profiles, all.Check()
 }
 
+// correctAdmission is the name of the flag that switches Options.CorrectAdmission on.
+const correctAdmission = "correct-admission"
+
+func correctAdmissionFlag() cli.Flag {
+	return &cli.BoolFlag{Name: correctAdmission, Usage: "correct the forecasts by which jobs are accepted or refused"}
+}
+
+// placeByEnd is the name of the flag that switches Options.PlaceByEnd on.
+const placeByEnd = "place-by-end"
+
+func placeByEndFlag() cli.Flag {
+	return &cli.BoolFlag{Name: placeByEnd, Usage: "start tasks where they are expected to end in time"}
+}
+
 // siteByName returns the site that a flag names.
 func siteByName(name string) (Site, error) {
 	for _, site := range []Site{Kasa(), Thapa()} {
@@ -90,7 +106,7 @@
 
 // comparePolicies simulates a day under each policy. For each it writes a row for all jobs, for
 // each kind of request and for each failure domain.
-func comparePolicies(to io.Writer, site Site, seed uint64, profiles []shares.Profile) error {
+func comparePolicies(to io.Writer, site Site, seed uint64, parts Options) error {
 	out := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(out, "policy\tof\tworth\ton time\tlate\trefused\tof them late\tfailed")
 	for _, p := range []struct {
@@ -98,7 +114,7 @@
 		options Options
 	}{
 		{"ideal", Options{OneOwner: true, Clairvoyant: true}},
-		{"burdockward", Options{Profiles: profiles}},
+		{"burdockward", parts},
 		{string(FIFO), Options{Policy: FIFO}},
 		{string(LeastOutstanding), Options{Policy: LeastOutstanding}},
 		{string(Random), Options{Policy: Random}},
--- a/lab/replay/cordons_losses.go
+++ b/lab/replay/cordons_losses.go
@@ -131,7 +131,10 @@
 
 // newState creates the scheduler of an owner's process.
 func (w *world) newState() *scheduler.State {
-	state := scheduler.New(scheduler.Options{SendOnce: w.options.SendOnce, PlaceByEnd: w.options.PlaceByEnd})
+	state := scheduler.New(scheduler.Options{
+		SendOnce: w.options.SendOnce, PlaceByEnd: w.options.PlaceByEnd,
+		CorrectAdmission: w.options.CorrectAdmission, ReturnTimes: w.options.ReturnTimes,
+	})
 	if profiles := w.options.Profiles; len(profiles) > 0 {
 		state.SetProfiles(w.now, &shares.Profiles{Version: 1, Profiles: profiles})
 	}
--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -28,6 +29,8 @@
 	PlaceByEnd bool
 	// Profiles are the operator's profiles; empty for none.
 	Profiles []shares.Profile
+	// CorrectAdmission and ReturnTimes switch the parts of the scheduler of these names on.
+	CorrectAdmission, ReturnTimes bool
 	// Policy decides where tasks run; Owners stands for burdockward's own scheduler.
 	Policy Policy
 }
@@ -319,7 +322,7 @@
 			}
 			refused[index] = true
 			late := w.now-a.at-time.Second > offerPeriod
-			if late || len(refused) >= len(w.owners) || !w.hasBetterOwner(refused, answer.Outcome.RetryAfter) {
+			if late || len(refused) >= len(w.owners) || !w.hasBetterOwner(refused, cmp.Or(answer.Outcome.ForecastWait, answer.Outcome.RetryAfter)) {
 				return false
 			}
 			delete(o.callers, ref)
--- a/node/node.go
+++ b/node/node.go
@@ -56,6 +56,8 @@
 	Gauge func(what string, value float64)
 	// PlaceByEnd is scheduler.Options.PlaceByEnd.
 	PlaceByEnd bool
+	// CorrectAdmission and ReturnTimes switch the parts of the scheduler of these names on.
+	CorrectAdmission, ReturnTimes bool
 }
 
 // Node is one entry VM.
@@ -291,7 +293,8 @@
 		Schedule: scheduler.Options{
 			StopTimeout: n.options.Settings.MaxStopTime, MaxLease: n.options.Settings.MaxLease,
 			ResendDelay: n.options.Settings.MinResendDelay, KeepaliveTimeout: heartbeat.KeepaliveTimeout,
-			PlaceByEnd: n.options.PlaceByEnd,
+			PlaceByEnd:       n.options.PlaceByEnd,
+			CorrectAdmission: n.options.CorrectAdmission, ReturnTimes: n.options.ReturnTimes,
 		},
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.registry),
 		Delegate: n.delegate, NeedsCapacity: n.heartbeats.RequestLoads, StoreClock: n.storeClock.nowIfKnown,
--- a/scheduler/fuzz_test.go
+++ b/scheduler/fuzz_test.go
@@ -19,16 +19,22 @@
 }
 
 // playOwnership plays one random history of faults.
-func playOwnership(rt *rapid.T, trace *worldTrace) { playOwnershipWith(rt, trace, nil) }
+func playOwnership(rt *rapid.T, trace *worldTrace) { playOwnershipWith(rt, trace, nil, Options{}) }
 
-// playOwnershipWith plays one random history of faults under profiles.
-func playOwnershipWith(rt *rapid.T, trace *worldTrace, profiles *shares.Profiles) {
+// TestFuzzOwnershipWithParts plays the same faults with all optional parts of the scheduler switched on.
+func TestFuzzOwnershipWithParts(t *testing.T) {
+	parts := Options{PlaceByEnd: true, CorrectAdmission: true, ReturnTimes: true}
+	rapid.Check(t, func(rt *rapid.T) { playOwnershipWith(rt, nil, nil, parts) })
+}
+
+// playOwnershipWith plays one random history of faults under profiles and with optional parts.
+func playOwnershipWith(rt *rapid.T, trace *worldTrace, profiles *shares.Profiles, parts Options) {
 	share := func(name string) float64 { return float64(rapid.IntRange(0, 25).Draw(rt, name)) / 100 }
 	w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
 		lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: share("failing"),
 		broken: share("broken"),
 	})
-	w.trace, w.profiles = trace, profiles
+	w.trace, w.profiles, w.parts = trace, profiles, parts
 	w.longest = rapid.SampledFrom([]int{100, 800, 2500}).Draw(rt, "longest")
 	if rapid.Bool().Draw(rt, "lending") {
 		w.addOtherOwner(rapid.IntRange(1, 3).Draw(rt, "others"))
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -32,6 +32,10 @@
 	RecordTargets bool
 	// PlaceByEnd prefers targets on which a task is expected to end in time, by their usual speed.
 	PlaceByEnd bool
+	// CorrectAdmission corrects the forecasts by which jobs are accepted or refused.
+	CorrectAdmission bool
+	// ReturnTimes gives each refused caller its own time to come again.
+	ReturnTimes bool
 }
 
 // Defaults of Options.
--- a/scheduler/place_bench_test.go
+++ b/scheduler/place_bench_test.go
@@ -13,14 +13,17 @@
 // completion, on nearly full targets that hold three tasks each.
 func BenchmarkTask(b *testing.B) {
 	for _, targets := range []int{16, 117, 1167} {
-		b.Run(fmt.Sprintf("places=%d", 3*targets), func(b *testing.B) { benchmarkTasks(b, targets, nil) })
+		b.Run(fmt.Sprintf("places=%d", 3*targets), func(b *testing.B) { benchmarkTasks(b, targets, Options{}, nil) })
+		b.Run(fmt.Sprintf("places=%d/corrected", 3*targets), func(b *testing.B) {
+			benchmarkTasks(b, targets, Options{CorrectAdmission: true, ReturnTimes: true}, nil)
+		})
 	}
 }
 
 const benchTasks = 8
 
-func benchmarkTasks(b *testing.B, targets int, profiles *shares.Profiles) {
-	s := New(Options{})
+func benchmarkTasks(b *testing.B, targets int, o Options, profiles *shares.Profiles) {
+	s := New(o)
 	s.RegistryRead()
 	now := time.Second
 	s.SetProfiles(now, profiles)
--- a/scheduler/profiles_test.go
+++ b/scheduler/profiles_test.go
@@ -22,7 +22,7 @@
 }
 
 // submitTo submits a job of a queue whose tasks take 100 ms, and which may wait for a second.
-func (b *harness) submitTo(queue string, tasks int, cpu int64) Ref {
+func (b *harness) submitToQueue(queue string, tasks int, cpu int64) Ref {
 	return b.submitWith(queue, tasks, cpu, time.Second)
 }
 
@@ -61,9 +61,9 @@
 	b := newHarness(t, Options{})
 	b.setProfiles(shares.Profile{Name: "tills", Guarantee: 0.25, Limit: 1}, shares.Profile{Name: "bank", Guarantee: 0.25, Limit: 1})
 	b.addUsableTarget("a", 4)
-	b.submitTo("other", 4, 1)
+	b.submitToQueue("other", 4, 1)
 	must.Eq(t, map[string]int{"other": 4}, b.startedQueues(), must.Sprint("unused capacity is lent at once"))
-	b.submitTo("other", 2, 1)
+	b.submitToQueue("other", 2, 1)
 	b.submitWith("tills", 4, 1, 2*time.Second)
 	b.submitWith("bank", 1, 1, 3*time.Second)
 	must.MapEmpty(t, b.startedQueues())
@@ -77,8 +77,8 @@
 	b := newHarness(t, Options{})
 	b.setProfiles(shares.Profile{Name: "batch", Limit: 0.5})
 	b.addUsableTarget("a", 6)
-	b.submitTo("batch", 4, 1)
-	b.submitTo("other", 1, 1)
+	b.submitToQueue("batch", 4, 1)
+	b.submitToQueue("other", 1, 1)
 	must.Eq(t, map[string]int{"batch": 3, "other": 1}, b.startedQueues())
 	b.endRuns("a", "batch", 1)
 	must.Eq(t, map[string]int{"batch": 1}, b.startedQueues())
@@ -107,11 +107,11 @@
 	b := newHarness(t, Options{})
 	b.setProfiles(shares.Profile{Name: "batch", Limit: 1})
 	b.addUsableTarget("a", 10)
-	b.submitTo("batch", 4, 1)
+	b.submitToQueue("batch", 4, 1)
 	must.Eq(t, map[string]int{"batch": 4}, b.startedQueues())
-	b.submitTo("other", 6, 1)
+	b.submitToQueue("other", 6, 1)
 	must.Eq(t, map[string]int{"other": 6}, b.startedQueues())
-	first, second, third := b.submitTo("batch", 2, 1), b.submitTo("batch", 2, 1), b.submitTo("batch", 2, 1)
+	first, second, third := b.submitToQueue("batch", 2, 1), b.submitToQueue("batch", 2, 1), b.submitToQueue("batch", 2, 1)
 	must.SliceEmpty(t, pickEffects[Answer](b.effects()))
 	b.setProfiles(shares.Profile{Name: "batch", Limit: 0.7})
 	answers := pickEffects[Answer](b.effects())
@@ -137,7 +137,7 @@
 	b := newHarness(t, Options{})
 	b.setProfiles(shares.Profile{Name: "batch", Limit: 0.2})
 	b.addUsableTarget("a", 10)
-	b.submitTo("batch", 1, 3)
+	b.submitToQueue("batch", 1, 3)
 	must.StrContains(t, pickEffects[Answer](b.effects())[0].Outcome.Reason, "the limit of profile batch")
 }
 
@@ -147,7 +147,7 @@
 	b := newHarness(t, Options{})
 	b.setProfiles(shares.Profile{Name: "tills", Guarantee: 0.5, Limit: 1})
 	b.addUsableTarget("a", 10)
-	b.submitTo("other", 10, 1)
+	b.submitToQueue("other", 10, 1)
 	must.Eq(t, map[string]int{"other": 10}, b.startedQueues())
 	for range 10 {
 		b.submitWith("other", 10, 1, 500*ms)
@@ -206,14 +206,14 @@
 	b := newHarness(t, Options{})
 	b.setProfiles(shares.Profile{Name: "tills", Guarantee: 0.5, Limit: 1})
 	b.addUsableTarget("a", 4)
-	b.submitTo("tills", 4, 1)
+	b.submitToQueue("tills", 4, 1)
 	b.startedQueues()
 	b.addUsableTarget("b", 4)
 	must.Eq(t, 0.5, b.s.ProfileUses()[0].Share)
 	b.listTarget(work.Target{ID: "a", Capacity: work.Resources{CPU: 4}, Draining: true})
 	must.Eq(t, 0, b.s.ProfileUses()[0].Share)
-	b.submitTo("other", 3, 1)
-	b.submitTo("tills", 2, 1)
+	b.submitToQueue("other", 3, 1)
+	b.submitToQueue("tills", 2, 1)
 	must.Eq(t, map[string]int{"tills": 2, "other": 2}, b.startedQueues())
 }
 
@@ -224,9 +224,9 @@
 	b.setProfiles(shares.Profile{Name: "tills", Guarantee: 0.5, Limit: 1})
 	b.addUsableTarget("a", 4)
 	b.addUsableTarget("b", 4)
-	b.submitTo("other", 4, 2)
+	b.submitToQueue("other", 4, 2)
 	must.Eq(t, map[string]int{"other": 4}, b.startedQueues())
-	b.submitTo("tills", 1, 4)
+	b.submitToQueue("tills", 1, 4)
 	for range 6 {
 		b.submitWith("other", 2, 2, 10*time.Second)
 	}
@@ -288,6 +288,6 @@
 	}
 	p.Profiles[0].Queues = []string{"q"}
 	for _, targets := range []int{117, 1167} {
-		b.Run(fmt.Sprintf("places=%d", 3*targets), func(b *testing.B) { benchmarkTasks(b, targets, p) })
+		b.Run(fmt.Sprintf("places=%d", 3*targets), func(b *testing.B) { benchmarkTasks(b, targets, Options{}, p) })
 	}
 }
--- a/scheduler/profiles_world_test.go
+++ b/scheduler/profiles_world_test.go
@@ -130,7 +130,7 @@
 func TestEmptyProfilesChangeNothing(t *testing.T) {
 	for seed := 1; seed <= repeatedSeeds; seed++ {
 		play := func(profiles *shares.Profiles) []string {
-			return traceWorld(seed, func(rt *rapid.T, trace *worldTrace) { playOwnershipWith(rt, trace, profiles) })
+			return traceWorld(seed, func(rt *rapid.T, trace *worldTrace) { playOwnershipWith(rt, trace, profiles, Options{}) })
 		}
 		plain := play(nil)
 		must.SliceNotEmpty(t, plain)
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -26,6 +26,9 @@
 	p := s.pools[service]
 	if p == nil {
 		p = &pool{blocked: s.cordon.blocksStarts(), placeByEnd: s.options.PlaceByEnd, shares: s.newPoolShares()}
+		if s.options.CorrectAdmission {
+			p.fits = &fitRates{}
+		}
 		s.pools[service] = p
 	}
 	return p
@@ -76,6 +79,8 @@
 	// poll it.
 	indexed indexEntry
 	dirty   bool
+	// fits is what the pool's fitRates have counted of it.
+	fits []fitShare
 	// sharesCounted says that its runs count in the shares of their profiles, and sharedCPU is its
 	// part of the capacity that is divided.
 	sharesCounted bool
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -18,6 +18,8 @@
 // clocks and carry out orders late, and callers that send again. It checks only what callers and
 // targets can see.
 type world struct {
+	// parts switches on the optional parts of the owners' schedulers.
+	parts   Options
 	now     time.Duration
 	random  *rand.Rand
 	queue   eventQueue
@@ -224,12 +226,19 @@
 	}
 }
 
+// ownerOptions returns the options of the owners' schedulers.
+func (w *world) ownerOptions() Options {
+	o := w.parts
+	o.AwaitCordon, o.ConfirmClaims, o.RecordTargets = w.cordons != nil, true, true
+	return o
+}
+
 // takeOver starts a new owner; the previous one may go on without knowing of it.
 func (w *world) takeOver() *fakeOwner {
 	w.token++
 	o := &fakeOwner{
 		fails: map[string]map[int]int{},
-		state: New(Options{AwaitCordon: w.cordons != nil, ConfirmClaims: true, RecordTargets: true}), token: w.token, refs: map[Ref]*caller{},
+		state: New(w.ownerOptions()), token: w.token, refs: map[Ref]*caller{},
 		name: fmt.Sprintf("o%d", w.token), delegated: map[Part]*sentPart{},
 	}
 	if w.profiles != nil {
