--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -309,6 +309,7 @@
 	load := Load{Cordoned: s.cordon.isCordoned()}
 	load.CPU = p.openCPU
 	load.FreeCPU = p.freeCPU(0)
+	load.AnswerTime = s.resend.slowMean
 	load.FreeCapacity.Tasks = s.acceptableTasks(now, p)
 	_, rate := p.supply(now, 0)
 	ahead := int64(0)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -140,8 +140,10 @@
 	// delegated to them.
 	reportedCapacity map[capacityKey]capacityReport
 	parts            map[Part]*delegatedPart
-	lastPart         Part
-	withdrawn        []withdrawal
+	// partPauses holds the owners that have refused parts lately.
+	partPauses map[capacityKey]partPause
+	lastPart   Part
+	withdrawn  []withdrawal
 
 	// endedJobs counts the jobs that have ended.
 	endedJobs int
@@ -222,6 +224,7 @@
 		estimates:             map[string]*queueEstimate{},
 		reportedCapacity:      map[capacityKey]capacityReport{},
 		parts:                 map[Part]*delegatedPart{},
+		partPauses:            map[capacityKey]partPause{},
 		unrecordedCompletions: map[string][]unrecordedCompletion{},
 		lateCompletions:       map[string][]CompletionRef{},
 		inheritedStates:       map[string]inheritedState{},
@@ -426,6 +429,8 @@
 	CPU int64
 	// FreeCapacity is what other owners may delegate here.
 	FreeCapacity FreeCapacity
+	// AnswerTime is a moving average of how long answers of targets take until they are read.
+	AnswerTime time.Duration
 	// Cordoned says that nothing may be started on the targets.
 	Cordoned bool
 }
