--- a/cmd/burdockward/serve.go
+++ b/cmd/burdockward/serve.go
@@ -38,6 +38,8 @@
 		Usage: "run an entry VM on prepared machines; the environment variable " + platform.SettingsVariable + " has the path of its settings file",
 		Flags: []cli.Flag{&cli.IntFlag{
 			Name: "metrics-port", Usage: "serve metrics (/metrics) and profiles (/debug/pprof/) at TCP `PORT` of the VM's address; 0 serves neither", Value: defaultMetricsPort,
+		}, &cli.BoolFlag{
+			Name: "balance-domains", Usage: "send jobs to the failure domains so that their delays become equal, and no parts to owners that refuse them",
 		}},
 		Action: a.serve,
 	}
@@ -63,6 +65,7 @@
 		Settings: s, LoadSettings: load, Reload: reload, Log: log,
 		Count:   func(what, label string) { counters.Add(what, label, 1) },
 		Observe: counters.Observe, Gauge: counters.Set,
+		BalanceDomains: cmd.Bool("balance-domains"),
 	})
 	if err != nil {
 		return &exitError{status: exitStatus(err), err: err}
--- a/entry/choose.go
+++ b/entry/choose.go
@@ -24,7 +24,12 @@
 	// Unconfirmed says that the owner has not answered for more than unconfirmedAfter, but is not
 	// considered lost yet.
 	Unconfirmed bool
-	View        heartbeat.View
+	// HasReport says that the owner has reported its load for the job's service.
+	HasReport bool
+	// AnswerTime is how long answers of targets take until the owner reads them; 0 if it doesn't
+	// report that.
+	AnswerTime time.Duration
+	View       heartbeat.View
 }
 
 // Parameters of the choice.
@@ -89,6 +94,7 @@
 		if load.GetGroup() != c.Group || load.GetService() != service {
 			continue
 		}
+		c.HasReport, c.AnswerTime = true, time.Duration(load.GetAnswerUs())*time.Microsecond
 		if waits := load.GetWaitUs(); len(waits) > 0 {
 			at := min(max(priority, 0), len(waits)-1)
 			c.Wait = time.Duration(waits[at]) * time.Microsecond
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,6 +77,8 @@
 	// ResendDelay is after how long a caller may send a job again whose outcome is unknown: all its runs
 	// are over by then. 0 means that callers aren't told.
 	ResendDelay time.Duration
+	// BalanceDomains chooses owners by ChooseBalanced instead of Choose.
+	BalanceDomains bool
 }
 
 // Entry receives jobs and dispatches them to owners. It is safe for concurrent use.
@@ -170,7 +172,7 @@
 			return work.Outcome{Result: work.Unknown, Reason: "the caller left"}
 		}
 		candidates := e.candidates(r)
-		chosen := Choose(candidates, rand.Float64())
+		chosen := e.choose(candidates)
 		if chosen >= 0 {
 			e.lastOwnerSeen.Store(int64(bootclock.Now()))
 		}
@@ -209,6 +211,22 @@
 	}
 }
 
+// choose returns the index of the owner to ask, or -1. It counts where balanced jobs go.
+func (e *Entry) choose(candidates []Candidate) int {
+	if !e.options.BalanceDomains {
+		return Choose(candidates, rand.Float64())
+	}
+	choice := ChooseBalanced(candidates, rand.Float64())
+	if choice.Index >= 0 {
+		where := "far, "
+		if candidates[choice.Index].Near {
+			where = "near, "
+		}
+		e.options.Count("owner_chosen", where+choice.Reason)
+	}
+	return choice.Index
+}
+
 // noteHandedAgain counts that a job goes to an owner after another one has answered about it. After
 // an answer other than a refusal it logs that, once for each request.
 func (e *Entry) noteHandedAgain(r *request, to Candidate) {
@@ -279,6 +297,7 @@
 		if load, ok := local.Loads()[r.queue.Service]; ok {
 			c.Wait = load.Wait[min(max(r.queue.Priority, 0), scheduler.Priorities-1)]
 			c.FreeShare = float64(load.FreeCPU) / float64(max(load.CPU, 1))
+			c.HasReport, c.AnswerTime = true, load.AnswerTime
 		}
 		return true
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -54,6 +54,8 @@
 	Observe func(what string, took time.Duration)
 	// Gauge sets the value of a gauge; it must not block.
 	Gauge func(what string, value float64)
+	// BalanceDomains has this VM balance load between failure domains.
+	BalanceDomains bool
 }
 
 // Node is one entry VM.
@@ -149,7 +151,7 @@
 		FindJob: func(ctx context.Context, id string) (work.JobState, error) {
 			return jobstore.ReadState(ctx, n.store, id)
 		},
-		ResendDelay: s.MinResendDelay,
+		ResendDelay: s.MinResendDelay, BalanceDomains: o.BalanceDomains,
 	}, heartbeats, n.peerClient)
 	n.servers, err = listen(s, n)
 	return n, err
@@ -274,6 +276,7 @@
 		Schedule: scheduler.Options{
 			StopTimeout: n.options.Settings.MaxStopTime, MaxLease: n.options.Settings.MaxLease,
 			ResendDelay: n.options.Settings.MinResendDelay, KeepaliveTimeout: heartbeat.KeepaliveTimeout,
+			PauseParts: n.options.BalanceDomains,
 		},
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.registry),
 		Delegate: n.delegate, NeedsCapacity: n.heartbeats.RequestLoads, StoreClock: n.storeClock.nowIfKnown,
@@ -388,7 +391,7 @@
 	}
 	var loads []*linkpb.Load
 	for service, load := range o.Loads() {
-		sent := &linkpb.Load{Group: n.group, Service: service, FreeCpu: load.FreeCPU, Cpu: load.CPU}
+		sent := &linkpb.Load{Group: n.group, Service: service, FreeCpu: load.FreeCPU, Cpu: load.CPU, AnswerUs: load.AnswerTime.Microseconds()}
 		for _, wait := range load.Wait {
 			sent.WaitUs = append(sent.WaitUs, wait.Microseconds())
 		}
