Replay owners short of processor time and stale reports

The replay left out that owners have unequal shares of a core, that jobs and parts take their processor time, that owners refuse jobs when they lag, and that each entry VM has reports of its own age.

--balance-domains of replay and rounds plays the balanced choice.

--- a/lab/replay/command.go
+++ b/lab/replay/command.go
@@ -30,6 +30,7 @@
 			&cli.StringFlag{Name: "day", Usage: "kind of day, as for rounds; empty takes the burst and the hung targets of the other flags"},
 			&cli.FloatFlag{Name: "burst", Usage: "factor of the load during 6 of 30 s", Value: 1.5},
 			&cli.FloatFlag{Name: "hung", Usage: "share of targets that hang during 10 of 30 s, from 0 to 1", Value: 0.1},
+			&cli.BoolFlag{Name: "balance-domains", Usage: "have entry VMs and owners balance load between failure domains"},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the jobs and of the hung targets"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
@@ -42,11 +43,11 @@
 				if at < 0 {
 					return fmt.Errorf("unknown day %q: choose one that rounds lists", name)
 				}
-				return comparePolicies(os.Stdout, Days[at].apply(site), cmd.Uint64("seed"))
+				return comparePolicies(os.Stdout, Days[at].apply(site), cmd.Uint64("seed"), cmd.Bool("balance-domains"))
 			}
 			site.Bursts = []Burst{{From: burstFrom, To: burstTo, Factor: cmd.Float("burst")}}
 			site.Faults = []Fault{{From: hungFrom, To: hungTo, Share: cmd.Float("hung"), Hang: true}}
-			return comparePolicies(os.Stdout, site, cmd.Uint64("seed"))
+			return comparePolicies(os.Stdout, site, cmd.Uint64("seed"), cmd.Bool("balance-domains"))
 		},
 	}
 }
@@ -68,7 +69,7 @@
 
 // comparePolicies simulates a day under each policy. For each it writes a row for all jobs, for
 // each kind of request and for each failure domain.
-func comparePolicies(to io.Writer, site Site, seed uint64) error {
+func comparePolicies(to io.Writer, site Site, seed uint64, balance bool) error {
 	out := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(out, "policy\tof\tworth\ton time\tlate\trefused\tof them late\tfailed")
 	for _, p := range []struct {
@@ -76,7 +77,7 @@
 		options Options
 	}{
 		{"ideal", Options{OneOwner: true, Clairvoyant: true}},
-		{"burdockward", Options{}},
+		{"burdockward", Options{BalanceDomains: balance}},
 		{string(FIFO), Options{Policy: FIFO}},
 		{string(LeastOutstanding), Options{Policy: LeastOutstanding}},
 		{string(Random), Options{Policy: Random}},
--- a/lab/replay/days.go
+++ b/lab/replay/days.go
@@ -68,6 +68,16 @@
 	return site
 }
 
+// hamperedDay is a pressed day on which owners have unequal shares of a core, calls and jobs take
+// their processor time, and each entry VM has its own reports.
+func hamperedDay(site Site) Site {
+	site = pressedDay(site)
+	site.EntryVMs = 11
+	site.CallTime, site.JobTime = 60*time.Microsecond, 150*time.Microsecond
+	site.OwnerShares = []float64{0.48, 0.8, 0.48}
+	return site
+}
+
 // Day is a kind of day that can be simulated on any site.
 type Day struct {
 	Name string
@@ -78,5 +88,5 @@
 // Days are the kinds of days of the rounds.
 var Days = []Day{
 	{"usual", func(s Site) Site { return s }}, {"faulty", faultyDay}, {"crowded", crowdedDay}, {"flooded", floodedDay}, {"cordoned", cordonedDay}, {"returning", returningDay},
-	{"scarce", scarceDay}, {"pressed", pressedDay},
+	{"scarce", scarceDay}, {"pressed", pressedDay}, {"hampered", hamperedDay},
 }
--- a/lab/replay/delegate.go
+++ b/lab/replay/delegate.go
@@ -24,7 +24,7 @@
 			continue
 		}
 		w.scheduleAfter(w.options.Site.DomainDelay+processDelay, func() {
-			load := other.state.Load(w.now, "service")
+			load := w.reportedLoad(other)
 			w.scheduleAfter(w.options.Site.DomainDelay+processDelay, func() {
 				if o.lost {
 					return
@@ -58,6 +58,7 @@
 					return
 				}
 				delete(o.withdrawals, e.Part)
+
 				o.state.PartReturned(w.now, e.Part, outcome)
 				w.applyEffects(o)
 			})
@@ -71,7 +72,9 @@
 				w.applyEffects(other)
 			})
 		}
-		other.state.Submit(w.now, sub)
-		w.applyEffects(other)
+		w.runOnCPU(other, w.options.Site.JobTime, func() {
+			other.state.Submit(w.now, sub)
+			w.applyEffects(other)
+		})
 	})
 }
--- a/lab/replay/rounds.go
+++ b/lab/replay/rounds.go
@@ -43,10 +43,11 @@
 			&cli.StringFlag{Name: "other", Usage: "`PATH` of the other build; empty prints one row for each day of this build"},
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds with which each day of each site is simulated", Value: 4},
 			&cli.StringFlag{Name: "sites", Usage: "names of sites, separated by commas; empty stands for all"},
+			&cli.BoolFlag{Name: "balance-domains", Usage: "have this build balance load between failure domains; the other build runs without it"},
 			&cli.StringFlag{Name: "days", Usage: "names of days, separated by commas; empty stands for all"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			rows, err := playAll(ctx, cmd.Int("seeds"), nameFilter(cmd.String("sites")), nameFilter(cmd.String("days")))
+			rows, err := playAll(ctx, cmd.Int("seeds"), nameFilter(cmd.String("sites")), nameFilter(cmd.String("days")), cmd.Bool("balance-domains"))
 			if err != nil {
 				return err
 			}
@@ -78,7 +79,7 @@
 
 // playAll simulates each selected day of each selected site with each seed. A cancelled context
 // ends it after the days that are being simulated.
-func playAll(ctx context.Context, seeds int, site, day func(string) bool) ([]dayResult, error) {
+func playAll(ctx context.Context, seeds int, site, day func(string) bool, balance bool) ([]dayResult, error) {
 	var rows []dayResult
 	for _, spec := range SiteSpecs {
 		for _, d := range Days {
@@ -94,7 +95,7 @@
 	for i := range rows {
 		g.Go(func() error {
 			if ctx.Err() == nil {
-				rows[i].simulate()
+				rows[i].simulate(balance)
 			}
 			return ctx.Err()
 		})
@@ -103,10 +104,10 @@
 }
 
 // simulate plays the day and fills in its result.
-func (p *dayResult) simulate() {
+func (p *dayResult) simulate(balance bool) {
 	spec := SiteSpecs[slices.IndexFunc(SiteSpecs, func(s SiteSpec) bool { return s.Name == p.site })]
 	day := Days[slices.IndexFunc(Days, func(d Day) bool { return d.Name == p.day })]
-	r := Play(Options{Site: day.apply(spec.site()), Seed: p.seed})
+	r := Play(Options{Site: day.apply(spec.site()), Seed: p.seed, BalanceDomains: balance})
 	p.worth, p.worstKind, p.lateRefusals = r.Worth, slices.Min(r.Kinds), r.LateRefusals
 }
 
--- a/lab/replay/site.go
+++ b/lab/replay/site.go
@@ -57,6 +57,16 @@
 	// CallTime is the processor time that an owner needs to send a call, and again to read its
 	// answer. The processor does one at a time. 0 stands for none.
 	CallTime time.Duration
+	// JobTime is the processor time that an owner needs to read a job or a part and to answer it.
+	// 0 stands for none.
+	JobTime time.Duration
+	// OwnerShares are the shares of a core that the owners have, in turn; empty stands for one
+	// core each. CallTime and JobTime are those of a whole core.
+	OwnerShares []float64
+	// EntryVMs is the number of entry VMs of each failure domain. Each has its own reports of the
+	// owners' loads, which arrive at its own times. 0 stands for entry VMs that all have the same
+	// reports.
+	EntryVMs int
 	// Swing is the amplitude of the slow change of each failure domain's load, as a share of
 	// its mean.
 	Swing float64
@@ -198,6 +208,8 @@
 	worth     float64
 	// submittedAt is when the caller last submitted it.
 	submittedAt time.Duration
+	// entryVM is the index of the entry VM that dispatches it, in its failure domain.
+	entryVM int
 }
 
 // drawArrivals draws all jobs of a day.
--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -21,6 +21,9 @@
 	// Clairvoyant gives the scheduler the longest true run time of each job as its
 	// estimate, and removes the network delay of calls to owners and targets.
 	Clairvoyant bool
+	// BalanceDomains has entry VMs choose owners by entry.ChooseBalanced, and owners send no parts
+	// to owners that refuse them.
+	BalanceDomains bool
 	// SendOnce keeps owners from resending unanswered orders.
 	SendOnce bool
 	// Policy decides where tasks run; Owners stands for burdockward's own scheduler.
@@ -108,6 +111,8 @@
 	lateRefusedWorth float64
 	kindWorth        []worthSum
 	domainWorth      []worthSum
+	// entryVMs are the entry VMs by failure domain; empty if Site.EntryVMs is 0.
+	entryVMs [][]*entryVM
 	// cpuUsed is the sum of the run times multiplied by thousandths of a core, cpuWasted that of
 	// the runs that were stopped or failed.
 	cpuUsed   time.Duration
@@ -169,6 +174,7 @@
 	w.report.ByKind = make([]Counts, len(o.Site.Kinds))
 	w.report.ByDomain = make([]Counts, o.Site.Domains)
 	w.build()
+	w.addEntryVMs()
 	w.scheduleCordonsAndLosses()
 	arrivals := o.Site.drawArrivals(o.Seed)
 	for i := range arrivals {
@@ -237,11 +243,11 @@
 // runOnCPU occupies an owner's processor for some time after all its earlier work, and then
 // calls do. A site without CallTime calls do at once.
 func (w *world) runOnCPU(o *ownerSim, takes time.Duration, do func()) {
-	if w.options.Site.CallTime == 0 {
+	if w.options.Site.CallTime == 0 || w.options.Clairvoyant {
 		do()
 		return
 	}
-	o.busyUntil = max(o.busyUntil, w.now) + takes
+	o.busyUntil = max(o.busyUntil, w.now) + w.timeAtOwner(o, takes)
 	w.scheduleAt(o.busyUntil, do)
 }
 
@@ -261,7 +267,7 @@
 
 // updateLoad publishes an owner's load to the entry VMs, now and at each load interval.
 func (w *world) updateLoad(o *ownerSim) {
-	o.load = o.state.Load(w.now, "service")
+	o.load = w.reportedLoad(o)
 	w.scheduleAfter(loadInterval, func() { w.updateLoad(o) })
 }
 
@@ -292,38 +298,67 @@
 func (w *world) submit(a *arrival, refused map[int]bool) {
 	if len(refused) == 0 {
 		a.submittedAt = w.now
+		a.entryVM = w.drawEntryVM(a.domain)
 	}
 	index := w.chooseOwner(a, refused)
 	o := w.owners[index]
-	delay := w.callerDelay(index, a.domain)
-	w.scheduleAfter(delay, func() {
+	w.scheduleAfter(w.callerDelay(index, a.domain), func() {
 		if o.lost {
 			w.resubmitLater(a)
 			return
 		}
-		o.lastRef++
-		ref := o.lastRef
-		o.callers[ref] = a
-		o.state.Submit(w.now, scheduler.Submission{
-			Ref: ref, Job: a.job, Queue: w.queueOf(a.kind), Age: w.now - a.submittedAt,
-			Wait: max(queueTimeout+usefulFactor*a.objective-(a.submittedAt-a.at-time.Second), time.Millisecond),
-		})
-		w.applyEffectsExcept(o, func(answer scheduler.Answer) bool {
-			if answer.Ref != ref || answer.Outcome.Result != work.Refused {
-				return false
-			}
-			refused[index] = true
-			late := w.now-a.at-time.Second > offerPeriod
-			if late || len(refused) >= len(w.owners) || !w.hasBetterOwner(refused, answer.Outcome.RetryAfter) {
-				return false
+		if behind := w.lag(o); behind > shedThreshold {
+
+			w.offerAgain(a, refused, index, work.Outcome{Result: work.Refused, RetryAfter: behind}, func() {
+				w.countRefusal(a)
+			})
+			return
+		}
+		incarnation := o.incarnation
+		w.runOnCPU(o, w.options.Site.JobTime, func() {
+			if o.lost || o.incarnation != incarnation {
+				w.resubmitLater(a)
+				return
 			}
-			delete(o.callers, ref)
-			w.scheduleAfter(delay, func() { w.submit(a, refused) })
-			return true
+			w.submitTo(a, refused, index)
 		})
 	})
 }
 
+// submitTo gives a job to an owner's scheduler.
+func (w *world) submitTo(a *arrival, refused map[int]bool, index int) {
+	o := w.owners[index]
+	o.lastRef++
+	ref := o.lastRef
+	o.callers[ref] = a
+
+	o.state.Submit(w.now, scheduler.Submission{
+		Ref: ref, Job: a.job, Queue: w.queueOf(a.kind), Age: w.now - a.submittedAt,
+		Wait: max(queueTimeout+usefulFactor*a.objective-(a.submittedAt-a.at-time.Second), time.Millisecond),
+	})
+	w.applyEffectsExcept(o, func(answer scheduler.Answer) bool {
+		if answer.Ref != ref || answer.Outcome.Result != work.Refused {
+			return false
+		}
+		delete(o.callers, ref)
+
+		w.offerAgain(a, refused, index, answer.Outcome, func() { w.countRefusal(a) })
+		return true
+	})
+}
+
+// offerAgain submits a job that an owner has refused to another one, or calls end if no other
+// one is likely to take it in time.
+func (w *world) offerAgain(a *arrival, refused map[int]bool, index int, refusal work.Outcome, end func()) {
+	refused[index] = true
+	late := w.now-a.at-time.Second > offerPeriod
+	if late || len(refused) >= len(w.owners) || !w.hasBetterOwner(a, refused, refusal.RetryAfter) {
+		end()
+		return
+	}
+	w.scheduleAfter(w.callerDelay(index, a.domain), func() { w.submit(a, refused) })
+}
+
 // queueOf returns the queue of a kind of request.
 func (w *world) queueOf(kind int) work.Queue {
 	k := w.options.Site.Kinds[kind]
@@ -421,16 +456,23 @@
 	case work.Moved:
 		w.scheduleAfter(movedRetryDelay, func() { w.submit(a, map[int]bool{}) })
 	case work.Refused:
-		w.countJob(a, func(c *Counts) { c.Refused++ })
-		if w.now-a.submittedAt > promptRefusalTime {
-			w.lateRefusedWorth += a.worth
-			w.countJob(a, func(c *Counts) { c.RefusedLate++ })
-		}
+
+		w.countRefusal(a)
 	default:
 		w.countJob(a, func(c *Counts) { c.Failed++ })
 	}
 }
 
+// countRefusal counts a refused job.
+func (w *world) countRefusal(a *arrival) {
+
+	w.countJob(a, func(c *Counts) { c.Refused++ })
+	if w.now-a.submittedAt > promptRefusalTime {
+		w.lateRefusedWorth += a.worth
+		w.countJob(a, func(c *Counts) { c.RefusedLate++ })
+	}
+}
+
 // countJob updates the counts of all jobs, of the job's kind and of its failure domain.
 func (w *world) countJob(a *arrival, update func(*Counts)) {
 	update(&w.report.Counts)
