--- a/entry/balance_test.go
+++ b/entry/balance_test.go
@@ -27,6 +27,7 @@
 		"near beyond the range":         {[]Candidate{far(0), near(60 * ms)}, 1, 0},
 		"answers of near are slow":      {[]Candidate{far(0), {Near: true, HasReport: true, AnswerTime: 40 * ms}}, 1, 0},
 		"answers of far are slow":       {[]Candidate{{HasReport: true, AnswerTime: 40 * ms}, near(60 * ms)}, 0, 1},
+		"far is of an older build":      {[]Candidate{far(0), {Near: true, HasReport: true, AnswerTime: 16 * ms}}, 0, 1},
 		"far without a report":          {[]Candidate{{}, near(200 * ms)}, 0, 1},
 		"near has just changed":         {[]Candidate{far(0), {Near: true}}, 0, 1},
 		"only one without a report":     {[]Candidate{{}, {Near: true, HasRefused: true}}, 0, 0},
