Remove the pauses of parts and narrow the balanced draw

Jobs of a cordoned domain were drawn for owners up to 50 ms behind the best one, and paused owners left remaining tasks waiting.

So the option, its tests and mutants go, and the scheduler decides as before.

--- a/cmd/burdockward/serve.go
+++ b/cmd/burdockward/serve.go
@@ -39,7 +39,7 @@
 		Flags: []cli.Flag{&cli.IntFlag{
 			Name: "metrics-port", Usage: "serve metrics (/metrics) and profiles (/debug/pprof/) at TCP `PORT` of the VM's address; 0 serves neither", Value: defaultMetricsPort,
 		}, &cli.BoolFlag{
-			Name: "balance-domains", Usage: "send jobs to the failure domains so that their delays become equal, and no parts to owners that refuse them",
+			Name: "balance-domains", Usage: "send jobs to the failure domains so that their delays become equal",
 		}},
 		Action: a.serve,
 	}
--- a/entry/balance.go
+++ b/entry/balance.go
@@ -9,9 +9,8 @@
 	// answer).
 	messagesPerAnswer = 1.5
 	// balanceRange is by how much longer than the shortest delay an owner's delay may be before it
-	// gets no more jobs. Wider ranges send jobs to owners where they start late, narrower ones have
-	// all VMs choose the same owner between two reports.
-	balanceRange = 50 * time.Millisecond
+	// gets no more jobs. Wider ranges send jobs to owners where they start late.
+	balanceRange = 25 * time.Millisecond
 )
 
 // Choice is a chosen owner.
--- a/lab/replay/command.go
+++ b/lab/replay/command.go
@@ -30,7 +30,7 @@
 			&cli.StringFlag{Name: "day", Usage: "kind of day, as for rounds; empty takes the burst and the hung targets of the other flags"},
 			&cli.FloatFlag{Name: "burst", Usage: "factor of the load during 6 of 30 s", Value: 1.5},
 			&cli.FloatFlag{Name: "hung", Usage: "share of targets that hang during 10 of 30 s, from 0 to 1", Value: 0.1},
-			&cli.BoolFlag{Name: "balance-domains", Usage: "have entry VMs and owners balance load between failure domains"},
+			&cli.BoolFlag{Name: "balance-domains", Usage: "have entry VMs balance load between failure domains"},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the jobs and of the hung targets"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
--- a/lab/replay/cordons_losses.go
+++ b/lab/replay/cordons_losses.go
@@ -130,5 +130,5 @@
 
 // newState creates the scheduler of an owner's process.
 func (w *world) newState() *scheduler.State {
-	return scheduler.New(scheduler.Options{SendOnce: w.options.SendOnce, PauseParts: w.options.BalanceDomains})
+	return scheduler.New(scheduler.Options{SendOnce: w.options.SendOnce})
 }
--- a/lab/replay/world.go
+++ b/lab/replay/world.go
@@ -21,8 +21,7 @@
 	// Clairvoyant gives the scheduler the longest true run time of each job as its
 	// estimate, and removes the network delay of calls to owners and targets.
 	Clairvoyant bool
-	// BalanceDomains has entry VMs choose owners by entry.ChooseBalanced, and owners send no parts
-	// to owners that refuse them.
+	// BalanceDomains has entry VMs choose owners by entry.ChooseBalanced.
 	BalanceDomains bool
 	// SendOnce keeps owners from resending unanswered orders.
 	SendOnce bool
--- a/node/node.go
+++ b/node/node.go
@@ -276,7 +276,6 @@
 		Schedule: scheduler.Options{
 			StopTimeout: n.options.Settings.MaxStopTime, MaxLease: n.options.Settings.MaxLease,
 			ResendDelay: n.options.Settings.MinResendDelay, KeepaliveTimeout: heartbeat.KeepaliveTimeout,
-			PauseParts: n.options.BalanceDomains,
 		},
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.registry),
 		Delegate: n.delegate, NeedsCapacity: n.heartbeats.RequestLoads, StoreClock: n.storeClock.nowIfKnown,
--- a/scheduler/delegate.go
+++ b/scheduler/delegate.go
@@ -108,7 +108,7 @@
 	var most capacityReport
 	priority := priorityOf(q)
 	for key, r := range s.reportedCapacity {
-		if key.service != q.Service || now-r.at > capacityReportLifetime || s.isPartPaused(now, key) {
+		if key.service != q.Service || now-r.at > capacityReportLifetime {
 			continue
 		}
 		tasks, mostTasks := r.Tasks[priority], most.Tasks[priority]
@@ -156,7 +156,6 @@
 		return
 	}
 	s.notePartReturned(now, p, outcome)
-	s.updatePartPause(now, p.to, outcome)
 	j.record(now, "part returned", p.tasks[0].name, p.to.owner, outcome.Result.String()+" "+outcome.Reason)
 	switch outcome.Result {
 	case work.Completed:
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -30,8 +30,6 @@
 	// RecordTargets starts tasks of durable jobs only at targets that the store has recorded, and
 	// only while the claim is confirmed.
 	RecordTargets bool
-	// PauseParts delegates no part for some time to an owner that has refused one.
-	PauseParts bool
 }
 
 // Defaults of Options.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -140,10 +140,8 @@
 	// delegated to them.
 	reportedCapacity map[capacityKey]capacityReport
 	parts            map[Part]*delegatedPart
-	// partPauses holds the owners that have refused parts lately.
-	partPauses map[capacityKey]partPause
-	lastPart   Part
-	withdrawn  []withdrawal
+	lastPart         Part
+	withdrawn        []withdrawal
 
 	// endedJobs counts the jobs that have ended.
 	endedJobs int
@@ -224,7 +222,6 @@
 		estimates:             map[string]*queueEstimate{},
 		reportedCapacity:      map[capacityKey]capacityReport{},
 		parts:                 map[Part]*delegatedPart{},
-		partPauses:            map[capacityKey]partPause{},
 		unrecordedCompletions: map[string][]unrecordedCompletion{},
 		lateCompletions:       map[string][]CompletionRef{},
 		inheritedStates:       map[string]inheritedState{},
