--- a/cmd/burdockward/serve.go
+++ b/cmd/burdockward/serve.go
@@ -43,6 +43,7 @@
 			&cli.BoolFlag{Name: "place-by-end", Usage: "start tasks where they are expected to end in time, by the usual speed of each target"},
 			&cli.BoolFlag{Name: "correct-admission", Usage: "correct the forecasts by which jobs are accepted or refused, by their outcomes"},
 			&cli.BoolFlag{Name: "return-times", Usage: "give each refused caller its own time to come again"},
+			&cli.BoolFlag{Name: "balance-domains", Usage: "send jobs to the failure domains so that their delays become equal"},
 		},
 		Action: a.serve,
 	}
@@ -70,6 +71,7 @@
 		Observe: counters.Observe, Gauge: counters.Set,
 		PlaceByEnd:       cmd.Bool("place-by-end"),
 		CorrectAdmission: cmd.Bool("correct-admission"), ReturnTimes: cmd.Bool("return-times"),
+		BalanceDomains: cmd.Bool("balance-domains"),
 	})
 	if err != nil {
 		return &exitError{status: exitStatus(err), err: err}
--- a/lab/replay/command.go
+++ b/lab/replay/command.go
@@ -34,6 +34,7 @@
 			&cli.StringFlag{Name: "day", Usage: "kind of day, as for rounds; empty takes the burst and the hung targets of the other flags"},
 			&cli.FloatFlag{Name: "burst", Usage: "factor of the load during 6 of 30 s", Value: 1.5},
 			&cli.FloatFlag{Name: "hung", Usage: "share of targets that hang during 10 of 30 s, from 0 to 1", Value: 0.1},
+			&cli.BoolFlag{Name: "balance-domains", Usage: "have entry VMs balance load between failure domains"},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the jobs and of the hung targets"},
 			&cli.StringMapFlag{Name: "guarantee", Usage: "guaranteed share of the capacity of a queue, from 0 to 1, as `QUEUE=SHARE`; each queue has a profile of its own"},
 			correctAdmissionFlag(), placeByEndFlag(),
@@ -47,7 +48,7 @@
 			if err != nil {
 				return err
 			}
-			parts := Options{Profiles: profiles, CorrectAdmission: cmd.Bool(correctAdmission), PlaceByEnd: cmd.Bool(placeByEnd)}
+			parts := Options{Profiles: profiles, CorrectAdmission: cmd.Bool(correctAdmission), PlaceByEnd: cmd.Bool(placeByEnd), BalanceDomains: cmd.Bool("balance-domains")}
 			if name := cmd.String("day"); name != "" {
 				at := slices.IndexFunc(Days, func(d Day) bool { return d.Name == name })
 				if at < 0 {
--- a/lab/replay/rounds.go
+++ b/lab/replay/rounds.go
@@ -43,11 +43,12 @@
 			&cli.StringFlag{Name: "other", Usage: "`PATH` of the other build; empty prints one row for each day of this build"},
 			&cli.IntFlag{Name: "seeds", Usage: "number of seeds with which each day of each site is simulated", Value: 4},
 			&cli.StringFlag{Name: "sites", Usage: "names of sites, separated by commas; empty stands for all"},
+			&cli.BoolFlag{Name: "balance-domains", Usage: "have this build balance load between failure domains; the other build runs without it"},
 			&cli.StringFlag{Name: "days", Usage: "names of days, separated by commas; empty stands for all"},
 			correctAdmissionFlag(), placeByEndFlag(),
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			rows, err := playAll(ctx, cmd.Int("seeds"), nameFilter(cmd.String("sites")), nameFilter(cmd.String("days")), Options{CorrectAdmission: cmd.Bool(correctAdmission), PlaceByEnd: cmd.Bool(placeByEnd)})
+			rows, err := playAll(ctx, cmd.Int("seeds"), nameFilter(cmd.String("sites")), nameFilter(cmd.String("days")), Options{CorrectAdmission: cmd.Bool(correctAdmission), PlaceByEnd: cmd.Bool(placeByEnd), BalanceDomains: cmd.Bool("balance-domains")})
 			if err != nil {
 				return err
 			}
--- a/node/node.go
+++ b/node/node.go
@@ -58,6 +58,8 @@
 	PlaceByEnd bool
 	// CorrectAdmission and ReturnTimes switch the parts of the scheduler of these names on.
 	CorrectAdmission, ReturnTimes bool
+	// BalanceDomains has this VM balance load between failure domains.
+	BalanceDomains bool
 }
 
 // Node is one entry VM.
@@ -163,7 +165,7 @@
 		FindJob: func(ctx context.Context, id string) (work.JobState, error) {
 			return jobstore.ReadState(ctx, n.store, id)
 		},
-		ResendDelay: s.MinResendDelay,
+		ResendDelay: s.MinResendDelay, BalanceDomains: o.BalanceDomains,
 	}, heartbeats, n.peerClient)
 	n.servers, err = listen(s, n)
 	return n, err
@@ -413,7 +415,7 @@
 	}
 	var loads []*linkpb.Load
 	for service, load := range o.Loads() {
-		sent := &linkpb.Load{Group: n.group, Service: service, FreeCpu: load.FreeCPU, Cpu: load.CPU}
+		sent := &linkpb.Load{Group: n.group, Service: service, FreeCpu: load.FreeCPU, Cpu: load.CPU, AnswerUs: load.AnswerTime.Microseconds()}
 		for _, wait := range load.Wait {
 			sent.WaitUs = append(sent.WaitUs, wait.Microseconds())
 		}
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -9,6 +9,7 @@
 	p := s.poolOf(service)
 	load := Load{Cordoned: s.cordon.isCordoned()}
 	load.CPU = p.openCPU
+	load.AnswerTime = s.resend.slowMean
 	load.FreeCPU = p.freeCPU(0)
 	load.FreeCapacity.Tasks = s.acceptableTasks(now, p)
 	_, rate := p.supply(now, 0)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -432,6 +432,8 @@
 	CPU int64
 	// FreeCapacity is what other owners may delegate here.
 	FreeCapacity FreeCapacity
+	// AnswerTime is a moving average of how long answers of targets take until they are read.
+	AnswerTime time.Duration
 	// Cordoned says that nothing may be started on the targets.
 	Cordoned bool
 }
