Let a successor continue the runs of best-effort jobs

A leaving owner keeps each target until its runs of best-effort jobs have ended. Under load a handover takes as long as the longest run, and jobs that come meanwhile are handed back.

Weighed: to have the successor only expect runs and take those that targets list, as for durable jobs, which needs rules of its own for missing ones; and to wait until all starts are answered and all stops certain, which lets one silent target delay the others. Instead HandOverJobs describes each run as the leaving owner knows it, and AdoptJobs gives the successor the same runs before its first order, so that its usual rules apply to them. Starts without an answer are sent again with their numbers; runs that were being stopped are stopped again. Each job stays at the leaving owner as a job whose open tasks are a delegated part. Until that VM has asked for a part, its leases end as if the caller had left at the handover. Keepalives of all VMs on the way to the caller count. Gangs, lasting, background and latency-sensitive steps, recurring and advised jobs and suspects stay, with their targets. Nothing calls HandOverJobs yet.

The world of several VMs plays handovers with and without it.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -29,6 +29,10 @@
 // admit accepts a job, or answers at once why it is not run. Unlike Submit it does not check
 // whether a later request replaced this one.
 func (s *State) admit(now time.Duration, sub Submission) {
+	if sub.Handed {
+		s.attachHanded(now, sub)
+		return
+	}
 	if s.leaving {
 		s.answer(sub, work.Outcome{Result: work.Moved, Reason: "another VM orders the targets"})
 		return
--- a/scheduler/answers.go
+++ b/scheduler/answers.go
@@ -458,6 +458,9 @@
 			s.renewLease(now, t, &poll)
 		}
 	case t.state == adopting:
+		if s.mayRenewAtFirst(now, t) {
+			s.renewLease(now, t, &poll)
+		}
 	case len(t.runs) > 0:
 		if t.failedPolls == 0 && !unrecorded && t.incarnationAskedAt == 0 {
 			poll.Wait = s.pollWait(now)
--- a/scheduler/delegate.go
+++ b/scheduler/delegate.go
@@ -51,6 +51,8 @@
 	to    capacityKey
 	// since is when they were delegated.
 	since time.Duration
+	// handed says that its runs were handed over with it.
+	handed bool
 }
 
 // Parameters of delegation.
@@ -161,6 +163,10 @@
 	case work.Completed:
 		s.completePart(now, p)
 	case work.Refused, work.Moved:
+		if p.handed {
+			s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "the successor has not taken the job over: " + outcome.Reason})
+			return
+		}
 		j.possibleStarts--
 		s.reportedCapacity[p.to] = capacityReport{at: now - capacityReportLifetime - 1}
 		p.step.pending = append(p.step.pending, p.tasks...)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -59,6 +59,10 @@
 	// hasRerun says that a run of it failed or was lost, returned that its caller had sent it
 	// before.
 	hasRerun, returned bool
+	// handedAt is a time after which a previous owner handed the job over; 0 for other jobs.
+	// attached is set once that owner has asked for its outcome.
+	handedAt time.Duration
+	attached bool
 }
 
 // step is one step of one occurrence of a job.
@@ -239,7 +243,7 @@
 	for i := range declared.Tasks {
 		name := fmt.Sprintf("%s.%d", st.name, i)
 		if j.sub.Part != nil {
-			name = j.sub.Part[i]
+			name = j.sub.Part[len(j.tasks)]
 		}
 		t := &task{name: name, job: j, step: st, index: len(j.tasks)}
 		st.members = append(st.members, t)
@@ -386,6 +390,7 @@
 
 // Cancel gives up a submission whose caller has left. Durable jobs go on.
 func (s *State) Cancel(now time.Duration, ref Ref) {
+	s.cancelWaiting(ref)
 	if j := s.jobs[ref]; j != nil && !j.isDurable() {
 		s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "the caller left"})
 	}
@@ -401,6 +406,8 @@
 	case !s.hasKeepalive(now, j):
 		s.finish(now, j, j.giveUpOutcome(fmt.Sprintf("its entry VM is silent: vouched until %v ago",
 			(now-s.lastKeepalive(j)).Round(time.Millisecond))))
+	case j.isUnclaimed(now):
+		s.finish(now, j, j.giveUpOutcome("the VM that handed it over has not asked for it"))
 	case j.deadline > 0 && now >= j.deadline:
 		s.finish(now, j, j.giveUpOutcome("the caller's deadline has passed"))
 	case j.sub.Part != nil && !j.mayHaveStarted() && now-j.submitted > partStartTimeout:
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -71,6 +71,10 @@
 	if j.sub.Entry != "" {
 		evidence = min(evidence, s.lastKeepalive(j)-s.options.KeepaliveTimeout)
 	}
+	if j.handedAt > 0 && !j.attached {
+		// The leaving VM may have answered its caller at once, or have noticed late that it left.
+		evidence = min(evidence, j.handedAt-s.options.PauseThreshold)
+	}
 	return evidence + s.options.ResendDelay - resendMargin
 }
 
@@ -83,6 +87,9 @@
 	if j.sub.Origin != "" {
 		until = min(until, s.keepalives[j.sub.Origin])
 	}
+	for _, voucher := range j.sub.Vouchers {
+		until = min(until, s.keepalives[voucher])
+	}
 	return until
 }
 
--- a/scheduler/newer_faults_calls_test.go
+++ b/scheduler/newer_faults_calls_test.go
@@ -233,7 +233,7 @@
 func (o *vmOwner) submit(sub Submission, conn *connection, reply func(work.Outcome)) *call {
 	w := o.vm.w
 	c := &call{o: o, conn: conn, reply: reply}
-	if o.delay(w.now) > 150*ms {
+	if o.delay(w.now) > 150*ms && !sub.Handed {
 		reply(work.Outcome{Result: work.Refused, Reason: "the owner is short of processor", RetryAfter: o.delay(w.now)})
 		return c
 	}
--- a/scheduler/newer_faults_entry_test.go
+++ b/scheduler/newer_faults_entry_test.go
@@ -217,8 +217,14 @@
 }
 
 // delegate follows node.delegate and owner.delegate.
-func (o *vmOwner) delegate(e Delegate) {
+func (o *vmOwner) delegate(e Delegate) { o.delegateSince(e, o.vm.w.now) }
+
+// delegateSince tries for a while to reach the successor with a part that is handed over.
+func (o *vmOwner) delegateSince(e Delegate, since time.Duration) {
 	v := o.vm
+	if o.ended {
+		return
+	}
 	returned := func(outcome work.Outcome) {
 		o.post(func(now time.Duration) {
 			delete(o.delegated, e.Part)
@@ -235,9 +241,17 @@
 			if outcome.Result == work.Unknown {
 				v.giveUp(view, e.Submission.Job.ID, request)
 			}
+			if outcome.Result == work.Moved && e.Submission.Handed && v.w.now-since < 300*ms && !o.withdrawn[e.Part] {
+				v.later(10*ms, func() { o.delegateSince(e, since) })
+				return
+			}
 			v.later(0, func() { returned(outcome) })
 		})
 		return
 	}
+	if e.Submission.Handed && v.w.now-since < 300*ms && !o.withdrawn[e.Part] {
+		v.later(10*ms, func() { o.delegateSince(e, since) })
+		return
+	}
 	v.later(0, func() { returned(work.Outcome{Result: work.Moved, Reason: "the other owner is silent"}) })
 }
--- a/scheduler/newer_faults_fuzz_test.go
+++ b/scheduler/newer_faults_fuzz_test.go
@@ -73,9 +73,15 @@
 }
 
 func playOverlappingFaults(rt *rapid.T, kinds []string) *vmWorld {
+	return playFaults(rt, kinds, func(*vmWorld) {})
+}
+
+// playFaults plays faults of the given kinds in a world that prepare has changed.
+func playFaults(rt *rapid.T, kinds []string, prepare func(w *vmWorld)) *vmWorld {
 	w := newVMWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 2).Draw(rt, "domains"),
 		rapid.IntRange(2, 3).Draw(rt, "vms"), rapid.IntRange(1, 4).Draw(rt, "targets"), rapid.Bool().Draw(rt, "restarts"))
 	w.longest = rapid.SampledFrom([]int{100, 800, 2500, 5000}).Draw(rt, "longest")
+	prepare(w)
 	active := map[string]bool{}
 	for _, kind := range kinds {
 		active[kind] = rapid.IntRange(0, 3).Draw(rt, kind) > 0
--- a/scheduler/newer_faults_owner_test.go
+++ b/scheduler/newer_faults_owner_test.go
@@ -27,6 +27,7 @@
 	keepaliveUntil     map[string]time.Duration
 	givenUpJobs        []givenUpJob
 	delegated          map[Part]*remoteCall
+	withdrawn          map[Part]bool
 	ended, deposed     bool
 	onEnd              []func()
 	// The registry, as in owner/registry.go.
@@ -46,7 +47,7 @@
 func (v *vm) startOwner(claim *vmClaim) *vmOwner {
 	o := &vmOwner{
 		vm: v, group: claim.group, claim: claim, state: New(Options{ConfirmClaims: true}), token: claim.version, createdAt: v.w.now,
-		waiters: map[Ref]func(work.Outcome){}, keepaliveUntil: map[string]time.Duration{}, delegated: map[Part]*remoteCall{},
+		waiters: map[Ref]func(work.Outcome){}, keepaliveUntil: map[string]time.Duration{}, delegated: map[Part]*remoteCall{}, withdrawn: map[Part]bool{},
 		listed: map[string]work.Target{}, former: claim.former, handoverPending: claim.former != nil, handedOver: map[string]bool{},
 	}
 	v.w.log("%s owns group %d, token %d, passed %d", v.entryID(), claim.group, claim.version, claim.passed)
@@ -260,6 +261,7 @@
 		case Delegate:
 			o.delegate(e)
 		case Withdraw:
+			o.withdrawn[e.Part] = true
 			if call := o.delegated[e.Part]; call != nil {
 				call.cancel()
 			}
--- a/scheduler/newer_faults_ownership_test.go
+++ b/scheduler/newer_faults_ownership_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/burdockward/burdockward/work"
@@ -205,6 +206,7 @@
 	targets  []string
 	all      bool
 	registry []work.Target
+	handover *Handover
 }
 
 // release follows peerCalls.Release, node.predecessorOf and Owner.Release.
@@ -218,10 +220,16 @@
 		reply(releasedTargets{all: true})
 		return
 	}
-	o.post(func(time.Duration) {
+	o.post(func(now time.Duration) {
+		var handover *Handover
+		if hands := v.w.handsOver; hands != nil && hands(v) && hands(successor.holder) && !o.handoverPending {
+			h, released := o.state.HandOverJobs(now, successor.holder.entryID())
+			h.From = v.entryID()
+			handover, o.released = &h, append(o.released, released...)
+		}
 		o.released = append(o.released, o.state.IdleTargets()...)
 		o.state.ReleaseTargets(o.released)
-		answer := releasedTargets{targets: append([]string(nil), o.released...), all: o.state.IsIdle() && !o.handoverPending}
+		answer := releasedTargets{targets: append([]string(nil), o.released...), all: (o.state.IsIdle() || o.state.HasHandedOverJobs() && o.state.UsesNoTarget()) && !o.handoverPending, handover: handover}
 		for _, id := range v.w.targetIDs() {
 			if target, ok := o.listed[id]; ok {
 				answer.registry = append(answer.registry, target)
@@ -229,21 +237,33 @@
 		}
 		v.later(0, func() {
 			reply(answer)
-			if answer.all && v.outgoing == o {
-				o.end()
-				v.outgoing = nil
+			if answer.all {
+				v.endOutgoing(o)
 			}
 		})
 	})
 }
 
+// endOutgoing follows peerCalls.Release and node.endOutgoing: the jobs that were handed over are answered
+// before the owner ends.
+func (v *vm) endOutgoing(o *vmOwner) {
+	switch {
+	case v.outgoing != o:
+	case len(o.state.jobs) > 0:
+		v.later(20*ms, func() { v.endOutgoing(o) })
+	default:
+		o.end()
+		v.outgoing = nil
+	}
+}
+
 // askPredecessor follows Owner.takeOverTargets.
 func (o *vmOwner) askPredecessor(lastAnswer time.Duration) {
 	v, former := o.vm, o.former
 	if o.ended {
 		return
 	}
-	answered := false
+	answered, asked := false, v.w.now
 	settle := func(released releasedTargets, ok bool) {
 		if answered || o.ended {
 			return
@@ -253,7 +273,7 @@
 			lastAnswer = v.w.now
 		}
 		silent := v.w.now-lastAnswer > silenceTimeout
-		o.post(func(now time.Duration) { o.applyReleased(now, released, silent) })
+		o.post(func(now time.Duration) { o.applyReleased(now, asked, released, silent) })
 		if !released.all && !silent {
 			v.later(40*ms, func() { o.askPredecessor(lastAnswer) })
 		}
@@ -273,7 +293,10 @@
 }
 
 // applyReleased follows Owner.applyReleased.
-func (o *vmOwner) applyReleased(now time.Duration, released releasedTargets, silent bool) {
+func (o *vmOwner) applyReleased(now, asked time.Duration, released releasedTargets, silent bool) {
+	if released.handover != nil && o.handoverPending {
+		o.adopt(now, asked, *released.handover)
+	}
 	for _, id := range released.targets {
 		o.handedOver[id] = true
 	}
@@ -284,6 +307,9 @@
 		}
 	}
 	if released.all || silent {
+		if o.handoverPending {
+			o.vm.w.longestHandover = max(o.vm.w.longestHandover, now-o.createdAt)
+		}
 		o.handoverPending = false
 	}
 	for _, id := range o.vm.w.targetIDs() {
@@ -292,3 +318,15 @@
 		}
 	}
 }
+
+// adopt follows Owner.adopt: the jobs come before the targets, and this VM needs no keepalives of
+// itself.
+func (o *vmOwner) adopt(now, asked time.Duration, h Handover) {
+	o.vm.w.adopted += len(h.Jobs)
+	h.Jobs = slices.Clone(h.Jobs)
+	for i := range h.Jobs {
+		sub := &h.Jobs[i].Submission
+		sub.Vouchers = slices.DeleteFunc(slices.Clone(sub.Vouchers), func(entry string) bool { return entry == o.vm.entryID() })
+	}
+	o.state.AdoptJobs(now, asked, h, func() Ref { o.lastRef++; return o.lastRef })
+}
--- a/scheduler/newer_faults_world_test.go
+++ b/scheduler/newer_faults_world_test.go
@@ -33,8 +33,14 @@
 	pauses float64
 	// requestDelays is the share of requests that wait in the process before they are handled.
 	requestDelays float64
-	trace         []string
-	completed     int
+	// handsOver reports whether a VM hands over running jobs, and takes them; nil for none. adopted
+	// counts the jobs that were taken.
+	handsOver func(v *vm) bool
+	adopted   int
+	// longestHandover is the longest time from an owner's start until it had all targets.
+	longestHandover time.Duration
+	trace           []string
+	completed       int
 }
 
 type stopFault struct {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,6 +30,10 @@
 	// Origin is the VM that took the job of a part from its caller, if that is neither Entry nor this
 	// VM. Its keepalives count as well as those of Entry.
 	Origin string
+	// Vouchers are further VMs whose keepalives count, for a job that was handed over.
+	Vouchers []string
+	// Handed says that the request is for a part that a leaving owner hands over with its runs.
+	Handed bool
 	// Request numbers the requests of Entry. A request and those that replace it after its
 	// connection broke have the same number; 0 means that the entry VM doesn't number them.
 	Request uint64
@@ -166,6 +170,8 @@
 	// pendingWrites counts the writes to the store that are not confirmed yet.
 	pendingWrites int
 	resend        resendPolicy
+	handover      handover
+	adoption      adoption
 	cordon        cordon
 	crashes       lossTracker
 	evidence      evidence
@@ -328,6 +334,8 @@
 	}
 	s.expireWithdrawn(now)
 	s.expireOutcomes(now)
+	s.expireWaiting(now)
+	s.delegateToSuccessor(now)
 	s.expireGivenUp(now)
 	s.evidence.expire(now)
 	s.tickLosses(now)
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -96,6 +96,8 @@
 	// none.
 	reservedFor *step
 	lease       lease
+	// handedOver says that a leaving owner has handed the target over and knew all runs there.
+	handedOver bool
 	// lastCompletion is the newest completion processed; ackedCompletion is the newest that the
 	// target knows to be acknowledged.
 	lastCompletion, ackedCompletion int64
