--- a/cmd/burdockward/serve.go
+++ b/cmd/burdockward/serve.go
@@ -36,7 +36,9 @@
 	return &cli.Command{
 		Name:  "serve",
 		Usage: "run an entry VM on prepared machines; the environment variable " + platform.SettingsVariable + " has the path of its settings file",
-		Flags: []cli.Flag{&cli.IntFlag{
+		Flags: []cli.Flag{&cli.BoolFlag{
+			Name: "hand-over-jobs", Usage: "hand running jobs over to a successor that has this flag as well, so that it has all targets at once",
+		}, &cli.IntFlag{
 			Name: "metrics-port", Usage: "serve metrics (/metrics) and profiles (/debug/pprof/) at TCP `PORT` of the VM's address; 0 serves neither", Value: defaultMetricsPort,
 		}},
 		Action: a.serve,
@@ -60,7 +62,7 @@
 	defer closeTelemetry(tel)
 	counters := tel.Counters("entry")
 	n, err := node.New(node.Options{
-		Settings: s, LoadSettings: load, Reload: reload, Log: log,
+		Settings: s, LoadSettings: load, Reload: reload, Log: log, HandOverJobs: cmd.Bool("hand-over-jobs"),
 		Count:   func(what, label string) { counters.Add(what, label, 1) },
 		Observe: counters.Observe, Gauge: counters.Set,
 	})
--- a/link/convert_test.go
+++ b/link/convert_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/burdockward/burdockward/scheduler"
 	"github.com/burdockward/burdockward/work"
 )
 
@@ -23,6 +24,12 @@
 		fill(v.Index(0))
 	case reflect.String:
 		v.SetString("x")
+	case reflect.Map:
+		key, value := reflect.New(v.Type().Key()).Elem(), reflect.New(v.Type().Elem()).Elem()
+		fill(key)
+		fill(value)
+		v.Set(reflect.MakeMap(v.Type()))
+		v.SetMapIndex(key, value)
 	case reflect.Bool:
 		v.SetBool(true)
 	case reflect.Float64:
@@ -50,6 +57,26 @@
 	must.Eq(t, job, jobFromWire(jobToWire(job)))
 }
 
+// A field that is lost in a handover could let a task run twice.
+func TestHandoverRoundTrip(t *testing.T) {
+	h := scheduler.Handover{
+		From: "vm/1", Ago: 3 * time.Millisecond, LastRun: 3, Keepalives: map[string]time.Duration{"e": 3 * time.Millisecond},
+		Targets: []scheduler.HandedTarget{filled[scheduler.HandedTarget]()},
+		Jobs: []scheduler.HandedJob{{
+			Submission: scheduler.Submission{
+				Handed: true, Job: filled[work.Job](), Queue: filled[work.Queue](), Part: []string{"a", "b", "c"},
+				Age: 3 * time.Millisecond, Wait: 3 * time.Millisecond, Vouchers: []string{"e"},
+			},
+			Ended: true, EndedAgo: 3 * time.Millisecond, Fails: map[int]int{1: 2}, Saved: map[int]string{1: "x"},
+			Runs: []scheduler.HandedRun{filled[scheduler.HandedRun]()},
+		}},
+	}
+	must.Eq(t, &h, handoverFromWire(handoverToWire(&h)))
+	must.Nil(t, handoverFromWire(handoverToWire(nil)))
+	h.Jobs[0].Submission.Part = []string{"a"}
+	must.SliceEmpty(t, handoverFromWire(handoverToWire(&h)).Jobs)
+}
+
 func TestTargetRoundTrip(t *testing.T) {
 	target := filled[work.Target]()
 	must.Eq(t, target, targetFromWire(targetToWire(target)))
--- a/link/link.go
+++ b/link/link.go
@@ -43,6 +43,8 @@
 	// Origin is the heartbeat.EntryID of the VM that received the job of a part; empty if that is
 	// Entry.
 	Origin string
+	// Handed says that the part runs already: a leaving owner hands it over.
+	Handed bool
 	// Previous is the earlier request for the same job; zero in a first request.
 	Previous PreviousRequest
 	// Request is the number of a request and of those that replace it. RunWhileAlive gives it one if it
@@ -73,7 +75,8 @@
 type Handler interface {
 	Run(ctx context.Context, order Order) work.Outcome
 	// Release returns the targets that the owner with the given claim may use, which succeeds one of
-	// this VM. VMs of an older build send the claim's version only.
+	// this VM. VMs of an older build send the claim's version only. The claim names an incarnation only
+	// if its owner takes running jobs.
 	Release(ctx context.Context, successor ownership.GroupClaim) owner.Released
 	// State returns the state of a durable job, Cancel cancels it and returns its state; absent
 	// if no owner in this VM knows the job.
@@ -102,6 +105,7 @@
 		Wait:      duration(r.GetWaitUs()),
 		Part:      r.GetPart(),
 		Origin:    r.GetOrigin(),
+		Handed:    r.GetHanded(),
 
 		Previous: PreviousRequest{Incarnation: r.GetGivenLife(), Ago: duration(r.GetGivenUs())},
 		Request:  r.GetRequest(),
@@ -112,10 +116,10 @@
 func (s server) Release(ctx context.Context, r *linkpb.ReleaseRequest) (*linkpb.ReleaseReply, error) {
 	successor := ownership.GroupClaim{Group: r.GetGroup(), Version: r.GetToken()}
 	if r.GetCountsPassed() {
-		successor.Claim = &linkpb.Claim{Passed: r.GetPassed()}
+		successor.Claim = &linkpb.Claim{Passed: r.GetPassed(), Life: r.GetTakesJobs()}
 	}
 	released := s.handler.Release(ctx, successor)
-	reply := &linkpb.ReleaseReply{Targets: released.Targets, All: released.All}
+	reply := &linkpb.ReleaseReply{Targets: released.Targets, All: released.All, Handover: handoverToWire(released.Handover)}
 	for _, target := range released.Registry {
 		reply.Listed = append(reply.Listed, targetToWire(target))
 	}
@@ -202,6 +206,7 @@
 		WaitUs: micros(order.Wait),
 		Part:   order.Part,
 		Origin: order.Origin,
+		Handed: order.Handed,
 
 		GivenLife: order.Previous.Incarnation,
 		GivenUs:   micros(order.Previous.Ago),
@@ -256,17 +261,21 @@
 }
 
 // Release asks the previous owner which targets it does not use any more. The claim is that of its
-// successor.
-func (c *Client) Release(ctx context.Context, address string, successor ownership.GroupClaim) (owner.Released, error) {
+// successor, which takes the running jobs as well if takesJobs is set.
+func (c *Client) Release(ctx context.Context, address string, successor ownership.GroupClaim, takesJobs bool) (owner.Released, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := c.fleet(address).Release(ctx, &linkpb.ReleaseRequest{
+	request := &linkpb.ReleaseRequest{
 		Group: successor.Group, Token: successor.Version, Passed: successor.Claim.GetPassed(), CountsPassed: true,
-	})
+	}
+	if takesJobs {
+		request.TakesJobs = successor.Claim.GetLife()
+	}
+	reply, err := c.fleet(address).Release(ctx, request)
 	if err != nil {
 		return owner.Released{}, err
 	}
-	released := owner.Released{Targets: reply.GetTargets(), All: reply.GetAll()}
+	released := owner.Released{Targets: reply.GetTargets(), All: reply.GetAll(), Handover: handoverFromWire(reply.GetHandover())}
 	for _, target := range reply.GetListed() {
 		released.Registry = append(released.Registry, targetFromWire(target))
 	}
--- a/node/calls.go
+++ b/node/calls.go
@@ -45,7 +45,7 @@
 		origin = ""
 	}
 	return scheduler.Submission{
-		Entry: order.Entry, Origin: origin, Request: order.Request, Expires: keepaliveEnd(order), Job: order.Job, Queue: order.Queue, Age: order.Age, Wait: order.Wait, Part: order.Part,
+		Entry: order.Entry, Origin: origin, Handed: order.Handed, Request: order.Request, Expires: keepaliveEnd(order), Job: order.Job, Queue: order.Queue, Age: order.Age, Wait: order.Wait, Part: order.Part,
 	}
 }
 
@@ -109,9 +109,12 @@
 	case o == nil:
 		return owner.Released{All: true}
 	}
-	released := o.Release(ctx)
+	released := o.Release(ctx, takesJobsAs(successor))
+	if released.Handover != nil {
+		released.Handover.From = heartbeat.EntryID(p.node.self.VM, p.node.self.Incarnation)
+	}
 	if released.All {
-		p.node.endOutgoing(o)
+		p.node.endOutgoingWhenAnswered(o)
 	}
 	return released
 }
--- a/node/delegate.go
+++ b/node/delegate.go
@@ -46,7 +46,7 @@
 		request := n.peerClient.NextRequest()
 		outcome := n.peerClient.RunWhileAlive(ctx, view.Alive, view.Owner, link.Order{
 			Group: held.Group, Entry: heartbeat.EntryID(n.self.VM, n.self.Incarnation), Timestamp: view.Timestamp,
-			Job: sub.Job, Queue: sub.Queue, Age: sub.Age, Wait: sub.Wait, Part: sub.Part, Origin: sub.Origin, Request: request,
+			Job: sub.Job, Queue: sub.Queue, Age: sub.Age, Wait: sub.Wait, Part: sub.Part, Origin: sub.Origin, Handed: sub.Handed, Request: request,
 		})
 		if outcome.Result == work.Unknown {
 			n.heartbeats.GiveUp(view.Incarnation, heartbeat.GivenUp{Job: sub.Job.ID, Request: request})
--- a/node/node.go
+++ b/node/node.go
@@ -54,6 +54,8 @@
 	Observe func(what string, took time.Duration)
 	// Gauge sets the value of a gauge; it must not block.
 	Gauge func(what string, value float64)
+	// HandOverJobs has a leaving owner hand its running jobs over to a successor with the same setting.
+	HandOverJobs bool
 }
 
 // Node is one entry VM.
@@ -74,7 +76,9 @@
 	servers        servers
 	storeReadTimes storeReadTimes
 	leaving        atomic.Bool
-	requests       atomic.Int64
+	// awaitingAnswers is the newest owner that ends once its jobs are answered; nil for none.
+	awaitingAnswers atomic.Pointer[owner.Owner]
+	requests        atomic.Int64
 	// probingOwner is set while probeOwner checks whether an owner's process has ended.
 	probingOwner atomic.Bool
 	storeClock   storeClock
@@ -276,7 +280,8 @@
 			ResendDelay: n.options.Settings.MinResendDelay, KeepaliveTimeout: heartbeat.KeepaliveTimeout,
 		},
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.registry),
-		Delegate: n.delegate, NeedsCapacity: n.heartbeats.RequestLoads, StoreClock: n.storeClock.nowIfKnown,
+		HandOverJobs: n.options.HandOverJobs,
+		Delegate:     n.delegateOrHandOver, NeedsCapacity: n.heartbeats.RequestLoads, StoreClock: n.storeClock.nowIfKnown,
 		HasEnded: n.newEndedCheck(), Cordons: n.cordons.board.View, ConfirmCordons: n.confirmCordons, ConfirmClaim: n.keeper.ConfirmOwnership,
 		Jobs: jobstore.New(jobstore.Options{
 			Group: held.Group, VM: n.self.VM, Incarnation: n.self.Incarnation, Retention: n.options.Settings.JobRetention, Log: n.log, Count: n.options.Count, Clock: n.storeClock.now,
@@ -291,7 +296,7 @@
 	if predecessor := held.Claim.GetFormer(); predecessor != nil {
 		options.Former = predecessor.GetLife()
 		options.AskPredecessor = func(ctx context.Context) (owner.Released, error) {
-			return n.peerClient.Release(ctx, predecessor.GetControl(), held)
+			return n.askPredecessor(ctx, predecessor.GetControl(), held)
 		}
 	}
 	router := n.newRouter()
--- /dev/null
+++ b/owner/handover.go
@@ -0,0 +1,59 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/burdockward/burdockward/scheduler"
+)
+
+// A leaving owner hands its running jobs over with its targets, if both VMs are set to do so. It ends
+// only after the successor has told it the outcomes of all these jobs.
+
+// handOverJobs returns the running jobs for the successor of that name, with the targets that this
+// owner uses no more; nil if none are handed over. While the predecessor of this owner still uses
+// targets, this owner doesn't know all runs.
+func (o *Owner) handOverJobs(now time.Duration, successor string) *scheduler.Handover {
+	if !o.options.HandOverJobs || successor == "" || o.registry.handoverPending {
+		return nil
+	}
+	handover, released := o.state.HandOverJobs(now, successor)
+	if !o.registry.jobsHandedOver {
+		o.registry.jobsHandedOver = true
+		o.registry.released = append(o.registry.released, released...)
+	}
+	return &handover
+}
+
+// hasReleasedAll reports whether neither this owner nor its own predecessor uses a target any more.
+func (o *Owner) hasReleasedAll() bool {
+	done := o.state.IsIdle() || o.state.HasHandedOverJobs() && o.state.UsesNoTarget()
+	return done && !o.registry.handoverPending
+}
+
+// adoptJobs takes the jobs of the previous owner over, before the State learns of their targets.
+func (o *Owner) adoptJobs(now, asked time.Duration, released Released) {
+	if released.Handover == nil || !o.registry.handoverPending {
+		return
+	}
+	o.state.AdoptJobs(now, asked, *released.Handover, func() scheduler.Ref {
+		o.lastRef++
+		return o.lastRef
+	})
+	for _, target := range released.Handover.Targets {
+		o.services[target.Service] = true
+		if _, listed := o.registry.listed[target.ID]; o.registry.snapshotRead && !listed {
+			o.state.TargetUnlisted(now, target.ID)
+		}
+	}
+}
+
+// queue queues the message of a submission, and reports false if there is no room. A job that is handed
+// over runs already: its request waits for room instead.
+func (o *Owner) queue(ctx context.Context, sub scheduler.Submission, m message) bool {
+	if !sub.Handed {
+		return o.submissions.Offer(m)
+	}
+	o.post(ctx, m)
+	return true
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -81,6 +81,8 @@
 	// AskPredecessor asks the previous owner for the targets that it has released so far; nil if
 	// no previous owner hands over.
 	AskPredecessor func(ctx context.Context) (Released, error)
+	// HandOverJobs has this owner hand its running jobs over when it leaves.
+	HandOverJobs bool
 	// Delegate has another owner run a part of a job and returns the outcome of the part.
 	Delegate func(ctx context.Context, owner string, sub scheduler.Submission) work.Outcome
 	// Jobs stores the durable jobs; nil if none are accepted.
--- a/owner/registry.go
+++ b/owner/registry.go
@@ -25,6 +25,8 @@
 	releasedAll bool
 	// released lists the targets that this owner gave to its successor.
 	released []string
+	// jobsHandedOver is set once this owner has handed its running jobs over.
+	jobsHandedOver bool
 }
 
 func newRegistry(handover bool) registry {
@@ -91,12 +93,16 @@
 func (o *Owner) takeOverTargets(ctx context.Context) {
 	lastAnswer := bootclock.Now()
 	for ctx.Err() == nil {
+		asked := bootclock.Now()
 		released, err := o.options.AskPredecessor(ctx)
 		if err == nil {
 			lastAnswer = bootclock.Now()
 		}
 		silent := bootclock.Now()-lastAnswer > heartbeat.SilenceTimeout
-		o.post(ctx, func(now time.Duration) { o.applyReleased(now, released, silent) })
+		o.post(ctx, func(now time.Duration) {
+			o.adoptJobs(now, asked, released)
+			o.applyReleased(now, released, silent)
+		})
 		if released.All || silent {
 			o.options.Log.Info("handover ended", "group", o.options.Group, "silent", silent)
 			return
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -18,5 +18,5 @@
 	o := New(options, newFencingTarget(), oneTarget{})
 	o.applyRegistryChanges(time.Second, o.reader.read(updateOfOne(true, targetID, registryEntry(t, "domain", wire.StateReady))))
 	go func() { (<-o.answers)(time.Second) }()
-	must.False(t, o.Release(t.Context()).All)
+	must.False(t, o.Release(t.Context(), "").All)
 }
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -16,7 +16,7 @@
 // Submit runs a job and returns its outcome. The end of the context gives the job up. A durable
 // job has its outcome as soon as it is stored.
 func (o *Owner) Submit(ctx context.Context, sub scheduler.Submission) work.Outcome {
-	if retryAfter, shed := o.shouldShed(); shed {
+	if retryAfter, shed := o.shouldShed(); shed && !sub.Handed {
 		o.options.Count("jobs", "shed")
 		return work.Outcome{Result: work.Refused, Reason: "the owner is short of processor", RetryAfter: retryAfter}
 	}
@@ -24,7 +24,7 @@
 	var ref scheduler.Ref
 	handled := make(chan struct{})
 	arrived := time.Now()
-	queued := o.submissions.Offer(func(now time.Duration) {
+	queued := o.queue(ctx, sub, func(now time.Duration) {
 		defer close(handled)
 		if ctx.Err() != nil {
 			// Its caller may have sent the job again meanwhile.
@@ -130,19 +130,24 @@
 	// Registry is the registry as the answering owner knows it, because the successor may
 	// be cut off from the store.
 	Registry []work.Target
+	// Handover has the running jobs that the successor is to continue; nil if none are handed over.
+	Handover *scheduler.Handover
 }
 
 // Release stops using the targets on which nothing runs, and returns all that were released for
-// the successor so far.
-func (o *Owner) Release(ctx context.Context) Released {
+// the successor so far. It hands the running jobs over as well if successor names an owner that takes
+// them; with an empty name it doesn't.
+func (o *Owner) Release(ctx context.Context, successor string) Released {
 	answer := make(chan Released, 1)
-	o.post(ctx, func(time.Duration) {
+	o.post(ctx, func(now time.Duration) {
+		handover := o.handOverJobs(now, successor)
 		o.registry.released = append(o.registry.released, o.state.IdleTargets()...)
 		o.state.ReleaseTargets(o.registry.released)
 		answer <- Released{
 			Targets:  slices.Clone(o.registry.released),
-			All:      o.state.IsIdle() && !o.registry.handoverPending,
+			All:      o.hasReleasedAll(),
 			Registry: slices.Collect(maps.Values(o.registry.listed)),
+			Handover: handover,
 		}
 	})
 	select {
