End unclaimed jobs when their owner leaves again

A successor that left before its predecessor had asked for a job handed the job on. Its own request for it claimed the job at the third owner, which then limited the leases by keepalives only, though the first owner may have answered the caller at the first handover. If the second owner died then, runs could go on after the caller sent the job again. Nobody can claim such a job any more, as requests go to the current owner, so it ends at the second handover, and the time of the first one counts for the leases. Weighed: passing the time of the first handover for open jobs as well, which would keep them for an answer that nobody can ask for.

TestUnclaimedJobIsNotHandedOn fails without the change.

--- a/scheduler/adopt_test.go
+++ b/scheduler/adopt_test.go
@@ -69,3 +69,23 @@
 	must.SliceEmpty(t, released)
 	must.SliceEmpty(t, h.Targets)
 }
+
+// A successor hands over again before its predecessor has asked for the job. The predecessor may have
+// answered the caller already, and nothing tells the third owner: runs that went on there could outlast
+// the time after which the caller sends the job again.
+func TestUnclaimedJobIsNotHandedOn(t *testing.T) {
+	p := newHandoverPair(t, 1, true)
+	h, _ := p.handOver()
+	p.adopt(h)
+	p.next.answerPoll("t", work.PollAnswer{ClockMS: 5020, Running: listing(p.runs()...)})
+	p.next.effects()
+	p.next.now += 100 * ms
+	p.next.s.Leave(p.next.now)
+	again, _ := p.next.s.HandOverJobs(p.next.now, "third")
+	must.SliceLen(t, 1, again.Jobs)
+	must.True(t, again.Jobs[0].Ended)
+	must.Eq(t, p.next.now-p.leaving.now, again.Jobs[0].EndedAgo)
+	effects := p.next.effects()
+	must.SliceEmpty(t, pickEffects[Delegate](effects))
+	must.Eq(t, work.Unknown, pickEffects[Answer](effects)[0].Outcome.Result)
+}
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -59,13 +59,17 @@
 	return s.pendingWrites == 0 && !s.hasStartedJobWaiting()
 }
 
-// finishUnstarted hands the jobs back of which nothing has started since this owner began to leave.
+// finishUnstarted hands the jobs back of which nothing has started since this owner began to leave, and
+// ends those that the successor could not run safely.
 func (s *State) finishUnstarted(now time.Duration) {
 	for _, j := range s.sortedJobs() {
 		switch {
 		case j.isDurable():
 		case !j.mayHaveStarted():
 			s.finish(now, j, work.Outcome{Result: work.Moved, Reason: "another VM takes over"})
+		case j.handedAt > 0 && !j.attached:
+			// Its predecessor can't ask for it any more, and may have answered its caller long ago.
+			s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "the VM that handed it over has not asked for it"})
 		case s.hasEarlierRequest(j):
 			s.finish(now, j, work.Outcome{Result: work.Unknown, Reason: "an earlier request for the job is open"})
 		}
@@ -224,6 +228,9 @@
 	}
 	if j.ended {
 		h.EndedAgo = now - j.endedAt
+		if j.handedAt > 0 && !j.attached {
+			h.EndedAgo = now - min(j.endedAt, j.handedAt)
+		}
 	}
 	for i, t := range tasks {
 		if t.fails > 0 {
