Ask for running jobs only until they have come

While the previous owner keeps targets for gangs or steps that can't be handed over, its successor asks for the remaining ones every 40 ms, and each answer repeated all jobs with their payloads. At a thousand jobs that is megabytes in each answer, from a VM that may have 0.15 of a core. The successor now asks without taking jobs once an answer with them has come. The leaving owner needs no change: it treats that request as one for the remaining targets.

--- a/node/handover.go
+++ b/node/handover.go
@@ -33,19 +33,29 @@
 	return ""
 }
 
-// askPredecessor asks the previous owner for its targets, and for its running jobs if this VM takes
-// them. This VM needs no keepalives of itself.
-func (n *Node) askPredecessor(ctx context.Context, address string, held ownership.GroupClaim) (owner.Released, error) {
-	released, err := n.peerClient.Release(ctx, address, held, n.options.HandOverJobs)
-	if err != nil || released.Handover == nil {
-		return released, err
+// newPredecessorRequest returns the function that asks the previous owner for its targets. It asks for
+// its running jobs as well, if this VM takes them, until an answer has them: each one has them again,
+// with their payloads. It must not be called concurrently.
+func (n *Node) newPredecessorRequest(address string, held ownership.GroupClaim) func(ctx context.Context) (owner.Released, error) {
+	takesJobs := n.options.HandOverJobs
+	return func(ctx context.Context) (owner.Released, error) {
+		released, err := n.peerClient.Release(ctx, address, held, takesJobs)
+		if err != nil || released.Handover == nil {
+			return released, err
+		}
+		takesJobs = false
+		n.removeOwnVouchers(released.Handover.Jobs)
+		return released, nil
 	}
+}
+
+// removeOwnVouchers takes this VM out of the vouchers of jobs: it needs no keepalives of itself.
+func (n *Node) removeOwnVouchers(jobs []scheduler.HandedJob) {
 	self := heartbeat.EntryID(n.self.VM, n.self.Incarnation)
-	for i := range released.Handover.Jobs {
-		sub := &released.Handover.Jobs[i].Submission
+	for i := range jobs {
+		sub := &jobs[i].Submission
 		sub.Vouchers = slices.DeleteFunc(sub.Vouchers, func(entry string) bool { return entry == self })
 	}
-	return released, nil
 }
 
 // endOutgoingWhenAnswered ends an owner that has handed over all its targets, once its jobs are
--- a/node/node.go
+++ b/node/node.go
@@ -295,9 +295,7 @@
 	}
 	if predecessor := held.Claim.GetFormer(); predecessor != nil {
 		options.Former = predecessor.GetLife()
-		options.AskPredecessor = func(ctx context.Context) (owner.Released, error) {
-			return n.askPredecessor(ctx, predecessor.GetControl(), held)
-		}
+		options.AskPredecessor = n.newPredecessorRequest(predecessor.GetControl(), held)
 	}
 	router := n.newRouter()
 	options.SetTargetCount = router.SetTargets
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -49,6 +49,11 @@
 		released := o.Release(t.Context(), test.successor)
 		must.Eq(t, test.handed, released.Handover != nil)
 		must.True(t, released.All)
+		// A successor that has the jobs asks for the remaining targets only.
+		go func() { (<-o.answers)(bootclock.Now()) }()
+		released = o.Release(t.Context(), "")
+		must.Nil(t, released.Handover)
+		must.True(t, released.All)
 	}
 }
 
