Keep targets that a job staying at a leaving owner needs

A job with a gang, a lasting step or suspects isn't handed over. Its targets stayed at the leaving owner, but the idle ones were released although a later step or a lost task of it needed them, so that it waited for targets until its deadline. Without handovers of jobs a leaving owner releases no target while a started job waits for one.

The same rule now holds for started jobs that stay. Weighed: keeping only as many targets as such tasks need; their runs would keep other jobs and further targets, and such jobs are rare.

TestJobThatStaysKeepsTargetsForItsNextStep fails without the change.

--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -134,11 +134,14 @@
 }
 
 // keptTargets returns the targets that this owner goes on using: those that it hasn't adopted, and those
-// with runs of jobs that it can't hand over whole.
+// with runs of jobs that it can't hand over whole. While such a job needs further targets, these are all.
 func (s *State) keptTargets(elsewhere tasksElsewhere) map[*target]bool {
 	kept := map[*target]bool{}
+	needsTargets := slices.ContainsFunc(s.waiting, func(j *job) bool {
+		return !j.ended && j.mayHaveStarted() && j.hasPendingTasks() && !elsewhere.canHandOver(j)
+	})
 	for _, t := range s.targets {
-		kept[t] = t.state == adopting || t.incarnationUnknown
+		kept[t] = needsTargets || t.state == adopting || t.incarnationUnknown
 	}
 	keptJobs := map[*job]bool{}
 	for changed := true; changed; {
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -344,3 +344,30 @@
 	must.Eq(t, "job.0.2.0", p.next.s.jobs[1].tasks[2].name)
 	must.False(t, p.next.s.jobs[1].isReady(p.next.s.jobs[1].steps[1]))
 }
+
+// A started job that isn't handed over still needs targets for its next step: without them it would end
+// at its deadline.
+func TestJobThatStaysKeepsTargetsForItsNextStep(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.addUsableTarget("t", 4)
+	b.addUsableTarget("free", 4)
+	b.ref++
+	b.s.Submit(b.now, Submission{
+		Ref: b.ref, Job: work.Job{ID: "job", Steps: []work.Step{
+			{Tasks: 1, PerTask: work.Resources{CPU: 1}, DeclaredRunTime: 100 * ms},
+			{Tasks: 2, Gang: true, PerTask: work.Resources{CPU: 4}, DeclaredRunTime: 100 * ms, DependsOn: []int{0}},
+		}},
+		Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+	})
+	first := pickEffects[StartRun](b.effects())[0]
+	b.s.HandleStartAnswer(b.now, first.To.ID, first.Run, doneAnswer(5010))
+	b.effects()
+	b.s.Leave(b.now)
+	must.SliceEmpty(t, b.s.IdleTargets())
+	h, released := b.s.HandOverJobs(b.now, "next")
+	must.SliceEmpty(t, h.Jobs)
+	must.SliceEmpty(t, released)
+	b.effects()
+	b.answerPoll(first.To.ID, work.PollAnswer{ClockMS: 5020, Completions: []work.Completion{{Number: 1, Run: first.Run, Kind: work.CompletionDone}}})
+	must.SliceLen(t, 2, pickEffects[StartRun](b.effects()))
+}
