Hand running jobs over to one claim only

The leaving owner repeated its handover to any owner of the successor's incarnation. A VM that loses the group and gets it back under a claim that doesn't continue its earlier one starts a new owner in the same incarnation. If the claim names the same predecessor, the new owner got the old handover again: it took runs as going on that had ended since, and started their tasks while the first owner's later runs went on.

The handover is now repeated only under the same token and the same count of passes, which identify one owner.

--- a/node/handover.go
+++ b/node/handover.go
@@ -25,12 +25,13 @@
 	successorRetryInterval = 10 * time.Millisecond
 )
 
-// takesJobsAs returns the name of a successor that takes running jobs; empty if it doesn't.
-func takesJobsAs(successor ownership.GroupClaim) string {
-	if life := successor.Claim.GetLife(); life != 0 {
-		return ownerName(life)
+// takesJobsAs returns a successor that takes running jobs; without a name if it doesn't.
+func takesJobsAs(successor ownership.GroupClaim) scheduler.Successor {
+	life := successor.Claim.GetLife()
+	if life == 0 {
+		return scheduler.Successor{}
 	}
-	return ""
+	return scheduler.Successor{Owner: ownerName(life), Token: successor.Version, Passed: successor.Claim.GetPassed()}
 }
 
 // newPredecessorRequest returns the function that asks the previous owner for its targets. It asks for
--- a/node/handover_test.go
+++ b/node/handover_test.go
@@ -26,7 +26,7 @@
 
 func (h *releaseHandler) Release(_ context.Context, successor ownership.GroupClaim) owner.Released {
 	released := h.released[len(h.takesJobs)]
-	h.takesJobs = append(h.takesJobs, takesJobsAs(successor) != "")
+	h.takesJobs = append(h.takesJobs, takesJobsAs(successor) == (scheduler.Successor{Owner: "7", Token: 5}))
 	return released
 }
 
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -10,11 +10,11 @@
 // A leaving owner hands its running jobs over with its targets, if both VMs are set to do so. It ends
 // only after the successor has told it the outcomes of all these jobs.
 
-// handOverJobs returns the running jobs for the successor of that name, with the targets that this
+// handOverJobs returns the running jobs for the successor, with the targets that this
 // owner uses no more; nil if none are handed over. While the predecessor of this owner still uses
 // targets, this owner doesn't know all runs.
-func (o *Owner) handOverJobs(now time.Duration, successor string) *scheduler.Handover {
-	if !o.options.HandOverJobs || successor == "" || o.registry.handoverPending {
+func (o *Owner) handOverJobs(now time.Duration, successor scheduler.Successor) *scheduler.Handover {
+	if !o.options.HandOverJobs || successor.Owner == "" || o.registry.handoverPending {
 		return nil
 	}
 	handover, released := o.state.HandOverJobs(now, successor)
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -46,12 +46,12 @@
 		options.HandOverJobs = test.flag
 		o := New(options, newFencingTarget(), oneTarget{})
 		go func() { (<-o.answers)(bootclock.Now()) }()
-		released := o.Release(t.Context(), test.successor)
+		released := o.Release(t.Context(), scheduler.Successor{Owner: test.successor})
 		must.Eq(t, test.handed, released.Handover != nil)
 		must.True(t, released.All)
 		// A successor that has the jobs asks for the remaining targets only.
 		go func() { (<-o.answers)(bootclock.Now()) }()
-		released = o.Release(t.Context(), "")
+		released = o.Release(t.Context(), scheduler.Successor{})
 		must.Nil(t, released.Handover)
 		must.True(t, released.All)
 	}
@@ -64,7 +64,7 @@
 	options.AskPredecessor = func(context.Context) (Released, error) { return Released{}, nil }
 	o := New(options, newFencingTarget(), oneTarget{})
 	go func() { (<-o.answers)(bootclock.Now()) }()
-	must.Nil(t, o.Release(t.Context(), "next").Handover)
+	must.Nil(t, o.Release(t.Context(), scheduler.Successor{Owner: "next"}).Handover)
 }
 
 // Jobs are taken before the registry's targets: the State would stop their runs otherwise. A second
@@ -111,7 +111,7 @@
 	successor := testOptions()
 	successor.Token = 6
 	successor.AskPredecessor = func(ctx context.Context) (Released, error) {
-		released := o.Release(ctx, "next")
+		released := o.Release(ctx, scheduler.Successor{Owner: "next"})
 		if released.Handover != nil {
 			released.Handover.From = "leaving"
 		}
@@ -126,7 +126,7 @@
 	release()
 	must.Eq(t, work.Completed, (<-submit(t, next, "3")).Result)
 	must.SliceLen(t, 3, target.startedRuns())
-	must.True(t, eventually(func() bool { return o.Release(ctx, "next").All && o.OpenJobs() == 0 }))
+	must.True(t, eventually(func() bool { return o.Release(ctx, scheduler.Successor{Owner: "next"}).All && o.OpenJobs() == 0 }))
 	end()
 	must.NoError(t, <-done)
 }
--- a/owner/release_test.go
+++ b/owner/release_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/burdockward/burdockward/platform/wire"
+	"github.com/burdockward/burdockward/scheduler"
 )
 
 // An owner that hands over while its own predecessor still uses targets hasn't released all: under a
@@ -18,5 +19,5 @@
 	o := New(options, newFencingTarget(), oneTarget{})
 	o.applyRegistryChanges(time.Second, o.reader.read(updateOfOne(true, targetID, registryEntry(t, "domain", wire.StateReady))))
 	go func() { (<-o.answers)(time.Second) }()
-	must.False(t, o.Release(t.Context(), "").All)
+	must.False(t, o.Release(t.Context(), scheduler.Successor{}).All)
 }
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -136,8 +136,8 @@
 
 // Release stops using the targets on which nothing runs, and returns all that were released for
 // the successor so far. It hands the running jobs over as well if successor names an owner that takes
-// them; with an empty name it doesn't.
-func (o *Owner) Release(ctx context.Context, successor string) Released {
+// them; without a name it doesn't.
+func (o *Owner) Release(ctx context.Context, successor scheduler.Successor) Released {
 	answer := make(chan Released, 1)
 	o.post(ctx, func(now time.Duration) {
 		handover := o.handOverJobs(now, successor)
--- a/scheduler/adopt_test.go
+++ b/scheduler/adopt_test.go
@@ -65,7 +65,7 @@
 	b.listTargetWithCPU("t", 4)
 	b.effects()
 	b.s.Leave(b.now)
-	h, released := b.s.HandOverJobs(b.now, "next")
+	h, released := b.s.HandOverJobs(b.now, Successor{Owner: "next"})
 	must.SliceEmpty(t, released)
 	must.SliceEmpty(t, h.Targets)
 }
@@ -81,7 +81,7 @@
 	p.next.effects()
 	p.next.now += 100 * ms
 	p.next.s.Leave(p.next.now)
-	again, _ := p.next.s.HandOverJobs(p.next.now, "third")
+	again, _ := p.next.s.HandOverJobs(p.next.now, Successor{Owner: "third"})
 	must.SliceLen(t, 1, again.Jobs)
 	must.True(t, again.Jobs[0].Ended)
 	must.Eq(t, p.next.now-p.leaving.now, again.Jobs[0].EndedAgo)
--- a/scheduler/handed.go
+++ b/scheduler/handed.go
@@ -6,6 +6,16 @@
 	"github.com/burdockward/burdockward/work"
 )
 
+// Successor identifies the owner that takes running jobs over.
+type Successor struct {
+	// Owner is its name, as in Delegate.
+	Owner string
+	// Token and Passed are those of its claim. A VM may own the group again later in the same
+	// incarnation, and doesn't know then what became of jobs that it took before.
+	Token  int64
+	Passed int32
+}
+
 // Handover is what a leaving owner passes to its successor.
 type Handover struct {
 	// From is the entry ID of the leaving VM. Its keepalives count for all jobs.
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -20,8 +20,8 @@
 
 // handover is a leaving owner's side of a handover.
 type handover struct {
-	// to is the successor; empty before the handover.
-	to   string
+	// to is the successor; its name is empty before the handover.
+	to   Successor
 	at   time.Duration
 	sent Handover
 	// released lists the targets that were released with it.
@@ -31,8 +31,8 @@
 // HandOverJobs passes all jobs that it can to the successor, with their runs, and returns them with the
 // targets that this owner uses no more. A repeated call for the same successor returns the same again;
 // any other successor gets nothing.
-func (s *State) HandOverJobs(now time.Duration, successor string) (Handover, []string) {
-	if s.handover.to == "" {
+func (s *State) HandOverJobs(now time.Duration, successor Successor) (Handover, []string) {
+	if s.handover.to.Owner == "" {
 		s.handover = handover{to: successor, at: now}
 		s.finishUnstarted(now)
 		s.releaseJobs(now)
@@ -46,7 +46,7 @@
 }
 
 // HasHandedOverJobs reports whether HandOverJobs was called.
-func (s *State) HasHandedOverJobs() bool { return s.handover.to != "" }
+func (s *State) HasHandedOverJobs() bool { return s.handover.to.Owner != "" }
 
 // UsesNoTarget reports whether this owner gives no orders to targets any more, although jobs may wait
 // for parts that its successor runs.
@@ -327,19 +327,19 @@
 	}
 	s.lastPart++
 	s.parts[s.lastPart] = &delegatedPart{
-		job: j, step: tasks[0].step, tasks: tasks, to: capacityKey{s.handover.to, j.sub.Queue.Service}, since: now, handed: true,
+		job: j, step: tasks[0].step, tasks: tasks, to: capacityKey{s.handover.to.Owner, j.sub.Queue.Service}, since: now, handed: true,
 	}
 	j.possibleStarts++
 	s.emit(Count{"jobs_handed_over", "passed"})
-	j.record(now, "handed over", tasks[0].name, s.handover.to, "")
+	j.record(now, "handed over", tasks[0].name, s.handover.to.Owner, "")
 	sub.Vouchers = nil
-	s.emit(Delegate{Part: s.lastPart, Owner: s.handover.to, Submission: sub})
+	s.emit(Delegate{Part: s.lastPart, Owner: s.handover.to.Owner, Submission: sub})
 }
 
 // delegateToSuccessor hands tasks that other owners have returned since the handover to the successor,
 // because this owner has no targets for them any more.
 func (s *State) delegateToSuccessor(now time.Duration) {
-	if s.handover.to == "" || len(s.targets) > 0 {
+	if s.handover.to.Owner == "" || len(s.targets) > 0 {
 		return
 	}
 	waiting := slices.Clone(s.waiting)
@@ -353,7 +353,7 @@
 			}
 			tasks := st.pending
 			st.pending = nil
-			s.delegate(now, j, st, tasks, capacityKey{s.handover.to, j.sub.Queue.Service})
+			s.delegate(now, j, st, tasks, capacityKey{s.handover.to.Owner, j.sub.Queue.Service})
 		}
 	}
 }
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -37,7 +37,7 @@
 
 // handOver makes the handover, and returns the part that the leaving owner asks its successor for.
 func (p *handoverPair) handOver() (Handover, []Delegate) {
-	h, released := p.leaving.s.HandOverJobs(p.leaving.now, "next")
+	h, released := p.leaving.s.HandOverJobs(p.leaving.now, Successor{Owner: "next"})
 	h.From, p.released = "leaving", released
 	return h, pickEffects[Delegate](p.leaving.effects())
 }
@@ -94,7 +94,8 @@
 	must.True(t, p.leaving.s.IsIdle())
 }
 
-// The reply is lost: the same jobs are handed over again, to the same successor only.
+// The reply is lost: the same jobs are handed over again, to the same successor only. A later owner in the
+// successor's process would take jobs over that the first one has run on.
 func TestHandoverIsRepeatedToItsSuccessor(t *testing.T) {
 	p := newHandoverPair(t, 2, true)
 	first, _ := p.handOver()
@@ -104,9 +105,12 @@
 	must.Eq(t, 40*ms, again.Ago)
 	again.Ago = 0
 	must.Eq(t, first, again)
-	other, released := p.leaving.s.HandOverJobs(p.leaving.now, "other")
+	other, released := p.leaving.s.HandOverJobs(p.leaving.now, Successor{Owner: "other"})
 	must.SliceEmpty(t, other.Jobs)
 	must.Eq(t, []string{"t"}, released)
+	later, released := p.leaving.s.HandOverJobs(p.leaving.now, Successor{Owner: "next", Passed: 1})
+	must.SliceEmpty(t, later.Jobs)
+	must.Eq(t, []string{"t"}, released)
 	p.adopt(first)
 	p.next.advance(40 * ms)
 	must.SliceEmpty(t, pickEffects[StopRun](p.adopt(again)))
@@ -268,7 +272,7 @@
 	b.submit("job", 1, 1, "")
 	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
 	b.s.Leave(b.now)
-	h, released := b.s.HandOverJobs(b.now, "next")
+	h, released := b.s.HandOverJobs(b.now, Successor{Owner: "next"})
 	must.Eq(t, []string{"a"}, released)
 	must.SliceLen(t, 1, h.Jobs)
 	must.NotEq(t, durable.Task, h.Jobs[0].Submission.Part[0])
@@ -304,7 +308,7 @@
 	must.SliceLen(t, 1, pickEffects[StartRun](effects))
 	away := pickEffects[Delegate](effects)[0]
 	b.s.Leave(b.now)
-	_, _ = b.s.HandOverJobs(b.now, "next")
+	_, _ = b.s.HandOverJobs(b.now, Successor{Owner: "next"})
 	b.effects()
 	b.s.PartReturned(b.now, away.Part, work.Outcome{Result: work.Refused})
 	again := pickEffects[Delegate](b.advance(40 * ms))
@@ -334,7 +338,7 @@
 	b.answerPoll("t", work.PollAnswer{ClockMS: 5020, Completions: []work.Completion{{Number: 1, Run: first.Run, Kind: work.CompletionDone}}})
 	must.SliceLen(t, 2, pickEffects[StartRun](b.effects()))
 	b.s.Leave(b.now)
-	h, _ := b.s.HandOverJobs(b.now, "next")
+	h, _ := b.s.HandOverJobs(b.now, Successor{Owner: "next"})
 	sub := h.Jobs[0].Submission
 	must.Eq(t, []string{"job.0.1.0", "job.0.1.1", "job.0.2.0"}, sub.Part)
 	must.Eq(t, [][]int{nil, {0}}, [][]int{sub.Job.Steps[0].DependsOn, sub.Job.Steps[1].DependsOn})
@@ -364,7 +368,7 @@
 	b.effects()
 	b.s.Leave(b.now)
 	must.SliceEmpty(t, b.s.IdleTargets())
-	h, released := b.s.HandOverJobs(b.now, "next")
+	h, released := b.s.HandOverJobs(b.now, Successor{Owner: "next"})
 	must.SliceEmpty(t, h.Jobs)
 	must.SliceEmpty(t, released)
 	b.effects()
--- a/scheduler/newer_faults_ownership_test.go
+++ b/scheduler/newer_faults_ownership_test.go
@@ -223,7 +223,7 @@
 	o.post(func(now time.Duration) {
 		var handover *Handover
 		if hands := v.w.handsOver; hands != nil && hands(v) && hands(successor.holder) && !o.handoverPending {
-			h, released := o.state.HandOverJobs(now, successor.holder.entryID())
+			h, released := o.state.HandOverJobs(now, Successor{Owner: successor.holder.entryID(), Token: successor.version, Passed: int32(successor.passed)})
 			h.From = v.entryID()
 			handover, o.released = &h, append(o.released, released...)
 		}
