--- a/cmd/burdockward/serve.go
+++ b/cmd/burdockward/serve.go
@@ -44,6 +44,7 @@
 			&cli.BoolFlag{Name: "correct-admission", Usage: "correct the forecasts by which jobs are accepted or refused, by their outcomes"},
 			&cli.BoolFlag{Name: "return-times", Usage: "give each refused caller its own time to come again"},
 			&cli.BoolFlag{Name: "balance-domains", Usage: "send jobs to the failure domains so that their delays become equal"},
+			&cli.BoolFlag{Name: "hand-over-jobs", Usage: "hand running jobs over to a successor that has this flag as well, so that it has all targets at once"},
 		},
 		Action: a.serve,
 	}
@@ -71,7 +72,7 @@
 		Observe: counters.Observe, Gauge: counters.Set,
 		PlaceByEnd:       cmd.Bool("place-by-end"),
 		CorrectAdmission: cmd.Bool("correct-admission"), ReturnTimes: cmd.Bool("return-times"),
-		BalanceDomains: cmd.Bool("balance-domains"),
+		BalanceDomains: cmd.Bool("balance-domains"), HandOverJobs: cmd.Bool("hand-over-jobs"),
 	})
 	if err != nil {
 		return &exitError{status: exitStatus(err), err: err}
