Assign accounts to listed jobs that have ended

A job that ends stays in the list of waiting jobs until the next round. SetProfiles assigned accounts to open jobs and jobs with runs only, so that such a job kept the number of an account of the old row, and a row with fewer profiles failed with an index out of range. Skipping ended jobs there was weighed; the assignment keeps each listed job valid for whatever reads its account later.

TestFewerProfilesWhileEndedJobIsListed panicked before, and passes now, as do the tests of profiles in the package.

--- a/scheduler/profiles.go
+++ b/scheduler/profiles.go
@@ -43,6 +43,10 @@
 	for _, j := range s.jobs {
 		s.assignAccount(j)
 	}
+	// Jobs that ended since the last round are listed here alone.
+	for _, j := range s.waiting {
+		s.assignAccount(j)
+	}
 	for _, t := range s.sortedTargets() {
 		t.sharesCounted, t.sharedCPU = false, 0
 		for _, r := range t.runs {
