Let a limit of 1 hold nothing back

A profile without a limit, and the queues in no profile, have a limit of 1. It was compared like any other, so that a profile whose runs filled the targets was at its limit: it was held back, which kept it from delegating, and its gangs got no reserved targets. UnderLimit now returns no bound for such an account, and the check at admission passes over it. Limit stays the whole capacity, by which tests bound what a profile can expect.

TestNoLimitHoldsNothingBack failed before (no target was reserved) and passes now, as do the tests of profiles in shares and scheduler.

--- a/scheduler/profiles.go
+++ b/scheduler/profiles.go
@@ -223,7 +223,7 @@
 // if it does.
 func (s *State) profileLimitReason(j *job) string {
 	sh := j.pool.shares
-	if sh == nil {
+	if sh == nil || !sh.HasLimit(j.account) {
 		return ""
 	}
 	for _, st := range j.steps[:len(j.sub.Job.Steps)] {
--- a/shares/ledger.go
+++ b/shares/ledger.go
@@ -104,8 +104,16 @@
 	return Lent
 }
 
-// UnderLimit returns the processor that an account may still start; below 0 where it exceeds its limit.
+// HasLimit reports whether an account's limit is below the whole capacity. One that is not never keeps a
+// task from starting: the targets do.
+func (l *Ledger) HasLimit(i int) bool { return l.accounts[i].Limit < 1 }
+
+// UnderLimit returns the processor that an account may still start; below 0 where it exceeds its limit,
+// math.MaxInt64 where it has none.
 func (l *Ledger) UnderLimit(i int, capacity int64) int64 {
+	if !l.HasLimit(i) {
+		return math.MaxInt64
+	}
 	a := &l.accounts[i]
 	return share(capacity, a.Limit) - a.used
 }
