Compare tasks with the limit of all listed targets

A job is refused as unservable if a task exceeds its profile's limit. The limit was one of the targets that take tasks at that moment: 0 while the cordon is unknown or all targets drain, and low while some do, so that servable jobs were refused. The check is passed over while the capacity is 0 or unknown, and uses the capacity of all listed targets, as the checks of targets and gangs beside it do.

TestLimitReasonIgnoresMomentaryCapacity failed before and passes now, as do the tests of profiles.

--- a/scheduler/profiles.go
+++ b/scheduler/profiles.go
@@ -220,14 +220,18 @@
 }
 
 // profileLimitReason returns why the limit of a job's profile never lets one of its steps start; empty
-// if it does.
+// if it does, or if that is not known yet. Targets that drain count as well: others replace them.
 func (s *State) profileLimitReason(j *job) string {
 	sh := j.pool.shares
-	if sh == nil || !sh.HasLimit(j.account) {
+	if sh == nil || !sh.HasLimit(j.account) || sh.capacity == 0 || s.isCapacityUnknown(j.pool) {
 		return ""
 	}
+	listed := int64(0)
+	for _, t := range j.pool.targets {
+		listed += t.Capacity.CPU
+	}
 	for _, st := range j.steps[:len(j.sub.Job.Steps)] {
-		if startCPU(st, len(st.members)) > sh.Limit(j.account, sh.capacity) && !j.pool.hasUnusableTargets() {
+		if startCPU(st, len(st.members)) > sh.Limit(j.account, listed) {
 			s.countProfileRefusal(j)
 			return "the limit of profile " + sh.Name(j.account) + " is below one of its tasks: ask for less, or raise the limit"
 		}
--- a/scheduler/profiles_review_test.go
+++ b/scheduler/profiles_review_test.go
@@ -37,3 +37,29 @@
 	must.NotNil(t, b.s.pools["s"].reservedFor)
 	must.False(t, b.s.pools["s"].shares.heldBack[1])
 }
+
+// Guards against refusing jobs for good by a limit of a capacity that is momentarily missing: while all
+// targets drain, or some of them.
+func TestLimitReasonIgnoresMomentaryCapacity(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "batch", Limit: 0.5})
+	b.addUsableTarget("a", 4)
+	b.addUsableTarget("b", 4)
+	reason := func(cpu int64) string {
+		j := b.s.newJob(b.now, Submission{
+			Ref: 99, Job: work.Job{ID: "j", Steps: []work.Step{{Tasks: 1, PerTask: work.Resources{CPU: cpu}, DeclaredRunTime: 100 * ms}}},
+			Queue: work.Queue{Name: "batch", Service: "s", MaxAttempts: 2},
+		})
+		return b.s.profileLimitReason(j)
+	}
+	must.NotEq(t, "", reason(5))
+	must.Eq(t, "", reason(4))
+	b.listTarget(work.Target{ID: "a", Capacity: work.Resources{CPU: 4}, Draining: true})
+	must.Eq(t, "", reason(4))
+	b.listTarget(work.Target{ID: "b", Capacity: work.Resources{CPU: 4}, Draining: true})
+	must.Eq(t, "", reason(5))
+	b.listTargetWithCPU("a", 4)
+	must.NotEq(t, "", reason(5))
+	b.s.cordon.known = false
+	must.Eq(t, "", reason(5))
+}
