Accept late jobs that fit at once under profiles

forecastByShares compared a wait of 0 with the slack, which is negative for a job that arrives late, and refused it while targets were idle or their capacity was unknown. forecastStart accepts both. waitByShares now says whether the job fits at once.

TestLateJobStartsOnIdleTargets failed before and passes now, as do the tests of profiles, limits and forecasts in the package.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -208,7 +208,7 @@
 	// The job itself is among the waiting ones that cpuAhead counts.
 	wait := drainTime(s.cpuAhead(j)-free-j.pool.arrivingCPU(need.each), rate*j.pool.shareLeft(now, Priorities))
 	if j.pool.shares != nil {
-		wait = s.waitByShares(now, j, need, s.profileCPUAhead(j), Priorities)
+		wait, _ = s.waitByShares(now, j, need, s.profileCPUAhead(j), Priorities)
 	}
 	if wait <= j.usefulUntil-j.expectedRuntime()-now {
 		return
--- a/scheduler/profiles_admit.go
+++ b/scheduler/profiles_admit.go
@@ -48,18 +48,20 @@
 // forecastByShares is forecastStart under profiles.
 func (s *State) forecastByShares(now time.Duration, j *job) (time.Duration, bool) {
 	need := j.initialNeed()
-	wait := s.waitByShares(now, j, need, s.profileCPUAhead(j)+need.total, priorityOf(j.sub.Queue))
+	wait, immediate := s.waitByShares(now, j, need, s.profileCPUAhead(j)+need.total, priorityOf(j.sub.Queue))
 	slack := j.latestStart - now - time.Duration(startMarginShare*float64(j.objective-j.arrived))
-	if wait > slack {
-		s.countProfileRefusal(j)
+	if immediate || wait <= slack {
+		return wait, true
 	}
-	return wait, wait <= slack
+	s.countProfileRefusal(j)
+	return wait, false
 }
 
 // waitByShares forecasts how long a job waits if its profile has to start an amount of processor up to
 // and including the job. Waiting work of other profiles counts only in so far as it lowers what the
-// profile can expect beyond its guarantee.
-func (s *State) waitByShares(now time.Duration, j *job, need need, amount int64, priority int) time.Duration {
+// profile can expect beyond its guarantee. immediate says that the job fits now, or that the capacity is
+// unknown: then it is accepted however late it is.
+func (s *State) waitByShares(now time.Duration, j *job, need need, amount int64, priority int) (wait time.Duration, immediate bool) {
 	p, sh := j.pool, j.pool.shares
 	free, rate := p.supply(now, need.each)
 	if j.canDelegate() {
@@ -68,12 +70,12 @@
 	}
 	arriving := p.arrivingCPU(need.each)
 	if arriving+free == 0 && rate == 0 && s.isCapacityUnknown(p) {
-		return 0
+		return 0, true
 	}
 	capacity := sh.capacity + arriving
 	usable := min(free+arriving, max(sh.UnderLimit(j.account, capacity), 0))
 	if need.total <= usable {
-		return 0
+		return 0, true
 	}
 	rate += float64(free+arriving) / max(float64(j.expectedRuntime())/float64(time.Millisecond), 1)
 	entitled := sh.Entitled(j.account, capacity)
@@ -84,7 +86,7 @@
 	quick := min(max(below, 0), max(amount, 0))
 	slow := max(amount, 0) - quick - min(below, 0)
 	left := p.leftOfProfile(now, j.account, priority, entitled)
-	return min(drainTime(quick, rate*left)+drainTime(slow, s.ownRate(j, entitled)*left), maxForecast)
+	return min(drainTime(quick, rate*left)+drainTime(slow, s.ownRate(j, entitled)*left), maxForecast), false
 }
 
 // ownRate returns the processor per millisecond that the runs of a job's profile free while they use
--- a/scheduler/profiles_review_test.go
+++ b/scheduler/profiles_review_test.go
@@ -63,3 +63,18 @@
 	b.s.cordon.known = false
 	must.Eq(t, "", reason(5))
 }
+
+// Guards against refusing a job whose objective can't be met any more while targets are idle, or before
+// their capacity is known: without profiles it starts at once.
+func TestLateJobStartsOnIdleTargets(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "nobody", Limit: 1}, shares.Profile{Name: "batch", Limit: 0.5})
+	b.s.registryRead = false
+	b.submitWith("other", 1, 1, 0)
+	must.SliceEmpty(t, pickEffects[Answer](b.effects()))
+	b.s.RegistryRead()
+	b.addUsableTarget("b", 4)
+	b.submitWith("other", 1, 1, 0)
+	b.submitWith("batch", 1, 1, 0)
+	must.SliceEmpty(t, pickEffects[Answer](b.effects()))
+}
