Count arriving capacity against the work ahead

A job whose need was within free and arriving capacity was accepted past the waiting work of its profile, so that each newcomer of a new owner saw the same arriving targets. Only capacity that is free now skips the queue; arriving capacity is set against the amount ahead, as forecastStart does.

The review's trial becomes TestProfileOfNobodyChangesNothing: a row whose only profile has no queue of the tests is put in force in each harness, and 16 existing tests run under it. It showed one more difference: a job's profile was credited with what its runs on suspected targets free, so that a hopelessly late job was not refused. The rate of the profile's own runs now counts in the proportion of open targets.

Before, the trial failed in TestNewOwnerCountsArrivingTargets (30 of 30 jobs accepted, 10 to 15 expected) and TestHopelesslyLateJobIsRefused; now it passes, as do the tests of profiles, limits and forecasts.

--- a/scheduler/guards_test.go
+++ b/scheduler/guards_test.go
@@ -22,6 +22,9 @@
 func newHarness(t *testing.T, o Options) *harness {
 	b := &harness{t: t, s: New(o), now: 10 * time.Second, starts: map[work.RunID]int{}}
 	b.s.RegistryRead()
+	if harnessProfiles != nil {
+		b.s.SetProfiles(b.now, harnessProfiles)
+	}
 	b.s.Tick(b.now)
 	return b
 }
--- a/scheduler/profiles_admit.go
+++ b/scheduler/profiles_admit.go
@@ -73,10 +73,13 @@
 		return 0, true
 	}
 	capacity := sh.capacity + arriving
-	usable := min(free+arriving, max(sh.UnderLimit(j.account, capacity), 0))
-	if need.total <= usable {
+	underLimit := max(sh.UnderLimit(j.account, capacity), 0)
+	// Free capacity does not fit the waiting jobs, so that this job can use it. Arriving capacity is for
+	// those that wait already first.
+	if need.total <= min(free, underLimit) {
 		return 0, true
 	}
+	usable := min(free+arriving, underLimit)
 	rate += float64(free+arriving) / max(float64(j.expectedRuntime())/float64(time.Millisecond), 1)
 	entitled := sh.Entitled(j.account, capacity)
 	amount -= usable
@@ -86,7 +89,9 @@
 	quick := min(max(below, 0), max(amount, 0))
 	slow := max(amount, 0) - quick - min(below, 0)
 	left := p.leftOfProfile(now, j.account, priority, entitled)
-	return min(drainTime(quick, rate*left)+drainTime(slow, s.ownRate(j, entitled)*left), maxForecast), false
+	// Runs on targets that are suspected or reserved free nothing that the job can use.
+	open := float64(p.openCPU+arriving) / float64(max(capacity, 1))
+	return min(drainTime(quick, rate*left)+drainTime(slow, s.ownRate(j, entitled)*open*left), maxForecast), false
 }
 
 // ownRate returns the processor per millisecond that the runs of a job's profile free while they use
--- a/scheduler/profiles_review_test.go
+++ b/scheduler/profiles_review_test.go
@@ -78,3 +78,33 @@
 	b.submitWith("batch", 1, 1, 0)
 	must.SliceEmpty(t, pickEffects[Answer](b.effects()))
 }
+
+// harnessProfiles are in force in each new harness; nil for none.
+var harnessProfiles *shares.Profiles
+
+// Guards against profiles changing how queues in no profile are served: with a row whose only profile has
+// no queue of the tests, no limit and no guarantee, these tests hold as without a row.
+func TestProfileOfNobodyChangesNothing(t *testing.T) {
+	harnessProfiles = &shares.Profiles{Version: 1, Profiles: []shares.Profile{{Name: "nobody", Queues: []string{"nobody"}, Limit: 1, Weight: 1}}}
+	t.Cleanup(func() { harnessProfiles = nil })
+	for name, test := range map[string]func(*testing.T){
+		"arriving targets":         TestNewOwnerCountsArrivingTargets,
+		"forecast":                 TestOverloadedOwnerRefusesWithRetryTime,
+		"small beside large":       TestSmallJobIsAcceptedBesideWaitingLargeJobs,
+		"late jobs":                TestHopelesslyLateJobIsRefused,
+		"delegation":               TestTasksAreDelegatedAndReturned,
+		"delegated parts":          TestPartStartsAtOnceOrIsRefused,
+		"gangs and small tasks":    TestGangIsNotStarvedBySmallTasks,
+		"gangs and racks":          TestGangWaitsForItsRack,
+		"latency-sensitive steps":  TestBackgroundTasksYieldToLatencySensitiveOnes,
+		"unknown cordon":           TestNothingStartsWhileCordonIsUnknown,
+		"cordon":                   TestCordonReturnsUnstartedJobsAndDelegatesTheRest,
+		"gang reservations":        TestCordonReleasesGangReservation,
+		"unservable jobs":          TestUnservableJobIsRefused,
+		"returning callers":        TestReturningLateCallerIsPlacedBehind,
+		"draining and full target": TestDrainingAndFullTargetsAreNotUsed,
+		"inherited runs":           TestSuccessorContinuesInheritedRuns,
+	} {
+		t.Run(name, test)
+	}
+}
