Release reserved targets of work at its limit

Reservations for gangs, latency-sensitive steps and suspects are checked for their end when their job is placed, which a limit prevents: the targets stayed idle. When a limit holds an account back, all reservations for its work end, and so they do when new profiles come into force. Releasing those of the job at hand alone was weighed: the jobs behind it aren't placed in that round either.

TestReservationsEndAtLimit failed before in both of its parts and passes now, as do the tests of profiles.

--- a/scheduler/profiles.go
+++ b/scheduler/profiles.go
@@ -58,12 +58,25 @@
 	for _, j := range s.waiting {
 		s.noteWaiting(j)
 	}
+	for _, service := range slices.Sorted(maps.Keys(s.pools)) {
+		for account := range s.pools[service].accounts() {
+			s.releaseReservations(s.pools[service], account)
+		}
+	}
 	s.refuseExcess(now, before)
 }
 
 // hasShares reports whether profiles are in force.
 func (s *State) hasShares() bool { return s.profiles != nil && len(s.profiles.Profiles) > 0 }
 
+// accounts returns the number of a pool's accounts; 0 without profiles.
+func (p *pool) accounts() int {
+	if p.shares == nil {
+		return 0
+	}
+	return p.shares.Accounts()
+}
+
 // newPoolShares returns a pool's ledger without runs; nil while there are no profiles.
 func (s *State) newPoolShares() *poolShares {
 	if !s.hasShares() {
--- a/scheduler/profiles_place.go
+++ b/scheduler/profiles_place.go
@@ -101,6 +101,7 @@
 		return true
 	case cpu > sh.UnderLimit(j.account, sh.capacity):
 		sh.heldBack[j.account] = true
+		s.releaseReservations(j.pool, j.account)
 		return false
 	default:
 		return !s.yields(j)
@@ -119,3 +120,20 @@
 func (s *State) isHeldBack(j *job) bool {
 	return j.pool.shares != nil && (j.pool.shares.heldBack[j.account] || s.yields(j))
 }
+
+// releaseReservations ends the reservations of targets for work of one account: its limit keeps that work
+// from starting, and a reservation is checked for its end only when its job is placed.
+func (s *State) releaseReservations(p *pool, account int) {
+	s.endHold(&p.shares.holds[account])
+	if st := p.reservedFor; st != nil && st.job.account == account {
+		s.unreserveForGang(p, st)
+	}
+	for _, t := range p.targets {
+		if st := t.reservedFor; st != nil && st.job.account == account && st.evictionTarget == t {
+			s.unreserveForStep(st)
+		}
+		if tk := t.isolated; tk != nil && tk.reservedTarget == t && tk.job.account == account {
+			s.unreserveForSuspect(tk)
+		}
+	}
+}
--- a/scheduler/profiles_review_test.go
+++ b/scheduler/profiles_review_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -108,3 +109,34 @@
 		t.Run(name, test)
 	}
 }
+
+// reservations counts the targets that are reserved for a step or a suspect.
+func (b *harness) reservations() (n int) {
+	for _, target := range b.s.sortedTargets() {
+		if target.reservedFor != nil || target.isolated != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against targets that stay reserved for work which a limit keeps from starting: they would be
+// idle until the limit is raised.
+func TestReservationsEndAtLimit(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.addUsableTarget("a", 2)
+	b.addUsableTarget("b", 2)
+	b.submitWith("other", 4, 1, 10*time.Second)
+	b.effects()
+	b.acceptAndStore(b.jobOfSteps("gang", work.Step{Tasks: 2, PerTask: work.Resources{CPU: 1}, Gang: true}))
+	b.advance(3 * gangReserveDelay)
+	must.Positive(t, b.reservations())
+	b.setProfiles(shares.Profile{Name: "k", Limit: 1})
+	must.Eq(t, 0, b.reservations())
+	b.s.reserveForGang(b.now+2*maxReservation, b.s.waiting[0], b.s.waiting[0].steps[0])
+	must.Positive(t, b.reservations())
+	ledger := b.s.pools["s"].shares.Ledger
+	*ledger = *shares.NewLedger([]shares.Profile{{Name: "k", Queues: []string{"k"}, Limit: 0.25, Weight: 1}})
+	b.s.placeWaiting(b.now)
+	must.Eq(t, 0, b.reservations())
+}
