Count failed placements by profile

The failures are counted by account, and an account that reaches the bound is held back alone until the next round. What found no target is still shared by all accounts, so that a round tries a need that can't fit only once.

TestFailedPlacementsCountByProfile failed before and passes now, as do the tests of profiles.

--- a/scheduler/profiles_place.go
+++ b/scheduler/profiles_place.go
@@ -55,14 +55,15 @@
 	return pools
 }
 
-// placePool places the waiting jobs of a pool until too many steps found no target. It reports whether
-// the sort key of one has changed.
+// placePool places the waiting jobs of a pool. A profile of which too many steps found no target is held
+// back, so that it doesn't end the round for the others. It reports whether the sort key of a job has
+// changed.
 func (s *State) placePool(now time.Duration, p *pool) (reordered bool) {
 	sh, failed := p.shares, failedPlacements{}
-	next := make([]int, sh.Accounts())
+	next, failures := make([]int, sh.Accounts()), make([]int, sh.Accounts())
 	hasWork := func(i int) bool { return !sh.heldBack[i] && next[i] < len(sh.waiting[i]) }
 	pick, picked := shares.Pick{}, false
-	for !failed.limitReached() {
+	for {
 		// Without a start the same profile would be picked again.
 		if !picked || sh.startedInPick > 0 || !hasWork(pick.Account) {
 			if pick, picked = sh.Next(sh.capacity, hasWork); !picked {
@@ -76,7 +77,11 @@
 			continue
 		}
 		before, starts := j.sortKey, j.possibleStarts
+		failed.count = failures[pick.Account]
 		s.placeJob(now, j, &failed)
+		if failures[pick.Account] = failed.count; failed.limitReached() {
+			sh.heldBack[pick.Account] = true
+		}
 		if !s.yields(j) {
 			next[pick.Account]++
 		}
--- a/scheduler/profiles_review_test.go
+++ b/scheduler/profiles_review_test.go
@@ -140,3 +140,19 @@
 	b.s.placeWaiting(b.now)
 	must.Eq(t, 0, b.reservations())
 }
+
+// Guards against the jobs of one profile that fit nowhere ending the round for the other profiles.
+func TestFailedPlacementsCountByProfile(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "batch", Limit: 1})
+	b.addUsableTarget("a", 100)
+	b.submitTo("other", 10, 10)
+	must.Eq(t, map[string]int{"other": 10}, b.startedQueues())
+	for i := range maxFailedPlacements {
+		b.submitWith("batch", 1, int64(60-i), 10*time.Second)
+	}
+	b.submitWith("other", 1, 10, 20*time.Second)
+	must.SliceEmpty(t, pickEffects[Answer](b.effects()))
+	b.endRuns("a", "other", 1)
+	must.Eq(t, map[string]int{"other": 1}, b.startedQueues())
+}
