--- a/scheduler/profiles.go
+++ b/scheduler/profiles.go
@@ -43,6 +43,10 @@
 	for _, j := range s.jobs {
 		s.assignAccount(j)
 	}
+	// Jobs that ended since the last round are listed here alone.
+	for _, j := range s.waiting {
+		s.assignAccount(j)
+	}
 	for _, t := range s.sortedTargets() {
 		t.sharesCounted, t.sharedCPU = false, 0
 		for _, r := range t.runs {
@@ -54,12 +58,25 @@
 	for _, j := range s.waiting {
 		s.noteWaiting(j)
 	}
+	for _, service := range slices.Sorted(maps.Keys(s.pools)) {
+		for account := range s.pools[service].accounts() {
+			s.releaseReservations(s.pools[service], account)
+		}
+	}
 	s.refuseExcess(now, before)
 }
 
 // hasShares reports whether profiles are in force.
 func (s *State) hasShares() bool { return s.profiles != nil && len(s.profiles.Profiles) > 0 }
 
+// accounts returns the number of a pool's accounts; 0 without profiles.
+func (p *pool) accounts() int {
+	if p.shares == nil {
+		return 0
+	}
+	return p.shares.Accounts()
+}
+
 // newPoolShares returns a pool's ledger without runs; nil while there are no profiles.
 func (s *State) newPoolShares() *poolShares {
 	if !s.hasShares() {
@@ -216,14 +233,18 @@
 }
 
 // profileLimitReason returns why the limit of a job's profile never lets one of its steps start; empty
-// if it does.
+// if it does, or if that is not known yet. Targets that drain count as well: others replace them.
 func (s *State) profileLimitReason(j *job) string {
 	sh := j.pool.shares
-	if sh == nil {
+	if sh == nil || !sh.HasLimit(j.account) || sh.capacity == 0 || s.isCapacityUnknown(j.pool) {
 		return ""
 	}
+	listed := int64(0)
+	for _, t := range j.pool.targets {
+		listed += t.Capacity.CPU
+	}
 	for _, st := range j.steps[:len(j.sub.Job.Steps)] {
-		if startCPU(st, len(st.members)) > sh.Limit(j.account, sh.capacity) && !j.pool.hasUnusableTargets() {
+		if startCPU(st, len(st.members)) > sh.Limit(j.account, listed) {
 			s.countProfileRefusal(j)
 			return "the limit of profile " + sh.Name(j.account) + " is below one of its tasks: ask for less, or raise the limit"
 		}
--- a/scheduler/profiles_place.go
+++ b/scheduler/profiles_place.go
@@ -55,14 +55,15 @@
 	return pools
 }
 
-// placePool places the waiting jobs of a pool until too many steps found no target. It reports whether
-// the sort key of one has changed.
+// placePool places the waiting jobs of a pool. A profile of which too many steps found no target is held
+// back, so that it doesn't end the round for the others. It reports whether the sort key of a job has
+// changed.
 func (s *State) placePool(now time.Duration, p *pool) (reordered bool) {
 	sh, failed := p.shares, failedPlacements{}
-	next := make([]int, sh.Accounts())
+	next, failures := make([]int, sh.Accounts()), make([]int, sh.Accounts())
 	hasWork := func(i int) bool { return !sh.heldBack[i] && next[i] < len(sh.waiting[i]) }
 	pick, picked := shares.Pick{}, false
-	for !failed.limitReached() {
+	for {
 		// Without a start the same profile would be picked again.
 		if !picked || sh.startedInPick > 0 || !hasWork(pick.Account) {
 			if pick, picked = sh.Next(sh.capacity, hasWork); !picked {
@@ -76,7 +77,11 @@
 			continue
 		}
 		before, starts := j.sortKey, j.possibleStarts
+		failed.count = failures[pick.Account]
 		s.placeJob(now, j, &failed)
+		if failures[pick.Account] = failed.count; failed.limitReached() {
+			sh.heldBack[pick.Account] = true
+		}
 		if !s.yields(j) {
 			next[pick.Account]++
 		}
@@ -101,6 +106,7 @@
 		return true
 	case cpu > sh.UnderLimit(j.account, sh.capacity):
 		sh.heldBack[j.account] = true
+		s.releaseReservations(j.pool, j.account)
 		return false
 	default:
 		return !s.yields(j)
@@ -119,3 +125,20 @@
 func (s *State) isHeldBack(j *job) bool {
 	return j.pool.shares != nil && (j.pool.shares.heldBack[j.account] || s.yields(j))
 }
+
+// releaseReservations ends the reservations of targets for work of one account: its limit keeps that work
+// from starting, and a reservation is checked for its end only when its job is placed.
+func (s *State) releaseReservations(p *pool, account int) {
+	s.endHold(&p.shares.holds[account])
+	if st := p.reservedFor; st != nil && st.job.account == account {
+		s.unreserveForGang(p, st)
+	}
+	for _, t := range p.targets {
+		if st := t.reservedFor; st != nil && st.job.account == account && st.evictionTarget == t {
+			s.unreserveForStep(st)
+		}
+		if tk := t.isolated; tk != nil && tk.reservedTarget == t && tk.job.account == account {
+			s.unreserveForSuspect(tk)
+		}
+	}
+}
