Forget requests for handed jobs that were not queued

A request for a job that was handed over waits for room in the loop's queue. If its caller left first, Submit still queued a cancellation that waited for the request to be handled, in a goroutine that ended only with the owner; with a full queue Submit itself went on waiting. A request that was not queued now ends at once, as "moved": the leaving VM asks again for a while, and never takes it for a refusal.

TestUnqueuedRequestForHandedJobEnds hangs without the change.

--- a/owner/handover.go
+++ b/owner/handover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/burdockward/burdockward/scheduler"
+	"github.com/burdockward/burdockward/work"
 )
 
 // A leaving owner hands its running jobs over with its targets, if both VMs are set to do so. It ends
@@ -49,11 +50,24 @@
 }
 
 // queue queues the message of a submission, and reports false if there is no room. A job that is handed
-// over runs already: its request waits for room instead.
+// over runs already: its request waits for room instead, until its caller leaves or this owner ends.
 func (o *Owner) queue(ctx context.Context, sub scheduler.Submission, m message) bool {
 	if !sub.Handed {
 		return o.submissions.Offer(m)
 	}
-	o.post(ctx, m)
-	return true
+	select {
+	case o.answers <- m:
+		return true
+	case <-ctx.Done():
+	case <-o.done:
+	}
+	return false
+}
+
+// unqueuedOutcome is the outcome of a submission that was not queued.
+func unqueuedOutcome(sub scheduler.Submission) work.Outcome {
+	if sub.Handed {
+		return work.Outcome{Result: work.Moved, Reason: "the request was not handled"}
+	}
+	return work.Outcome{Result: work.Refused, Reason: "too many submissions at once", RetryAfter: queueFullRetryAfter}
 }
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -34,6 +34,21 @@
 	must.Eq(t, work.Unknown, o.Submit(t.Context(), sub).Result)
 }
 
+// A request for a handed job that was never queued leaves nothing to cancel: a goroutine would wait for
+// its message until the owner ends. It is not answered as refused, because the job runs.
+func TestUnqueuedRequestForHandedJobEnds(t *testing.T) {
+	o := New(testOptions(), newFencingTarget(), oneTarget{})
+	for range answerQueueSize {
+		o.answers <- func(time.Duration) {}
+	}
+	sub := testSubmission("job")
+	sub.Part, sub.Handed, sub.Entry = []string{"job.0.0.0"}, true, "leaving"
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	must.Eq(t, work.Moved, o.Submit(ctx, sub).Result)
+	must.Eq(t, answerQueueSize, len(o.answers))
+}
+
 // The successor asks for no jobs, or this owner isn't set to hand them over: the handover proceeds as
 // with an older build.
 func TestJobsAreHandedOverOnlyBetweenVMsThatDo(t *testing.T) {
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -41,7 +41,7 @@
 		o.state.Submit(now, sub)
 	})
 	if !queued {
-		return work.Outcome{Result: work.Refused, Reason: "too many submissions at once", RetryAfter: queueFullRetryAfter}
+		return unqueuedOutcome(sub)
 	}
 	select {
 	case result := <-outcome:
