Bound the size of a handover of running jobs

An answer with the jobs of a busy owner had no bound: with the default limit of 64 KB a request, a thousand jobs are 64 MB. The successor waits 0.4 s for an answer, so it would never get one, and would stop all runs once it counts the owner as silent. Jobs beyond 4 MB now stay with their targets until they end, as they do without the flag. Weighed: leaving the payloads out, since each request for a part repeats them; a task that is lost before that request could not be started then.

--- a/scheduler/handed.go
+++ b/scheduler/handed.go
@@ -86,3 +86,39 @@
 	// ResumeFrom is the saved work that it continues from, Saved what it has saved itself.
 	ResumeFrom, Saved string
 }
+
+// maxHandedBytes bounds the jobs of a handover. A link of 100 Mbit/s carries them in 0.34 s, and the
+// successor waits 0.4 s for an answer.
+const maxHandedBytes = 4 << 20
+
+// Sizes of a job and of a task in a handover without payload and saved work, rounded up.
+const (
+	handedJobBytes  = 512
+	handedTaskBytes = 128
+)
+
+// handoverFilter returns a function that reports whether a job is handed over: the successor can run it,
+// and it is among the first ones that fit into maxHandedBytes.
+func (s *State) handoverFilter(elsewhere tasksElsewhere) func(*job) bool {
+	fits, size := map[*job]bool{}, 0
+	for _, j := range s.jobsOnTargets() {
+		if !elsewhere.canHandOver(j) {
+			continue
+		}
+		size += handedSize(j)
+		fits[j] = size <= maxHandedBytes
+	}
+	return func(j *job) bool { return fits[j] }
+}
+
+// handedSize returns about how many bytes a job takes in a handover.
+func handedSize(j *job) int {
+	size := handedJobBytes + len(j.sub.Job.Payload)
+	for _, t := range j.tasks {
+		size += handedTaskBytes + len(t.savedState().value)
+		if t.run != nil {
+			size += len(t.run.resumeFrom) + len(t.run.saved)
+		}
+	}
+	return size
+}
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -79,10 +79,11 @@
 // releaseJobs makes the handover.
 func (s *State) releaseJobs(now time.Duration) {
 	elsewhere := s.tasksElsewhere()
-	kept := s.keptTargets(elsewhere)
+	mayPass := s.handoverFilter(elsewhere)
+	kept := s.keptTargets(mayPass)
 	h := Handover{Keepalives: map[string]time.Duration{}, LastRun: s.lastRunNumber}
 	for _, j := range s.jobsOnTargets() {
-		if !elsewhere.canHandOver(j) || hasRunOn(j, kept) {
+		if !mayPass(j) || hasRunOn(j, kept) {
 			continue
 		}
 		tasks := elsewhere.tasksToHandOver(j)
@@ -135,10 +136,10 @@
 
 // keptTargets returns the targets that this owner goes on using: those that it hasn't adopted, and those
 // with runs of jobs that it can't hand over whole. While such a job needs further targets, these are all.
-func (s *State) keptTargets(elsewhere tasksElsewhere) map[*target]bool {
+func (s *State) keptTargets(mayPass func(*job) bool) map[*target]bool {
 	kept := map[*target]bool{}
 	needsTargets := slices.ContainsFunc(s.waiting, func(j *job) bool {
-		return !j.ended && j.mayHaveStarted() && j.hasPendingTasks() && !elsewhere.canHandOver(j)
+		return !j.ended && j.mayHaveStarted() && j.hasPendingTasks() && !mayPass(j)
 	})
 	for _, t := range s.targets {
 		kept[t] = needsTargets || t.state == adopting || t.incarnationUnknown
@@ -149,7 +150,7 @@
 		for _, t := range s.targets {
 			for _, r := range t.runs {
 				j := r.task.job
-				if !j.dropped && !keptJobs[j] && (kept[t] || !elsewhere.canHandOver(j)) {
+				if !j.dropped && !keptJobs[j] && (kept[t] || !mayPass(j)) {
 					keptJobs[j], changed = true, true
 				}
 				if keptJobs[j] && !kept[t] {
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -349,6 +350,27 @@
 	must.False(t, p.next.s.jobs[1].isReady(p.next.s.jobs[1].steps[1]))
 }
 
+// Jobs that don't fit into one answer stay with their targets: an answer that is too large would never
+// arrive in time, and the successor would stop all runs.
+func TestLargeJobsStayAtLeavingOwner(t *testing.T) {
+	b := newHarness(t, Options{})
+	var targets []string
+	for _, id := range []string{"a", "b", "c"} {
+		b.addUsableTarget(id, 1)
+		b.ref++
+		b.s.Submit(b.now, Submission{
+			Ref: b.ref, Queue: work.Queue{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Allowance: time.Second},
+			Job: work.Job{ID: id, Payload: strings.Repeat("x", 3<<19), Steps: []work.Step{{Tasks: 1, PerTask: work.Resources{CPU: 1}, DeclaredRunTime: 100 * ms}}},
+		})
+		targets = append(targets, pickEffects[StartRun](b.effects())[0].To.ID)
+	}
+	b.s.Leave(b.now)
+	h, released := b.s.HandOverJobs(b.now, Successor{Owner: "next"})
+	must.SliceLen(t, 2, h.Jobs)
+	must.Eq(t, targets[:2], released)
+	must.False(t, b.s.UsesNoTarget())
+}
+
 // A started job that isn't handed over still needs targets for its next step: without them it would end
 // at its deadline.
 func TestJobThatStaysKeepsTargetsForItsNextStep(t *testing.T) {
