Publish the number of open jobs with each release

The node ends a leaving owner once all targets are released and no job is open. Release now publishes the number before it answers.

TestReleasePublishesOpenJobs fails without the change.

--- a/owner/handover.go
+++ b/owner/handover.go
@@ -32,6 +32,12 @@
 	return done && !o.registry.handoverPending
 }
 
+// publishOpenJobs publishes the number of open jobs. Whoever learns that all targets are released ends this
+// owner by it, and must not see the number of an earlier tick.
+func (o *Owner) publishOpenJobs() {
+	o.openJobs.Store(int64(o.state.Jobs() + o.state.PendingWrites()))
+}
+
 // adoptJobs takes the jobs of the previous owner over, before the State learns of their targets.
 func (o *Owner) adoptJobs(now, asked time.Duration, released Released) {
 	if released.Handover == nil || !o.registry.handoverPending {
--- a/owner/handover_test.go
+++ b/owner/handover_test.go
@@ -72,6 +72,28 @@
 	}
 }
 
+// The number of open jobs is that of the handover, not of the last tick: the node would otherwise end an
+// owner whose callers still wait, or keep one without jobs.
+func TestReleasePublishesOpenJobs(t *testing.T) {
+	options := testOptions()
+	options.HandOverJobs = true
+	o := New(options, newFencingTarget(), oneTarget{})
+	o.openJobs.Store(3)
+	go func() { (<-o.answers)(bootclock.Now()) }()
+	must.True(t, o.Release(t.Context(), scheduler.Successor{}).All)
+	must.Eq(t, 0, o.OpenJobs())
+
+	job := testSubmission("job")
+	job.Part, job.Handed, job.Entry = []string{"job.0.0.0"}, true, "e"
+	h := scheduler.Handover{From: "e", Jobs: []scheduler.HandedJob{{Submission: job}}}
+	o = New(options, newFencingTarget(), oneTarget{})
+	now := bootclock.Now()
+	o.state.AdoptJobs(now, now, h, func() scheduler.Ref { return 1 })
+	go func() { (<-o.answers)(now) }()
+	o.Release(t.Context(), scheduler.Successor{})
+	must.Eq(t, 1, o.OpenJobs())
+}
+
 // While its own predecessor still uses targets, an owner doesn't know all runs, and hands over none.
 func TestNoJobsAreHandedOverDuringTakeover(t *testing.T) {
 	options := testOptions()
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -322,7 +322,7 @@
 // durable jobs can be taken over, the number of targets, and the loads. It also reports when this
 // owner needs the capacity of others.
 func (o *Owner) publish() {
-	o.openJobs.Store(int64(o.state.Jobs() + o.state.PendingWrites()))
+	o.publishOpenJobs()
 	o.durable.canTakeOver.Store(o.canTakeOverJobs())
 	if o.state.HasTasksToDelegate() {
 		o.options.NeedsCapacity()
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -143,6 +143,7 @@
 		handover := o.handOverJobs(now, successor)
 		o.registry.released = append(o.registry.released, o.state.IdleTargets()...)
 		o.state.ReleaseTargets(o.registry.released)
+		o.publishOpenJobs()
 		answer <- Released{
 			Targets:  slices.Clone(o.registry.released),
 			All:      o.hasReleasedAll(),
