--- a/owner/submit.go
+++ b/owner/submit.go
@@ -41,7 +41,7 @@
 		o.state.Submit(now, sub)
 	})
 	if !queued {
-		return work.Outcome{Result: work.Refused, Reason: "too many submissions at once", RetryAfter: queueFullRetryAfter}
+		return unqueuedOutcome(sub)
 	}
 	select {
 	case result := <-outcome:
@@ -143,6 +143,7 @@
 		handover := o.handOverJobs(now, successor)
 		o.registry.released = append(o.registry.released, o.state.IdleTargets()...)
 		o.state.ReleaseTargets(o.registry.released)
+		o.publishOpenJobs()
 		answer <- Released{
 			Targets:  slices.Clone(o.registry.released),
 			All:      o.hasReleasedAll(),
