--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -30,7 +30,7 @@
 
 // HandOverJobs passes all jobs that it can to the successor, with their runs, and returns them with the
 // targets that this owner uses no more. A repeated call for the same successor returns the same again;
-// any other successor gets nothing.
+// any other successor gets the targets alone.
 func (s *State) HandOverJobs(now time.Duration, successor Successor) (Handover, []string) {
 	if s.handover.to.Owner == "" {
 		s.handover = handover{to: successor, at: now}
