Keep holds and reservations of gangs apart

A gang could reserve a target that was held for a large task, and the end of the hold then freed it for others. Gangs skip held targets, and the end of a hold frees only a target that is still reserved for its step. unreserveForStep itself is unchanged, so that nothing changes without profiles; the same overlap of a gang and a latency-sensitive step remains there.

TestHoldAndGangLeaveEachOthersTargets failed before and passes now, as do the tests of gangs and profiles.

--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -227,12 +227,12 @@
 	return nil
 }
 
-// availableTargets returns those of the given targets that take new tasks, are neither isolated nor
+// availableTargets returns those of the given targets that take new tasks, are neither isolated, held nor
 // suspected, and may have their lease extended.
 func (s *State) availableTargets(now time.Duration, among []*target) []*target {
 	var available []*target
 	for _, t := range among {
-		if t.acceptsTasks() && t.isolated == nil && !t.health.suspected && s.canRenewLease(now, t) {
+		if t.acceptsTasks() && t.isolated == nil && !t.health.suspected && !t.isHeld() && s.canRenewLease(now, t) {
 			available = append(available, t)
 		}
 	}
--- a/scheduler/profiles_hold.go
+++ b/scheduler/profiles_hold.go
@@ -60,10 +60,20 @@
 }
 
 func (s *State) endHold(h *hold) {
-	if h.st != nil {
-		s.unreserveForStep(h.st)
-		h.st = nil
+	if h.st == nil {
+		return
+	}
+	// Another reservation of the target stays.
+	if t := h.st.evictionTarget; t != nil && t.reservedFor != h.st {
+		h.st.evictionTarget = nil
 	}
+	s.unreserveForStep(h.st)
+	h.st = nil
+}
+
+// isHeld reports whether a target is held for a step of a profile.
+func (t *target) isHeld() bool {
+	return t.reservedFor != nil && t.pool.shares != nil && slices.ContainsFunc(t.pool.shares.holds, func(h hold) bool { return h.st == t.reservedFor })
 }
 
 // expireHolds ends the holds that are not needed any more.
--- a/scheduler/profiles_review_test.go
+++ b/scheduler/profiles_review_test.go
@@ -156,3 +156,25 @@
 	b.endRuns("a", "other", 1)
 	must.Eq(t, map[string]int{"other": 1}, b.startedQueues())
 }
+
+// Guards against a gang that takes a held target over, and against the end of a hold that frees a target
+// which is reserved for another step by then.
+func TestHoldAndGangLeaveEachOthersTargets(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "tills", Guarantee: 0.5, Limit: 1})
+	b.addUsableTarget("a", 4)
+	b.addUsableTarget("b", 4)
+	b.submitWith("other", 4, 2, 10*time.Second)
+	b.effects()
+	b.submitWith("tills", 1, 4, 10*time.Second)
+	b.advance(2 * holdDelay)
+	h := &b.s.pools["s"].shares.holds[0]
+	must.NotNil(t, h.st)
+	held, st := h.st.evictionTarget, h.st
+	must.Eq(t, 1, len(b.s.availableTargets(b.now, b.s.pools["s"].targets)))
+	gang := &step{job: st.job}
+	held.reservedFor = gang
+	b.s.endHold(h)
+	must.Eq(t, gang, held.reservedFor)
+	must.Nil(t, st.evictionTarget)
+}
