Test that failures of one profile stay its own

With one waiting job the test passed also while the count of failures was carried over to the other profile, which is then held back only after its first start. Two jobs show it: with the guard removed the test failed, with it it passes.

--- a/scheduler/profiles_review_test.go
+++ b/scheduler/profiles_review_test.go
@@ -151,10 +151,11 @@
 	for i := range maxFailedPlacements {
 		b.submitWith("batch", 1, int64(60-i), 10*time.Second)
 	}
-	b.submitWith("other", 1, 10, 20*time.Second)
+	b.submitWith("other", 1, 5, 20*time.Second)
+	b.submitWith("other", 1, 5, 20*time.Second)
 	must.SliceEmpty(t, pickEffects[Answer](b.effects()))
 	b.endRuns("a", "other", 1)
-	must.Eq(t, map[string]int{"other": 1}, b.startedQueues())
+	must.Eq(t, map[string]int{"other": 2}, b.startedQueues())
 }
 
 // Guards against a gang that takes a held target over, and against the end of a hold that frees a target
