Keep a profile's waiting work up to date

The waiting work of a queued job was counted when it was queued and when it was placed. It stayed too low when tasks of a queued job came back, and too high when a successor continued its runs, took over a completion, or when a part was delegated without a start. It is updated at each of these now. Counting each job in each round was weighed, and costs more in rounds in which nothing changes.

The worlds' checkLedgers compared the counter with itself; it compares with the need of the waiting jobs now. TestReturnedTaskCountsAsWaiting and TestContinuedRunWaitsNoLonger failed before; the completion that a successor takes over has no test of its own under profiles.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -322,6 +322,10 @@
 
 // enqueue inserts a job into the ordered list of waiting jobs, unless it is there or has ended.
 func (s *State) enqueue(j *job) {
+	if j.queued && !j.ended {
+		// Tasks of it may have come back.
+		s.noteWaiting(j)
+	}
 	if j.queued || j.ended {
 		return
 	}
--- a/scheduler/profiles_place.go
+++ b/scheduler/profiles_place.go
@@ -76,7 +76,7 @@
 			next[pick.Account]++
 			continue
 		}
-		before, starts := j.sortKey, j.possibleStarts
+		before, pending := j.sortKey, len(j.steps[0].pending)
 		failed.count = failures[pick.Account]
 		s.placeJob(now, j, &failed)
 		if failures[pick.Account] = failed.count; failed.limitReached() {
@@ -89,7 +89,7 @@
 			j.updateSortKey()
 			reordered = reordered || j.sortKey != before
 		}
-		if j.possibleStarts != starts || len(j.steps) > 1 || !j.queued {
+		if len(j.steps[0].pending) != pending || len(j.steps) > 1 || !j.queued {
 			s.noteWaiting(j)
 		}
 	}
--- a/scheduler/profiles_review_test.go
+++ b/scheduler/profiles_review_test.go
@@ -179,3 +179,29 @@
 	must.Eq(t, gang, held.reservedFor)
 	must.Nil(t, st.evictionTarget)
 }
+
+// Guards against a profile's waiting work staying too low when tasks of a waiting job come back: the
+// forecast would accept jobs for which there is no capacity.
+func TestReturnedTaskCountsAsWaiting(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "tills", Limit: 1})
+	b.addUsableTarget("a", 1)
+	b.submitTo("tills", 3, 1)
+	start := pickEffects[StartRun](b.effects())[0]
+	must.Eq(t, 2, b.s.ProfileUses()[0].Waiting)
+	b.s.HandleStartAnswer(b.now, "a", start.Run, work.OrderAnswer{Verdict: work.VerdictNoCapacity, ClockMS: 5000})
+	must.Eq(t, 3, b.s.ProfileUses()[0].Waiting)
+}
+
+// A run that a successor continues waits no longer, also before the next round.
+func TestContinuedRunWaitsNoLonger(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "k", Limit: 1})
+	b.s.ResumeJob(b.now, b.durableJob("j", 2), Progress{})
+	b.s.FinishResume(b.now)
+	b.listTargetWithCPU("a", 4)
+	b.effects()
+	must.Eq(t, 2, b.s.ProfileUses()[0].Waiting)
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Running: listing(work.RunID{Task: "j.0.0.0", Number: 33})})
+	must.Eq(t, 1, b.s.ProfileUses()[0].Waiting)
+}
--- a/scheduler/profiles_world_test.go
+++ b/scheduler/profiles_world_test.go
@@ -74,7 +74,7 @@
 			}
 			for _, j := range o.state.waiting {
 				if j.pool == p && !j.ended {
-					waiting[j.account] += j.notedWaiting
+					waiting[j.account] += j.initialNeed().total
 				}
 			}
 			for i := range p.shares.Accounts() {
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -129,6 +129,7 @@
 func (s *State) continueRun(now time.Duration, t *target, tk *task, listed work.RunningRun) {
 	st := tk.step
 	st.pending = slices.DeleteFunc(st.pending, func(other *task) bool { return other == tk })
+	s.noteWaiting(tk.job)
 	s.emit(LogEvent{Message: "run goes on", Job: tk.job.sub.Job.ID, Task: tk.name, Target: t.ID})
 	tk.job.record(now, "goes on", tk.name, t.ID, "")
 	tk.job.seenStarted = true
@@ -308,6 +309,7 @@
 		s.emit(TaskFailed{Job: t.job.sub.Job.ID, Task: t.index, Run: o.run, Completion: o.ref})
 	default:
 		t.job.markDone(t)
+		s.noteWaiting(t.job)
 		s.emit(TaskDone{Job: t.job.sub.Job.ID, Task: t.index, Completion: o.ref})
 	}
 }
