Bound the row of profiles and its error

A row of any writer was read whatever its size, with any number of queues, also without a name, and each fault of its text went into one log line.

--- a/shares/profile.go
+++ b/shares/profile.go
@@ -44,35 +44,47 @@
 	ErrShare           = errs.Tag("invalid share of a profile")
 	ErrGuarantees      = errs.Tag("guarantees exceed the capacity")
 	ErrQueue           = errs.Tag("queue in two profiles")
+	ErrTooManyQueues   = errs.Tag("too many queues in profiles")
+	ErrQueueName       = errs.Tag("queue of a profile without a name")
 )
 
 const (
 	// MaxProfiles bounds the cost of a decision: each one visits all profiles.
 	MaxProfiles = 128
+	// MaxQueues bounds the memory of a row and of its messages.
+	MaxQueues = 4096
+	// MaxVersion is the highest version that every reader of JSON numbers tells from the next one.
+	MaxVersion = 1<<53 - 1
 	// shareTolerance allows for the rounding of decimal shares that add up to 1.
 	shareTolerance = 1e-9
 )
 
 // Check returns the first fault of the profiles, with its remedy; nil if they are valid.
 func (p Profiles) Check() error {
-	if p.Version < 1 {
-		return ErrVersion.Errorf("version is %d: write one above that of the last profiles, at least 1", p.Version)
+	if p.Version < 1 || p.Version > MaxVersion {
+		return ErrVersion.Errorf("version is %d: write one above that of the last profiles, at least 1 and at most %d", p.Version, int64(MaxVersion))
 	}
 	if len(p.Profiles) > MaxProfiles {
 		return ErrTooManyProfiles.Errorf("there are %d: write at most %d", len(p.Profiles), MaxProfiles)
 	}
-	names, owners, total := map[string]bool{}, map[string]string{}, 0.0
+	names, owners, total, queues := map[string]bool{}, map[string]string{}, 0.0, 0
 	for _, profile := range p.Profiles {
 		if !isValidName(profile.Name) || names[profile.Name] {
-			return ErrName.Errorf("%q: give each profile a name of its own of 1 to %d lower-case letters, digits, '-' and '_', but not %q", profile.Name, maxName, RestName)
+			return ErrName.Errorf("%.100q: give each profile a name of its own of 1 to %d lower-case letters, digits, '-' and '_', but not %q", profile.Name, maxName, RestName)
 		}
 		names[profile.Name] = true
 		if err := profile.checkShares(); err != nil {
 			return err
 		}
+		if queues += len(profile.Queues); queues > MaxQueues {
+			return ErrTooManyQueues.Errorf("there are more than %d: name at most as many in all profiles", MaxQueues)
+		}
 		for _, queue := range profile.Queues {
+			if queue == "" {
+				return ErrQueueName.Errorf("profile %q has a queue without a name: write its name or remove it", profile.Name)
+			}
 			if other, taken := owners[queue]; taken {
-				return ErrQueue.Errorf("queue %q is in profiles %q and %q: name it in one of them", queue, other, profile.Name)
+				return ErrQueue.Errorf("queue %.100q is in profiles %q and %q: name it in one of them", queue, other, profile.Name)
 			}
 			owners[queue] = profile.Name
 		}
