--- a/scheduler/profiles.go
+++ b/scheduler/profiles.go
@@ -44,8 +44,8 @@
 		s.assignAccount(j)
 	}
 	// Jobs that ended since the last round are listed here alone.
-	for _, j := range s.waiting {
-		s.assignAccount(j)
+	for _, listed := range s.waiting {
+		s.assignAccount(listed)
 	}
 	for _, t := range s.sortedTargets() {
 		t.sharesCounted, t.sharedCPU = false, 0
