Count capacity elsewhere in forecasts of profiles

Free capacity of other owners was part of the usable processor, and was then set against what the profile can expect of this owner's capacity, so that it did not shorten the forecast of a job that doesn't fit as a whole. Only capacity here is set against it now.

--- a/scheduler/profiles_admit.go
+++ b/scheduler/profiles_admit.go
@@ -64,11 +64,12 @@
 func (s *State) waitByShares(now time.Duration, j *job, need need, amount int64, priority int) (wait time.Duration, immediate bool) {
 	p, sh := j.pool, j.pool.shares
 	free, rate := p.supply(now, need.each)
+	arriving := p.arrivingCPU(need.each)
+	here := free + arriving
 	if j.canDelegate() {
 		_, elsewhere := s.ownerWithMostCapacity(now, j.sub.Queue)
 		free += int64(elsewhere.Tasks[priorityOf(j.sub.Queue)]) * need.each
 	}
-	arriving := p.arrivingCPU(need.each)
 	if arriving+free == 0 && rate == 0 && s.isCapacityUnknown(p) {
 		return 0, true
 	}
@@ -84,8 +85,8 @@
 	entitled := sh.Entitled(j.account, capacity)
 	amount -= usable
 	// Up to what it can expect, the profile gets the processor that runs of others free. Beyond that it
-	// gets what its own runs free.
-	below := entitled - sh.Used(j.account) - usable
+	// gets what its own runs free. What it can expect is capacity of this owner.
+	below := entitled - sh.Used(j.account) - min(usable, here)
 	quick := min(max(below, 0), max(amount, 0))
 	slow := max(amount, 0) - quick - min(below, 0)
 	left := p.leftOfProfile(now, j.account, priority, entitled)
--- a/scheduler/profiles_review_test.go
+++ b/scheduler/profiles_review_test.go
@@ -205,3 +205,21 @@
 	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Running: listing(work.RunID{Task: "j.0.0.0", Number: 33})})
 	must.Eq(t, 1, b.s.ProfileUses()[0].Waiting)
 }
+
+// Guards against leaving free capacity of other owners out of a forecast: it adds to what the profile can
+// expect here.
+func TestForecastCountsCapacityElsewhere(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "nobody", Limit: 1})
+	b.addUsableTarget("a", 4)
+	b.submitTo("other", 4, 1)
+	b.effects()
+	j := b.s.newJob(b.now, Submission{
+		Ref: 99, Job: work.Job{ID: "j", Steps: []work.Step{{Tasks: 8, PerTask: work.Resources{CPU: 1}, DeclaredRunTime: 100 * ms}}},
+		Queue: work.Queue{Name: "other", Service: "s", MaxAttempts: 2, Allowance: time.Second},
+	})
+	before, _ := b.s.forecastStart(b.now, j)
+	b.s.CapacityReported(b.now, "owner", "s", FreeCapacity{Tasks: [Priorities]int{4, 4, 4}})
+	after, _ := b.s.forecastStart(b.now, j)
+	must.Between(t, before/3, after, before*2/3)
+}
