--- a/scheduler/profiles_review_test.go
+++ b/scheduler/profiles_review_test.go
@@ -151,8 +151,75 @@
 	for i := range maxFailedPlacements {
 		b.submitWith("batch", 1, int64(60-i), 10*time.Second)
 	}
-	b.submitWith("other", 1, 10, 20*time.Second)
+	b.submitWith("other", 1, 5, 20*time.Second)
+	b.submitWith("other", 1, 5, 20*time.Second)
 	must.SliceEmpty(t, pickEffects[Answer](b.effects()))
 	b.endRuns("a", "other", 1)
-	must.Eq(t, map[string]int{"other": 1}, b.startedQueues())
+	must.Eq(t, map[string]int{"other": 2}, b.startedQueues())
+}
+
+// Guards against a gang that takes a held target over, and against the end of a hold that frees a target
+// which is reserved for another step by then.
+func TestHoldAndGangLeaveEachOthersTargets(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "tills", Guarantee: 0.5, Limit: 1})
+	b.addUsableTarget("a", 4)
+	b.addUsableTarget("b", 4)
+	b.submitWith("other", 4, 2, 10*time.Second)
+	b.effects()
+	b.submitWith("tills", 1, 4, 10*time.Second)
+	b.advance(2 * holdDelay)
+	h := &b.s.pools["s"].shares.holds[0]
+	must.NotNil(t, h.st)
+	held, st := h.st.evictionTarget, h.st
+	must.Eq(t, 1, len(b.s.availableTargets(b.now, b.s.pools["s"].targets)))
+	gang := &step{job: st.job}
+	held.reservedFor = gang
+	b.s.endHold(h)
+	must.Eq(t, gang, held.reservedFor)
+	must.Nil(t, st.evictionTarget)
+}
+
+// Guards against a profile's waiting work staying too low when tasks of a waiting job come back: the
+// forecast would accept jobs for which there is no capacity.
+func TestReturnedTaskCountsAsWaiting(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "tills", Limit: 1})
+	b.addUsableTarget("a", 1)
+	b.submitToQueue("tills", 3, 1)
+	start := pickEffects[StartRun](b.effects())[0]
+	must.Eq(t, 2, b.s.ProfileUses()[0].Waiting)
+	b.s.HandleStartAnswer(b.now, "a", start.Run, work.OrderAnswer{Verdict: work.VerdictNoCapacity, ClockMS: 5000})
+	must.Eq(t, 3, b.s.ProfileUses()[0].Waiting)
+}
+
+// A run that a successor continues waits no longer, also before the next round.
+func TestContinuedRunWaitsNoLonger(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "k", Limit: 1})
+	b.s.ResumeJob(b.now, b.durableJob("j", 2), Progress{})
+	b.s.FinishResume(b.now)
+	b.listTargetWithCPU("a", 4)
+	b.effects()
+	must.Eq(t, 2, b.s.ProfileUses()[0].Waiting)
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000, Running: listing(work.RunID{Task: "j.0.0.0", Number: 33})})
+	must.Eq(t, 1, b.s.ProfileUses()[0].Waiting)
+}
+
+// Guards against leaving free capacity of other owners out of a forecast: it adds to what the profile can
+// expect here.
+func TestForecastCountsCapacityElsewhere(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.setProfiles(shares.Profile{Name: "nobody", Limit: 1})
+	b.addUsableTarget("a", 4)
+	b.submitToQueue("other", 4, 1)
+	b.effects()
+	j := b.s.newJob(b.now, Submission{
+		Ref: 99, Job: work.Job{ID: "j", Steps: []work.Step{{Tasks: 8, PerTask: work.Resources{CPU: 1}, DeclaredRunTime: 100 * ms}}},
+		Queue: work.Queue{Name: "other", Service: "s", MaxAttempts: 2, Allowance: time.Second},
+	})
+	before, _ := b.s.forecastStart(b.now, j)
+	b.s.CapacityReported(b.now, "owner", "s", FreeCapacity{Tasks: [Priorities]int{4, 4, 4}})
+	after, _ := b.s.forecastStart(b.now, j)
+	must.Between(t, before/3, after, before*2/3)
 }
