Count capacity elsewhere before the first accepted job

Capacity elsewhere is scaled by the typical task size, which is 0 until a first job is accepted. An owner whose own targets are all busy or leaving counted none elsewhere, refused every job, and never learned a size.

Weighed: taking the need of the refused job as typical size. That lets refused jobs change what the owner reports to others. The factor is 1 instead until a size is known.

TestCapacityElsewhereCountsAtNewOwner fails without the change and passes with it, as do the other tests of the package.

--- a/scheduler/correct.go
+++ b/scheduler/correct.go
@@ -36,14 +36,18 @@
 }
 
 // fittingElsewhere returns the free processor of another owner that a job can use. Free capacity is
-// reported in tasks of typical size; it holds fewer of larger tasks.
+// reported in tasks of typical size; it holds fewer of larger tasks. An owner that has accepted no job
+// yet knows no typical size and takes the number as it is.
 func (s *State) fittingElsewhere(now time.Duration, j *job, need need) int64 {
 	if !j.canDelegate() {
 		return 0
 	}
 	_, elsewhere := s.ownerWithMostCapacity(now, j.sub.Queue)
 	tasks := float64(elsewhere.Tasks[priorityOf(j.sub.Queue)])
-	return int64(tasks*min(j.pool.typicalCPU/float64(max(need.each, 1)), 1)) * need.each
+	if j.pool.typicalCPU > 0 {
+		tasks *= min(j.pool.typicalCPU/float64(max(need.each, 1)), 1)
+	}
+	return int64(tasks) * need.each
 }
 
 // aheadCPU is the processor that goes to other waiting jobs before a new one: smaller in jobs whose
--- a/scheduler/correct_test.go
+++ b/scheduler/correct_test.go
@@ -102,6 +102,17 @@
 	must.Eq(t, 60000, b.s.fittingElsewhere(b.now, j, need{each: 20000, total: 80000}))
 }
 
+// An owner that has accepted no job must not count capacity elsewhere as none: it would refuse each job
+// and never learn a typical size.
+func TestCapacityElsewhereCountsAtNewOwner(t *testing.T) {
+	b := newHarness(t, corrected)
+	b.addUsableTarget("a", 32000)
+	b.s.RegistryRead()
+	b.listTarget(work.Target{ID: "a", Capacity: work.Resources{CPU: 32000}, Draining: true})
+	b.s.CapacityReported(b.now, "other", "s", FreeCapacity{Tasks: [Priorities]int{9, 9, 9}})
+	must.True(t, b.submitTo(0, 2, 16000, time.Second))
+}
+
 // checkFits fails if a pool's fitRates differ from what its open targets' runs give.
 func (b *harness) checkFits() {
 	fresh := fitRates{}
