Let smaller waiting tasks use arriving processor in forecasts

Processor of targets that are being taken over was subtracted only from the work of tasks at least as large as the new job's. Smaller waiting tasks stayed without any, so that a large task was refused after a takeover although all of them fit on the arriving targets.

What the larger tasks leave of the arriving processor is now subtracted from the work of the smaller ones, which is at least 0.

TestArrivingTargetsHoldSmallerTasks fails without the change and passes with it; the tests of the package pass.

--- a/scheduler/correct.go
+++ b/scheduler/correct.go
@@ -25,7 +25,10 @@
 	ahead := s.reservedAhead(now, j, need, &rates)
 	fits := j.pool.fits.share(need.each)
 	fits += (1 - fits) * (1 - ahead.refillShare(rate, j.latestStart-now))
-	wait := min(drainTime(ahead.smaller, left)+drainTime(ahead.larger+shortfall-arriving, left*fits), maxForecast)
+	large := ahead.larger + shortfall - arriving
+	// Smaller tasks get what the larger ones leave of the arriving processor.
+	small := ahead.smaller + min(large, 0)
+	wait := min(drainTime(small, left)+drainTime(large, left*fits), maxForecast)
 	j.forecast = forecast{made: true, wait: wait, slack: j.forecastSlack(now)}
 	return wait, s.outcomes.accepts(now, j)
 }
--- a/scheduler/correct_test.go
+++ b/scheduler/correct_test.go
@@ -113,6 +113,19 @@
 	must.True(t, b.submitTo(0, 2, 16000, time.Second))
 }
 
+// Targets that are being taken over hold the smaller tasks that wait as well as the new large one. A
+// forecast that counted them for large tasks only would refuse jobs after each takeover.
+func TestArrivingTargetsHoldSmallerTasks(t *testing.T) {
+	b := newHarness(t, corrected)
+	for i := range 20 {
+		b.listTargetWithCPU(fmt.Sprintf("t%02d", i), 32000)
+	}
+	for range 7 {
+		must.True(t, b.submitTo(0, 2, 16000, 50*ms))
+	}
+	must.True(t, b.submitTo(0, 1, 20000, 60*ms))
+}
+
 // checkFits fails if a pool's fitRates differ from what its open targets' runs give.
 func (b *harness) checkFits() {
 	fresh := fitRates{}
