Raise the admission margin by errors of forecasts alone

Three events that are no error of a forecast raised the margin: jobs that were accepted because the capacity was unknown; a stop of the process that was too short to end jobs but made them late; and late jobs that are durable, have several steps or repeat, which noteOutcome leaves out and the path from demoteIfLate did not.

Weighed for the stop: subtracting the time by which ticks came late from each wait. Under a CPU quota ticks are late in every 100 ms, and an owner short of processor would learn nothing. Misses are skipped instead for jobs that waited while a tick came later than half a pause, which is twice the time that a quota takes.

The change: no forecast is noted where capacity is unknown, one function holds the exclusions for both paths, and delayed ticks are remembered. The new cases of TestOtherOutcomesLeaveMarginAlone and TestPauseLeavesMarginAlone, and TestUnknownCapacityLeavesMarginAlone, fail without the change. TestPauseLeavesMarginAlone keeps its case of a long pause. The tests of the package pass.

--- a/scheduler/correct.go
+++ b/scheduler/correct.go
@@ -14,10 +14,13 @@
 	free += s.fittingElsewhere(now, j, need)
 	arriving := j.pool.arrivingCPU(need.each)
 	shortfall := need.total - free
-	if shortfall <= 0 || arriving+free == 0 && rate == 0 && s.isCapacityUnknown(j.pool) {
+	if shortfall <= 0 {
 		j.forecast = forecast{made: true, slack: j.forecastSlack(now)}
 		return 0, true
 	}
+	if arriving+free == 0 && rate == 0 && s.isCapacityUnknown(j.pool) {
+		return 0, true
+	}
 	// Tasks that start at once free their processor again when they end.
 	rate += float64(free+arriving) / max(float64(j.expectedRuntime())/float64(time.Millisecond), 1)
 	rates := j.pool.ratesLeft(now, rate)
--- a/scheduler/outcomes.go
+++ b/scheduler/outcomes.go
@@ -9,6 +9,7 @@
 
 // forecast is what was forecast for a job when it was submitted.
 type forecast struct {
+	// made is false for a job that was accepted because the capacity was unknown.
 	made bool
 	// wait is how long the job would wait for its last task's target, slack how long it might.
 	wait, slack time.Duration
@@ -117,9 +118,27 @@
 	return false
 }
 
+// hasComparableForecast reports whether a job's wait shows how good its forecast was. Durable jobs may
+// give way without limit; later steps, occurrences and repeated runs are in no forecast.
+func (j *job) hasComparableForecast() bool {
+	return j.forecast.made && !j.isDurable() && len(j.steps) == 1 && !j.hasRerun
+}
+
+// isTickDelayed reports whether this process has not ticked for so long that jobs became late by
+// that. Half of a pause is twice the time that a CPU quota regularly takes.
+func (s *State) isTickDelayed(now time.Duration) bool {
+	return s.lastTick != 0 && now-s.lastTick > s.options.PauseThreshold/2
+}
+
+// wasHeldUp reports whether this process stood still while a job waited: its wait then says nothing
+// of the targets.
+func (s *State) wasHeldUp(now time.Duration, j *job) bool {
+	return s.isTickDelayed(now) || s.delayedTickAt != 0 && j.submitted <= s.delayedTickAt
+}
+
 // noteOutcome compares the forecast of a job that ends with its outcome.
 func (s *State) noteOutcome(now time.Duration, j *job, result work.Result) {
-	if !j.forecast.made || j.isDurable() || len(j.steps) > 1 || j.hasRerun {
+	if !j.hasComparableForecast() {
 		return
 	}
 	wait := j.lastOrdered - j.submitted
@@ -134,6 +153,9 @@
 	default:
 		return
 	}
+	if s.wasHeldUp(now, j) {
+		return
+	}
 	r := s.outcomes.of(j)
 	s.compareRefusals(now, r, j, wait)
 	if wait > j.forecast.slack {
@@ -144,7 +166,7 @@
 // noteMissed raises the margin of a job's class for a job that has waited longer than it might. Jobs
 // that are late are noted at once, as their outcome may follow seconds later.
 func (s *State) noteMissed(now time.Duration, j *job, wait time.Duration) {
-	if !j.forecast.made || j.forecast.missed || j.forecast.slack <= 0 || j.hasRerun {
+	if !j.hasComparableForecast() || j.forecast.missed || j.forecast.slack <= 0 || s.wasHeldUp(now, j) {
 		return
 	}
 	j.forecast.missed = true
--- a/scheduler/outcomes_test.go
+++ b/scheduler/outcomes_test.go
@@ -55,6 +55,8 @@
 		"a run was lost":         {func(j *job) { j.hasRerun, j.lastOrdered = true, time.Hour }, work.Completed, 0},
 		"not forecast":           {func(j *job) { j.forecast.made = false }, work.Refused, 0},
 		"its runs took too long": {func(j *job) { j.objective = 0 }, work.Completed, 0},
+		"durable":                {func(j *job) { j.sub.Job.Durable = true }, work.Refused, 120 * ms},
+		"several steps":          {func(j *job) { j.steps = append(j.steps, j.steps[0]) }, work.Refused, 120 * ms},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newHarness(t, corrected)
@@ -62,10 +64,32 @@
 			test.change(j)
 			b.s.noteOutcome(b.now, j, test.result)
 			must.Eq(t, 0, b.s.outcomes.of(j).margin)
+			if test.result == work.Refused && j.latestStart < b.now {
+				b.s.noteMissed(b.now, j, test.waited)
+				must.Eq(t, 0, b.s.outcomes.of(j).margin)
+			}
 		})
 	}
 }
 
+// Jobs that are accepted because nothing is known of the targets have no forecast that could be wrong.
+func TestUnknownCapacityLeavesMarginAlone(t *testing.T) {
+	b := newHarness(t, corrected)
+	b.s.registryRead = false
+	for range 25 {
+		must.True(t, b.submitTo(0, 1, 16000, 50*ms))
+	}
+	b.advance(160 * ms)
+	b.checkNoMargin()
+}
+
+// checkNoMargin fails if an error of a forecast was noted.
+func (b *harness) checkNoMargin() {
+	for _, record := range b.s.outcomes {
+		must.Eq(b.t, 0, record.margin)
+	}
+}
+
 // Jobs that were refused are compared with neighbours: a margin that refuses jobs which would have been
 // in time falls.
 func TestRefusedJobsAreComparedWithNeighbours(t *testing.T) {
@@ -104,14 +128,33 @@
 	must.SliceLen(t, maxRefusalsKept, b.s.outcomes.of(j).refusals)
 }
 
-// A pause of the process ends its jobs; that is no error of their forecasts.
+// A pause of the process ends its jobs, or makes them late; that is no error of their forecasts.
 func TestPauseLeavesMarginAlone(t *testing.T) {
-	b := newHarness(t, corrected)
-	b.occupy(1)
-	must.True(t, b.submitTo(0, 1, 16000, 500*ms))
-	b.now += 5 * time.Second
-	b.s.Tick(b.now)
-	for _, record := range b.s.outcomes {
-		must.Eq(t, 0, record.margin)
+	for name, pause := range map[string]time.Duration{
+		"ends jobs": 5 * time.Second, "ends no job": DefaultPauseThreshold - 100*ms,
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, corrected)
+			b.occupy(2)
+			for range 20 {
+				b.submitTo(0, 1, 16000, 250*ms)
+			}
+			b.now += pause
+			b.s.Tick(b.now)
+			b.checkNoMargin()
+			b.advance(100 * ms)
+			b.checkNoMargin()
+		})
 	}
 }
+
+// Without a pause, the same jobs become late by an error of their forecasts.
+func TestLateJobsRaiseMargin(t *testing.T) {
+	b := newHarness(t, corrected)
+	b.occupy(2)
+	must.True(t, b.submitTo(0, 1, 16000, 250*ms))
+	b.advance(400 * ms)
+	record := b.s.outcomes[outcomeClass{"q0", 0}]
+	must.NotNil(t, record)
+	must.Positive(t, record.margin)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -150,6 +150,8 @@
 	// registryRead is set once the whole registry was read.
 	registryRead bool
 	lastTick     time.Duration
+	// delayedTickAt is when Tick last came long after the one before it.
+	delayedTickAt time.Duration
 	// partialLists counts the targets that may have more completions than they have listed.
 	partialLists int
 	// claimConfirmedAt is the latest time as of which the claim is known to be this owner's.
@@ -311,6 +313,9 @@
 	if s.wasPaused(now) {
 		s.endJobsAfterPause(now, now-s.lastTick)
 	}
+	if s.isTickDelayed(now) {
+		s.delayedTickAt = now
+	}
 	if s.lastTick != 0 {
 		s.resend.tick(now - s.lastTick)
 	}
