Leave tasks that can't start out of what takes freed processor

A large task counts what runs free where it fits, and less of the rest the more smaller tasks wait to take it. Tasks that wait for the adviser, for their next start or for the claim, and late jobs, counted although they take nothing, so that a durable backlog refused large tasks for as long as it waited.

Weighed: asking each target whether it may take the task, which costs too much for each waiting job. A step with advice counts while one of its tickets is valid.

Each case of TestTasksThatCantStartTakeNothing that accepts the job fails without the change; the tests of the package pass.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -39,6 +39,8 @@
 // advice is what is known of the targets that may run a step.
 type advice struct {
 	tickets map[string]ticket
+	// ticketsUntil is when the last of the tickets expires.
+	ticketsUntil time.Duration
 	// excludedAt is when the adviser last left out each target that it was asked about.
 	excludedAt map[string]time.Duration
 	// asking is set while a request has no answer.
@@ -142,6 +144,7 @@
 	for id, value := range tickets {
 		delete(a.excludedAt, id)
 		a.tickets[id] = ticket{value: value, until: now + valid - ticketMargin}
+		a.ticketsUntil = max(a.ticketsUntil, a.tickets[id].until)
 	}
 	if !st.job.ended {
 		s.enqueue(st.job)
--- a/scheduler/correct.go
+++ b/scheduler/correct.go
@@ -57,8 +57,8 @@
 }
 
 // aheadCPU is the processor that goes to other waiting jobs before a new one: smaller in jobs whose
-// largest task is smaller than that of the new job, larger in the others. waitingSmaller is what all
-// waiting jobs with smaller tasks want, before it or after.
+// largest task is smaller than that of the new job, larger in the others. waitingSmaller is what
+// smaller tasks want that could start at once, before it or after.
 type aheadCPU struct{ smaller, larger, waitingSmaller int64 }
 
 // refillFactor: smaller tasks that want a fifth of what is freed while a job may wait keep taking, with
@@ -84,7 +84,7 @@
 		wants := other.initialNeed()
 		total += wants.total
 		if wants.each < need.each {
-			found.waitingSmaller += wants.total
+			found.waitingSmaller += s.startableCPU(now, other)
 		}
 		if compareJobs(other, j) > 0 && (other.sub.Queue.Name == j.sub.Queue.Name ||
 			other.canGiveWay(now, drainTime(total+need.total, rates[priorityOf(other.sub.Queue)]))) {
@@ -99,6 +99,38 @@
 	return found
 }
 
+// startableCPU returns the processor that a waiting job would take if targets had it free. Late jobs
+// are mostly refused before they take any.
+func (s *State) startableCPU(now time.Duration, j *job) int64 {
+	if j.late || !s.mayStartNow(now, j) {
+		return 0
+	}
+	total := int64(0)
+	for _, st := range j.currentSteps() {
+		if j.isReady(st) {
+			total += st.PerTask.CPU * int64(st.countStartable(now))
+		}
+	}
+	return total
+}
+
+// countStartable returns how many pending tasks of a step wait for nothing but a target.
+func (st *step) countStartable(now time.Duration) int {
+	if st.advice != nil && now >= st.advice.ticketsUntil {
+		return 0
+	}
+	if !st.Lasting {
+		return len(st.pending)
+	}
+	count := 0
+	for _, tk := range st.pending {
+		if now >= tk.notBefore {
+			count++
+		}
+	}
+	return count
+}
+
 // canGiveWay reports whether a waiting job is still in time after a wait, or need not be: late jobs
 // have their place behind others, and durable jobs are not refused however long they wait.
 func (j *job) canGiveWay(now, wait time.Duration) bool {
--- a/scheduler/correct_test.go
+++ b/scheduler/correct_test.go
@@ -126,6 +126,43 @@
 	must.True(t, b.submitTo(0, 1, 20000, 60*ms))
 }
 
+// Smaller tasks that can't start take nothing of what runs free. A forecast that counted them would
+// refuse large tasks for as long as such a backlog waits.
+func TestTasksThatCantStartTakeNothing(t *testing.T) {
+	for name, test := range map[string]struct {
+		change   func(b *harness, j *job)
+		accepted bool
+	}{
+		"can start":             {func(*harness, *job) {}, false},
+		"waits for the adviser": {func(_ *harness, j *job) { j.steps[0].advice = newAdvice() }, true},
+		"has been advised": {func(b *harness, j *job) {
+			j.steps[0].advice = newAdvice()
+			b.s.adviserRequests["x"] = j.steps[0]
+			b.s.Advised(b.now, AskAdviser{Step: "x"}, map[string]string{"elsewhere": "t"}, time.Second, true)
+		}, false},
+		"restarts later": {func(b *harness, j *job) {
+			j.steps[0].Lasting = true
+			for _, tk := range j.tasks {
+				tk.notBefore = b.now + time.Second
+			}
+		}, true},
+		"claim unconfirmed": {func(b *harness, _ *job) { b.s.options.RecordTargets = true }, true},
+		"late":              {func(_ *harness, j *job) { j.late = true }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, corrected)
+			b.occupy(20)
+			sub := b.durableJob("d", 60)
+			sub.Queue.Allowance = time.Hour
+			sub.Job.Steps[0].PerTask.CPU = 8000
+			b.acceptAndStore(sub)
+			must.SliceLen(t, 1, b.s.waiting)
+			test.change(b, b.s.waiting[0])
+			must.Eq(t, test.accepted, b.submitTo(0, 4, 20000, 140*ms))
+		})
+	}
+}
+
 // checkFits fails if a pool's fitRates differ from what its open targets' runs give.
 func (b *harness) checkFits() {
 	fresh := fitRates{}
