--- a/scheduler/correct.go
+++ b/scheduler/correct.go
@@ -14,10 +14,13 @@
 	free += s.fittingElsewhere(now, j, need)
 	arriving := j.pool.arrivingCPU(need.each)
 	shortfall := need.total - free
-	if shortfall <= 0 || arriving+free == 0 && rate == 0 && s.isCapacityUnknown(j.pool) {
+	if shortfall <= 0 {
 		j.forecast = forecast{made: true, slack: j.forecastSlack(now)}
 		return 0, true
 	}
+	if arriving+free == 0 && rate == 0 && s.isCapacityUnknown(j.pool) {
+		return 0, true
+	}
 	// Tasks that start at once free their processor again when they end.
 	rate += float64(free+arriving) / max(float64(j.expectedRuntime())/float64(time.Millisecond), 1)
 	rates := j.pool.ratesLeft(now, rate)
@@ -25,7 +28,10 @@
 	ahead := s.reservedAhead(now, j, need, &rates)
 	fits := j.pool.fits.share(need.each)
 	fits += (1 - fits) * (1 - ahead.refillShare(rate, j.latestStart-now))
-	wait := min(drainTime(ahead.smaller, left)+drainTime(ahead.larger+shortfall-arriving, left*fits), maxForecast)
+	large := ahead.larger + shortfall - arriving
+	// Smaller tasks get what the larger ones leave of the arriving processor.
+	small := ahead.smaller + min(large, 0)
+	wait := min(drainTime(small, left)+drainTime(large, left*fits), maxForecast)
 	j.forecast = forecast{made: true, wait: wait, slack: j.forecastSlack(now)}
 	return wait, s.outcomes.accepts(now, j)
 }
@@ -36,19 +42,23 @@
 }
 
 // fittingElsewhere returns the free processor of another owner that a job can use. Free capacity is
-// reported in tasks of typical size; it holds fewer of larger tasks.
+// reported in tasks of typical size; it holds fewer of larger tasks. An owner that has accepted no job
+// yet knows no typical size and takes the number as it is.
 func (s *State) fittingElsewhere(now time.Duration, j *job, need need) int64 {
 	if !j.canDelegate() {
 		return 0
 	}
 	_, elsewhere := s.ownerWithMostCapacity(now, j.sub.Queue)
 	tasks := float64(elsewhere.Tasks[priorityOf(j.sub.Queue)])
-	return int64(tasks*min(j.pool.typicalCPU/float64(max(need.each, 1)), 1)) * need.each
+	if j.pool.typicalCPU > 0 {
+		tasks *= min(j.pool.typicalCPU/float64(max(need.each, 1)), 1)
+	}
+	return int64(tasks) * need.each
 }
 
 // aheadCPU is the processor that goes to other waiting jobs before a new one: smaller in jobs whose
-// largest task is smaller than that of the new job, larger in the others. waitingSmaller is what all
-// waiting jobs with smaller tasks want, before it or after.
+// largest task is smaller than that of the new job, larger in the others. waitingSmaller is what
+// smaller tasks want that could start at once, before it or after.
 type aheadCPU struct{ smaller, larger, waitingSmaller int64 }
 
 // refillFactor: smaller tasks that want a fifth of what is freed while a job may wait keep taking, with
@@ -74,7 +84,7 @@
 		wants := other.initialNeed()
 		total += wants.total
 		if wants.each < need.each {
-			found.waitingSmaller += wants.total
+			found.waitingSmaller += s.startableCPU(now, other)
 		}
 		if compareJobs(other, j) > 0 && (other.sub.Queue.Name == j.sub.Queue.Name ||
 			other.canGiveWay(now, drainTime(total+need.total, rates[priorityOf(other.sub.Queue)]))) {
@@ -89,6 +99,38 @@
 	return found
 }
 
+// startableCPU returns the processor that a waiting job would take if targets had it free. Late jobs
+// are mostly refused before they take any.
+func (s *State) startableCPU(now time.Duration, j *job) int64 {
+	if j.late || !s.mayStartNow(now, j) {
+		return 0
+	}
+	total := int64(0)
+	for _, st := range j.currentSteps() {
+		if j.isReady(st) {
+			total += st.PerTask.CPU * int64(st.countStartable(now))
+		}
+	}
+	return total
+}
+
+// countStartable returns how many pending tasks of a step wait for nothing but a target.
+func (st *step) countStartable(now time.Duration) int {
+	if st.advice != nil && now >= st.advice.ticketsUntil {
+		return 0
+	}
+	if !st.Lasting {
+		return len(st.pending)
+	}
+	count := 0
+	for _, tk := range st.pending {
+		if now >= tk.notBefore {
+			count++
+		}
+	}
+	return count
+}
+
 // canGiveWay reports whether a waiting job is still in time after a wait, or need not be: late jobs
 // have their place behind others, and durable jobs are not refused however long they wait.
 func (j *job) canGiveWay(now, wait time.Duration) bool {
--- a/scheduler/correct_test.go
+++ b/scheduler/correct_test.go
@@ -102,6 +102,67 @@
 	must.Eq(t, 60000, b.s.fittingElsewhere(b.now, j, need{each: 20000, total: 80000}))
 }
 
+// An owner that has accepted no job must not count capacity elsewhere as none: it would refuse each job
+// and never learn a typical size.
+func TestCapacityElsewhereCountsAtNewOwner(t *testing.T) {
+	b := newHarness(t, corrected)
+	b.addUsableTarget("a", 32000)
+	b.s.RegistryRead()
+	b.listTarget(work.Target{ID: "a", Capacity: work.Resources{CPU: 32000}, Draining: true})
+	b.s.CapacityReported(b.now, "other", "s", FreeCapacity{Tasks: [Priorities]int{9, 9, 9}})
+	must.True(t, b.submitTo(0, 2, 16000, time.Second))
+}
+
+// Targets that are being taken over hold the smaller tasks that wait as well as the new large one. A
+// forecast that counted them for large tasks only would refuse jobs after each takeover.
+func TestArrivingTargetsHoldSmallerTasks(t *testing.T) {
+	b := newHarness(t, corrected)
+	for i := range 20 {
+		b.listTargetWithCPU(fmt.Sprintf("t%02d", i), 32000)
+	}
+	for range 7 {
+		must.True(t, b.submitTo(0, 2, 16000, 50*ms))
+	}
+	must.True(t, b.submitTo(0, 1, 20000, 60*ms))
+}
+
+// Smaller tasks that can't start take nothing of what runs free. A forecast that counted them would
+// refuse large tasks for as long as such a backlog waits.
+func TestTasksThatCantStartTakeNothing(t *testing.T) {
+	for name, test := range map[string]struct {
+		change   func(b *harness, j *job)
+		accepted bool
+	}{
+		"can start":             {func(*harness, *job) {}, false},
+		"waits for the adviser": {func(_ *harness, j *job) { j.steps[0].advice = newAdvice() }, true},
+		"has been advised": {func(b *harness, j *job) {
+			j.steps[0].advice = newAdvice()
+			b.s.adviserRequests["x"] = j.steps[0]
+			b.s.Advised(b.now, AskAdviser{Step: "x"}, map[string]string{"elsewhere": "t"}, time.Second, true)
+		}, false},
+		"restarts later": {func(b *harness, j *job) {
+			j.steps[0].Lasting = true
+			for _, tk := range j.tasks {
+				tk.notBefore = b.now + time.Second
+			}
+		}, true},
+		"claim unconfirmed": {func(b *harness, _ *job) { b.s.options.RecordTargets = true }, true},
+		"late":              {func(_ *harness, j *job) { j.late = true }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, corrected)
+			b.occupy(20)
+			sub := b.durableJob("d", 60)
+			sub.Queue.Allowance = time.Hour
+			sub.Job.Steps[0].PerTask.CPU = 8000
+			b.acceptAndStore(sub)
+			must.SliceLen(t, 1, b.s.waiting)
+			test.change(b, b.s.waiting[0])
+			must.Eq(t, test.accepted, b.submitTo(0, 4, 20000, 140*ms))
+		})
+	}
+}
+
 // checkFits fails if a pool's fitRates differ from what its open targets' runs give.
 func (b *harness) checkFits() {
 	fresh := fitRates{}
