Bound the waiting jobs that a corrected forecast looks at

A corrected forecast went through all waiting jobs and the steps of each, while the plain one ends at the job's place in the queue.

Weighed: a cached need for each job, which eight places that change pending tasks would have to invalidate; sums by queue and size, which can't tell whether an accepted job can still give way.

At most 256 jobs are looked at, those behind them count like their mean, the place in the queue is searched and not compared for each job, and the need of a job of one step is taken without a loop.

TestLongQueueIsEstimated fails without the bound and without the estimate; the tests of the package pass.

--- a/scheduler/correct.go
+++ b/scheduler/correct.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The corrected forecast (Options.CorrectAdmission) differs from forecastStart in four points. More
 // urgent work is subtracted in the unit of the drain rate. Processor that is freed where the job's
@@ -72,22 +75,28 @@
 	return min(refillFactor*float64(a.waitingSmaller)/max(freed, 1), 1)
 }
 
+// maxJobsCounted bounds the waiting jobs that one forecast looks at, and so its cost. Those behind them
+// count like their mean, as far as they go before the new job or take what is too small for it.
+const maxJobsCounted = 256
+
 // reservedAhead returns what goes before a new job: the waiting jobs before it in the queue, and those
 // of other queues that could not give way and still be in time.
 func (s *State) reservedAhead(now time.Duration, j *job, need need, rates *[Priorities]float64) aheadCPU {
 	var found aheadCPU
-	total := int64(0)
-	for _, other := range s.waiting {
+	total := need.total
+	before, _ := slices.BinarySearchFunc(s.waiting, j, compareJobs)
+	counted := min(len(s.waiting), maxJobsCounted)
+	for i, other := range s.waiting[:counted] {
 		if other.pool != j.pool || other.ended {
 			continue
 		}
 		wants := other.initialNeed()
 		total += wants.total
 		if wants.each < need.each {
-			found.waitingSmaller += s.startableCPU(now, other)
+			found.waitingSmaller += s.startableCPU(now, other, wants)
 		}
-		if compareJobs(other, j) > 0 && (other.sub.Queue.Name == j.sub.Queue.Name ||
-			other.canGiveWay(now, drainTime(total+need.total, rates[priorityOf(other.sub.Queue)]))) {
+		if i >= before && (other.canGiveWay(now, drainTime(total, rates[priorityOf(other.sub.Queue)])) ||
+			other.sub.Queue.Name == j.sub.Queue.Name) {
 			continue
 		}
 		if wants.each < need.each {
@@ -96,15 +105,31 @@
 			found.larger += wants.total
 		}
 	}
-	return found
+	return found.scaled(counted, before, len(s.waiting))
+}
+
+// scaled returns what all jobs want if the counted ones are like the others. Where the new job has its
+// place among the counted ones, none of the others goes before it.
+func (a aheadCPU) scaled(counted, before, waiting int) aheadCPU {
+	if before > counted {
+		a.smaller = a.smaller * int64(before) / int64(counted)
+		a.larger = a.larger * int64(before) / int64(counted)
+	}
+	if waiting > counted {
+		a.waitingSmaller = a.waitingSmaller * int64(waiting) / int64(counted)
+	}
+	return a
 }
 
 // startableCPU returns the processor that a waiting job would take if targets had it free. Late jobs
 // are mostly refused before they take any.
-func (s *State) startableCPU(now time.Duration, j *job) int64 {
+func (s *State) startableCPU(now time.Duration, j *job, wants need) int64 {
 	if j.late || !s.mayStartNow(now, j) {
 		return 0
 	}
+	if !j.isDurable() && !j.sub.Queue.RequiresAdvice {
+		return wants.total
+	}
 	total := int64(0)
 	for _, st := range j.currentSteps() {
 		if j.isReady(st) {
--- a/scheduler/correct_test.go
+++ b/scheduler/correct_test.go
@@ -163,6 +163,42 @@
 	}
 }
 
+// A forecast looks at a bounded number of waiting jobs. Without the estimate for the others, a job behind
+// a long queue would be accepted; without the bound, each forecast would cost more than it is worth.
+func TestLongQueueIsEstimated(t *testing.T) {
+	const waiting = 4 * maxJobsCounted
+	b := newHarness(t, corrected)
+	newJob := func(i int, cpu int64) *job {
+		return b.s.newJob(b.now, Submission{
+			Ref:   Ref(i),
+			Job:   work.Job{Steps: []work.Step{{Tasks: 2, PerTask: work.Resources{CPU: cpu}}}},
+			Queue: work.Queue{Name: "q", Service: "s", Allowance: time.Duration(i) * ms},
+		})
+	}
+	for i := range waiting {
+		b.s.enqueue(newJob(i+1, 16000))
+	}
+	for _, j := range b.s.waiting[maxJobsCounted:] {
+		j.steps[0].PerTask.CPU = 1
+	}
+	for name, test := range map[string]struct {
+		place int
+		cpu   int64
+		ahead aheadCPU
+	}{
+		"first":             {0, 16000, aheadCPU{}},
+		"counted":           {maxJobsCounted / 2, 16000, aheadCPU{larger: maxJobsCounted / 2 * 32000}},
+		"behind all":        {waiting, 16000, aheadCPU{larger: waiting * 32000}},
+		"behind all, large": {waiting, 20000, aheadCPU{smaller: waiting * 32000, waitingSmaller: waiting * 32000}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := newJob(test.place, test.cpu)
+			j.sub.Ref = waiting + 1
+			must.Eq(t, test.ahead, b.s.reservedAhead(b.now, j, j.initialNeed(), &[Priorities]float64{1, 1, 1}))
+		})
+	}
+}
+
 // checkFits fails if a pool's fitRates differ from what its open targets' runs give.
 func (b *harness) checkFits() {
 	fresh := fitRates{}
--- a/scheduler/forecast.go
+++ b/scheduler/forecast.go
@@ -58,6 +58,10 @@
 type need struct{ each, total int64 }
 
 func (j *job) initialNeed() need {
+	if len(j.steps) == 1 && j.stepsDue == 1 {
+		st := j.steps[0]
+		return need{each: st.PerTask.CPU, total: st.PerTask.CPU * int64(len(st.pending))}
+	}
 	var n need
 	for _, st := range j.currentSteps() {
 		if j.isReady(st) {
--- a/scheduler/place_bench_test.go
+++ b/scheduler/place_bench_test.go
@@ -82,3 +82,34 @@
 		next++
 	}
 }
+
+// BenchmarkForecast measures the forecast for a job that comes behind half of the waiting ones.
+func BenchmarkForecast(b *testing.B) {
+	for _, waiting := range []int{100, 600, 2000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) { benchmarkForecast(b, waiting, Options{}) })
+		b.Run(fmt.Sprintf("waiting=%d/corrected", waiting), func(b *testing.B) { benchmarkForecast(b, waiting, corrected) })
+	}
+}
+
+func benchmarkForecast(b *testing.B, waiting int, o Options) {
+	s := New(o)
+	s.RegistryRead()
+	now := time.Second
+	newJob := func(i, priority int, slack time.Duration) *job {
+		return s.newJob(now, Submission{
+			Ref: Ref(i + 1),
+			Job: work.Job{ID: fmt.Sprintf("j%d", i), Steps: []work.Step{{
+				Tasks: 4, PerTask: work.Resources{CPU: 15000 + int64(i%5)*1000}, DeclaredRunTime: 100 * time.Millisecond,
+			}}},
+			Queue: work.Queue{Name: fmt.Sprintf("q%d", priority), Service: "s", Priority: priority, Stretch: 1, Allowance: slack},
+		})
+	}
+	for i := range waiting {
+		s.enqueue(newJob(i, i%3, time.Duration(i)*time.Millisecond))
+	}
+	s.poolOf("s").releaseRate = 1e5
+	j := newJob(waiting, 1, time.Duration(waiting)*time.Millisecond/2)
+	for b.Loop() {
+		s.forecastStart(now, j)
+	}
+}
