Log a margin at its bound again only after it has fallen

The line comes again after the margin has fallen to half of its bound. TestMarginAtItsBoundIsLoggedOnce fails without the change; the tests of the package pass.

--- a/scheduler/outcomes.go
+++ b/scheduler/outcomes.go
@@ -78,6 +78,8 @@
 type outcomeRecord struct {
 	margin   float64
 	marginAt time.Duration
+	// reported is set once the margin was logged at its bound, until it has fallen to half of it.
+	reported bool
 	// refusals are the newest refused jobs that no neighbour's outcome was compared with.
 	refusals []keptRefusal
 }
@@ -174,7 +176,9 @@
 	err := float64(wait-j.forecast.wait) / float64(j.forecast.slack)
 	before := r.marginNow(now)
 	r.margin = min(before+marginGain*min(max(err, minError), 1), maxMargin)
-	if r.margin == maxMargin && before < maxMargin {
+	r.reported = r.reported && before > maxMargin/2
+	if r.margin == maxMargin && !r.reported {
+		r.reported = true
 		s.emit(LogEvent{Message: "admission margin at its bound", Job: j.sub.Job.ID, Detail: j.sub.Queue.Name})
 	}
 }
--- a/scheduler/outcomes_test.go
+++ b/scheduler/outcomes_test.go
@@ -42,6 +42,30 @@
 	must.MapEmpty(t, New(corrected).outcomes)
 }
 
+// A margin that stays near its bound would otherwise fill the log with one line.
+func TestMarginAtItsBoundIsLoggedOnce(t *testing.T) {
+	b := newHarness(t, corrected)
+	lines := func(misses int) int {
+		var effects []Effect
+		for range misses {
+			b.s.noteOutcome(b.now, b.endedJob(1, 50*ms, 200*ms), work.Refused)
+			effects = append(effects, b.advance(ms)...)
+		}
+		logged := 0
+		for _, line := range pickEffects[LogEvent](effects) {
+			if line.Message == "admission margin at its bound" {
+				logged++
+			}
+		}
+		return logged
+	}
+	must.Eq(t, 1, lines(200))
+	b.advance(marginDecay / 2)
+	must.Eq(t, 0, lines(20))
+	b.advance(marginDecay)
+	must.Eq(t, 1, lines(20))
+}
+
 // Only errors of the forecast may change the margin.
 func TestOtherOutcomesLeaveMarginAlone(t *testing.T) {
 	for name, test := range map[string]struct {
