--- a/lab/prepared/e2e/profiles_test.go
+++ b/lab/prepared/e2e/profiles_test.go
@@ -28,15 +28,6 @@
 	}
 }
 
-// awaitOwner waits until the failure domain has an owner.
-func awaitOwner(t *testing.T, d *prepared.Deployment) *prepared.VM {
-	t.Helper()
-	for deadline := time.Now().Add(readyTimeout); d.Owner(0) == nil; wait(20 * time.Millisecond) {
-		must.True(t, time.Now().Before(deadline))
-	}
-	return d.Owner(0)
-}
-
 func writeProfiles(d *prepared.Deployment, text string) {
 	d.Store.WriteRaw(wire.OperatorTable, wire.ProfilesKey, base64.StdEncoding.EncodeToString([]byte(text)))
 }
@@ -45,7 +36,7 @@
 // read. An invalid row is reported with its remedy and goes no further.
 func TestProfilesReachOwnerWithoutStore(t *testing.T) {
 	d := start(t, 1, 2)
-	owner, reader := awaitOwner(t, d), d.VMs[1]
+	owner, reader := awaitOwner(t, d, d.VMs), d.VMs[1]
 	if owner == reader {
 		reader = d.VMs[0]
 	}
