--- a/processor/processor_test.go
+++ b/processor/processor_test.go
@@ -54,7 +54,7 @@
 	})
 }
 
-// The average follows what the process uses, and a clock that stands still doesn't change it.
+// The average follows what the process uses, and doesn't change while the clock doesn't advance.
 func TestUsageFollowsTheProcess(t *testing.T) {
 	var u Usage
 	now, spent := time.Second, time.Minute
--- a/scheduler/outcomes.go
+++ b/scheduler/outcomes.go
@@ -132,8 +132,8 @@
 	return s.lastTick != 0 && now-s.lastTick > s.options.PauseThreshold/2
 }
 
-// wasHeldUp reports whether this process stood still while a job waited: its wait then says nothing
-// of the targets.
+// wasHeldUp reports whether this process was paused while a job waited. The wait of the job is then no
+// evidence about the targets.
 func (s *State) wasHeldUp(now time.Duration, j *job) bool {
 	return s.isTickDelayed(now) || s.delayedTickAt != 0 && j.submitted <= s.delayedTickAt
 }
