Add the stand-ins of the review's scripts

One program without dependencies stands in for the store, the executors, the operator and the clients, and starts the daemons with the deploy file's command.

--- /dev/null
+++ b/review/world/clients.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+// step is a step of a job as a client sends it; takes is how long a task works, 0 for one that lasts.
+type step struct {
+	Count        int    `json:"count"`
+	CPU          int64  `json:"cpu,omitempty"`
+	Mem          int64  `json:"mem_mb,omitempty"`
+	Estimate     int64  `json:"est_duration_ms,omitempty"`
+	After        []int  `json:"after,omitempty"`
+	AntiAffinity int    `json:"anti_affinity,omitempty"`
+	LongRunning  bool   `json:"long_running,omitempty"`
+	Requires     string `json:"requires,omitempty"`
+	takes        time.Duration
+}
+
+// job is a job that a client hands in, and what has become of it.
+type job struct {
+	ID, prefix, label string
+	Spec              string `json:"spec"`
+	Steps             []step `json:"steps"`
+	zone              string
+	// accepted is when a 2xx came; zero before. cancelled is when its cancelling was sent.
+	accepted, cancelled time.Time
+	// refused counts the sends that were answered 429 or 503, sends all of them.
+	refused, sends int
+	state          string
+}
+
+// newJob registers a job for the executors' checks.
+func (w *world) newJob(label, zone, prefix string, steps ...step) *job {
+	j := &job{ID: fmt.Sprintf("%016x", rand.Uint64()), label: label, zone: zone, prefix: prefix, Steps: steps}
+	j.Spec = "work of " + j.ID
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.jobs[j.ID] = j
+	w.order = append(w.order, j)
+	return j
+}
+
+// pick returns a daemon for a client of a zone: one of the zone in rotation, else one of another zone.
+func (w *world) pick(zone string) *daemon {
+	var near, far []*daemon
+	for _, d := range w.daemons {
+		switch {
+		case !d.isInRotation():
+		case d.zone == zone:
+			near = append(near, d)
+		default:
+			far = append(far, d)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return w.daemons[rand.IntN(len(w.daemons))]
+	}
+	return near[rand.IntN(len(near))]
+}
+
+// call sends a request to a daemon; status 0 means that no whole answer came.
+func (w *world) call(d *daemon, method, path string, body []byte) (int, map[string]any) {
+	request, err := http.NewRequest(method, "http://"+d.address(frontendPort)+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	request.Host = host
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Burdockward-Deadline-Ms", "1500")
+	response, err := w.client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, nil
+	}
+	answer := map[string]any{}
+	_ = json.Unmarshal(data, &answer)
+	return response.StatusCode, answer
+}
+
+// submit hands a job in, again while there is no answer, and reports whether it was accepted.
+func (w *world) submit(j *job) bool {
+	body, _ := json.Marshal(j)
+	for range 6 {
+		d := w.pick(j.zone)
+		w.mu.Lock()
+		j.sends++
+		w.mu.Unlock()
+		w.rec.line("sent: POST %s (%s) to %s", j.ID, j.label, d.name)
+		status, _ := w.call(d, http.MethodPost, j.prefix+j.ID, body)
+		w.rec.line("answered: POST %s %d", j.ID, status)
+		w.mu.Lock()
+		switch {
+		case status/100 == 2:
+			j.accepted = time.Now()
+		case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+			j.refused++
+		}
+		w.mu.Unlock()
+		switch {
+		case status/100 == 2:
+			return true
+		case status == 0 || status == http.StatusBadGateway || status == http.StatusGatewayTimeout:
+			time.Sleep(1300 * time.Millisecond)
+		default:
+			return false
+		}
+	}
+	return false
+}
+
+// submitUntilAccepted hands in jobs made by a function until one is accepted.
+func (w *world) submitUntilAccepted(attempts int, make func() *job) *job {
+	for range attempts {
+		if j := make(); w.submit(j) {
+			return j
+		}
+		time.Sleep(time.Second)
+	}
+	return nil
+}
+
+// ask asks for a job's state; "" where there is no answer of status 200.
+func (w *world) ask(j *job) (status int, state string) {
+	d := w.pick(j.zone)
+	status, answer := w.call(d, http.MethodGet, j.prefix+j.ID, nil)
+	state, _ = answer["state"].(string)
+	w.rec.line("answered: GET %s %d %s by %s", j.ID, status, state, d.name)
+	w.mu.Lock()
+	if state != "" {
+		j.state = state
+	}
+	w.mu.Unlock()
+	return status, state
+}
--- /dev/null
+++ b/review/world/store.go
@@ -0,0 +1,312 @@
+package main
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Figures of the platform's store, as the site file of kasa-sofia gives them.
+const (
+	storeAnswer  = 4 * time.Millisecond
+	storeTx      = 5 * time.Millisecond
+	writesPerS   = 800
+	readsPerS    = 2000
+	rowBytes     = 65536
+	txEntries    = 100
+	txBytes      = 1 << 20
+	pageRows     = 500
+	storeHistory = 20 * time.Second
+)
+
+type row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   string `json:"value,omitempty"`
+	Ver     int64  `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
+	at      time.Time
+}
+
+type rowID struct{ table, part, key string }
+
+// store is a stand-in of the platform's metadata store in its form of tables.
+type store struct {
+	mu      sync.Mutex
+	rows    map[rowID]row
+	history []row
+	oldest  int64
+	ver     int64
+	changed chan struct{}
+	began   time.Time
+	parts   map[string]*sync.Mutex
+	second  int64
+	writes  int
+	reads   int
+	// refused counts the calls beyond the rates.
+	refused int
+	// slow is added to each answer.
+	slow time.Duration
+}
+
+func newStore() *store {
+	return &store{rows: map[rowID]row{}, changed: make(chan struct{}), began: time.Now(), parts: map[string]*sync.Mutex{}}
+}
+
+// put writes a row for the operator or an executor.
+func (s *store) put(table, key string, value any) {
+	data, _ := json.Marshal(value)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver++
+	s.apply(row{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString(data)})
+}
+
+// remove drops a row for the operator or an executor.
+func (s *store) remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.rows[rowID{table, "", key}]; !ok {
+		return
+	}
+	s.ver++
+	s.apply(row{Table: table, Key: key, Deleted: true})
+}
+
+// apply changes a row at the present version. The caller holds the mutex.
+func (s *store) apply(r row) {
+	r.Ver, r.at = s.ver, time.Now()
+	if r.Deleted {
+		r.Value = ""
+		delete(s.rows, rowID{r.Table, r.Part, r.Key})
+	} else {
+		s.rows[rowID{r.Table, r.Part, r.Key}] = r
+	}
+	s.history = append(s.history, r)
+	for len(s.history) > 0 && time.Since(s.history[0].at) > storeHistory {
+		s.oldest = s.history[0].Ver
+		s.history = s.history[1:]
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// allowed counts a call and reports whether it is within the rates.
+func (s *store) allowed(write bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now().Unix(); now != s.second {
+		s.second, s.writes, s.reads = now, 0, 0
+	}
+	if write {
+		s.writes++
+	} else {
+		s.reads++
+	}
+	if s.writes > writesPerS || s.reads > readsPerS {
+		s.refused++
+		return false
+	}
+	return true
+}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.allowed(r.Method != http.MethodGet) {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	s.mu.Lock()
+	slow := s.slow
+	s.mu.Unlock()
+	time.Sleep(storeAnswer + slow)
+	switch r.URL.Path {
+	case "/v1/rows-get":
+		s.get(w, r)
+	case "/v1/rows-feed":
+		s.feed(w, r)
+	case "/v1/rows-parts":
+		s.listParts(w, r)
+	case "/v1/rows-tx":
+		s.transact(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// answer writes rows with the store's version and clock.
+func (s *store) answer(w http.ResponseWriter, status int, rows []row, ver int64, truncated bool) {
+	if rows == nil {
+		rows = []row{}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"rows": rows, "truncated": truncated, "ver": ver, "now_ms": 5_000_000 + time.Since(s.began).Milliseconds(),
+	})
+}
+
+func (s *store) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit < 1 || limit > pageRows {
+		limit = pageRows
+	}
+	s.mu.Lock()
+	var rows []row
+	for id, held := range s.rows {
+		if id.table == q.Get("table") && id.part == q.Get("part") && id.key >= q.Get("from") && (q.Get("to") == "" || id.key < q.Get("to")) {
+			rows = append(rows, held)
+		}
+	}
+	ver := s.ver
+	s.mu.Unlock()
+	slices.SortFunc(rows, func(a, b row) int { return strings.Compare(a.Key, b.Key) })
+	s.answer(w, http.StatusOK, rows[:min(limit, len(rows))], ver, limit < len(rows))
+}
+
+func (s *store) listParts(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := map[string]bool{}
+	for id := range s.rows {
+		if id.table == r.URL.Query().Get("table") && id.part > r.URL.Query().Get("after") {
+			found[id.part] = true
+		}
+	}
+	parts := []string{}
+	for part := range found {
+		parts = append(parts, part)
+	}
+	slices.Sort(parts)
+	_ = json.NewEncoder(w).Encode(map[string]any{"parts": parts, "ver": s.ver})
+}
+
+func (s *store) feed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	deadline := time.After(time.Duration(min(wait, 30_000)) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		gone, changed, ver := after < s.oldest, s.changed, s.ver
+		var rows []row
+		for _, held := range s.history {
+			if held.Table == q.Get("table") && held.Ver > after && len(rows) < pageRows {
+				rows = append(rows, held)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(rows) == pageRows:
+			s.answer(w, http.StatusOK, rows, rows[len(rows)-1].Ver, true)
+			return
+		case len(rows) > 0:
+			s.answer(w, http.StatusOK, rows, ver, false)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			s.answer(w, http.StatusOK, nil, ver, false)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+type transaction struct {
+	Expected []row `json:"expected"`
+	Put      []row `json:"put"`
+	Remove   []row `json:"remove"`
+	Across   bool  `json:"across"`
+}
+
+// valid reports whether the store accepts a transaction at all.
+func (t transaction) valid() bool {
+	all := slices.Concat(t.Expected, t.Put, t.Remove)
+	if len(all) == 0 || len(all) > txEntries || t.Across {
+		return false
+	}
+	for _, r := range all {
+		if r.Part != all[0].Part || len(r.Key) > 200 || len(r.Part) > 200 || len(r.Table) > 200 {
+			return false
+		}
+		if value, err := base64.StdEncoding.DecodeString(r.Value); err != nil || len(value) > rowBytes {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *store) transact(w http.ResponseWriter, r *http.Request) {
+	var t transaction
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, txBytes)).Decode(&t); err != nil || !t.valid() {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for _, change := range slices.Concat(t.Put, t.Remove) {
+		if change.Table == "op" || change.Table == "servers" {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+	}
+	part := s.part(slices.Concat(t.Expected, t.Put, t.Remove)[0].Part)
+	part.Lock()
+	time.Sleep(storeTx)
+	part.Unlock()
+	s.mu.Lock()
+	var current []row
+	conflict := false
+	for _, expected := range t.Expected {
+		held, ok := s.rows[rowID{expected.Table, expected.Part, expected.Key}]
+		conflict = conflict || held.Ver != expected.Ver
+		if ok {
+			current = append(current, held)
+		}
+	}
+	if !conflict {
+		s.ver++
+		for _, change := range t.Put {
+			s.apply(change)
+		}
+		for _, change := range t.Remove {
+			change.Deleted = true
+			s.apply(change)
+		}
+	}
+	ver := s.ver
+	s.mu.Unlock()
+	if conflict {
+		s.answer(w, http.StatusPreconditionFailed, current, ver, false)
+		return
+	}
+	s.answer(w, http.StatusOK, nil, ver, false)
+}
+
+// part returns the mutex by which the transactions of a part follow each other.
+func (s *store) part(name string) *sync.Mutex {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.parts[name] == nil {
+		s.parts[name] = &sync.Mutex{}
+	}
+	return s.parts[name]
+}
+
+// value returns the decoded value of a row.
+func (s *store) value(table, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, _ := base64.StdEncoding.DecodeString(s.rows[rowID{table, "", key}].Value)
+	return data
+}
