Log how calls to the store failed and whether a peer was ahead

A configuration that is late on all VMs and one that is late on a single VM looked alike in a VM's log: it didn't tell how the call before the answer had ended, nor whether a heartbeat had reported a newer version meanwhile.

'store regained' now has the number of failed calls and how long the last one took, 'configuration in force' for how long a peer was known to be ahead, and the gauge configuration_behind_seconds shows the same while it lasts.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -67,6 +67,9 @@
 	version int64
 	// lostAt is when the store stopped answering; 0 while it answers.
 	lostAt time.Duration
+	// failures is the number of failed calls since lostAt. lastFailure is how long the last of them took.
+	failures    int
+	lastFailure time.Duration
 }
 
 // readOnce makes one call and reports whether the next one may follow without retryInterval.
@@ -79,7 +82,7 @@
 		f.version = 0
 		return true
 	case err != nil:
-		f.storeLost(ctx, err)
+		f.storeLost(ctx, err, bootclock.Now()-started)
 		return false
 	}
 	f.storeRegained()
@@ -105,8 +108,10 @@
 	return f.source.Feed(ctx, f.options.Table, f.version, f.options.FeedWait)
 }
 
-// storeLost logs the first failed call after an answer.
-func (f *follower) storeLost(ctx context.Context, err error) {
+// storeLost counts a failed call and logs the first one after an answer.
+func (f *follower) storeLost(ctx context.Context, err error, took time.Duration) {
+	f.failures++
+	f.lastFailure = took
 	if f.lostAt == 0 && ctx.Err() == nil {
 		f.lostAt = bootclock.Now()
 		f.options.Log.Warn("store lost", "table", f.options.Table, "version", f.version, "error", err)
@@ -116,8 +121,9 @@
 // storeRegained logs the first answer after a failed call.
 func (f *follower) storeRegained() {
 	if f.lostAt != 0 {
-		f.options.Log.Info("store regained", "table", f.options.Table, "away", bootclock.Now()-f.lostAt)
-		f.lostAt = 0
+		f.options.Log.Info("store regained", "table", f.options.Table, "away", bootclock.Now()-f.lostAt,
+			"failures", f.failures, "last_failure", f.lastFailure)
+		f.lostAt, f.failures = 0, 0
 	}
 }
 
--- a/node/ages.go
+++ b/node/ages.go
@@ -39,6 +39,7 @@
 				n.options.Gauge(what, (now - time.Duration(heard)).Seconds())
 			}
 		}
+		n.options.Gauge("configuration_behind_seconds", n.config.behind(now).Seconds())
 		n.options.Gauge("configuration_version", float64(n.config.version()))
 		n.options.Gauge("requests_present", float64(n.requests.Load()))
 	}
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -3,7 +3,9 @@
 import (
 	"log/slog"
 	"sync/atomic"
+	"time"
 
+	"github.com/burdockward/burdockward/bootclock"
 	"github.com/burdockward/burdockward/mirror"
 	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/work"
@@ -14,6 +16,9 @@
 type configuration struct {
 	log  *slog.Logger
 	held atomic.Pointer[heldConfiguration]
+	// behindSince is when a peer was first known to have a newer version, on the boot clock; 0 while
+	// none is.
+	behindSince atomic.Int64
 }
 
 // heldConfiguration is a decoded configuration with its encoded form.
@@ -37,7 +42,9 @@
 			return false
 		}
 		if c.held.CompareAndSwap(old, next) {
-			c.log.Info("configuration in force", "version", decoded.Version, "routes", len(decoded.Routes), "from", from)
+			c.log.Info("configuration in force", "version", decoded.Version, "routes", len(decoded.Routes), "from", from,
+				"behind", c.behind(bootclock.Now()))
+			c.behindSince.Store(0)
 			return true
 		}
 	}
@@ -59,3 +66,20 @@
 	}
 	return 0
 }
+
+// recordPeerVersion records at a time whether a peer has a newer version.
+func (c *configuration) recordPeerVersion(newest int64, now time.Duration) {
+	if newest <= c.version() {
+		c.behindSince.Store(0)
+		return
+	}
+	c.behindSince.CompareAndSwap(0, int64(now))
+}
+
+// behind returns for how long a peer has been known to have a newer version; 0 if none has.
+func (c *configuration) behind(now time.Duration) time.Duration {
+	if since := c.behindSince.Load(); since > 0 {
+		return now - time.Duration(since)
+	}
+	return 0
+}
--- a/node/configuration_test.go
+++ b/node/configuration_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -61,3 +62,16 @@
 		must.Eq(t, want.Name, route.Queue.Name)
 	}
 }
+
+// The time behind peers counts from the first report of a newer version until that one is in force.
+func TestTimeBehindPeersEndsWithNewerConfiguration(t *testing.T) {
+	c := configuration{log: slog.New(slog.DiscardHandler)}
+	must.True(t, c.updateIfNewer([]byte(`{"version":7}`), "store"))
+	c.recordPeerVersion(7, 10*time.Second)
+	must.Eq(t, 0, c.behind(11*time.Second))
+	c.recordPeerVersion(8, 12*time.Second)
+	c.recordPeerVersion(9, 13*time.Second)
+	must.Eq(t, 3*time.Second, c.behind(15*time.Second))
+	must.True(t, c.updateIfNewer([]byte(`{"version":9}`), "peer"))
+	must.Eq(t, 0, c.behind(16*time.Second))
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/burdockward/burdockward/bootclock"
 	"github.com/burdockward/burdockward/heartbeat"
 )
 
@@ -29,6 +30,7 @@
 // fetchFromNewerPeer takes the store clock, the cordons, the configuration, the profiles and the claims
 // from a VM that has a newer configuration or newer profiles, if one is known.
 func (n *Node) fetchFromNewerPeer(ctx context.Context) {
+	n.config.recordPeerVersion(n.newestPeerVersion(), bootclock.Now())
 	address, profiles := n.newerPeer(), int64(0)
 	if address == "" {
 		address, profiles = n.peerWithNewerProfiles()
@@ -84,6 +86,20 @@
 	return address, version
 }
 
+// newestPeerVersion returns the newest version of the configuration that a heartbeat has reported.
+func (n *Node) newestPeerVersion() int64 {
+	newest := int64(0)
+	for _, held := range n.keeper.Claims() {
+		if view, ok := n.heartbeats.View(held.Claim.GetLife()); ok {
+			newest = max(newest, view.ConfigurationVersion)
+		}
+	}
+	for _, p := range n.heartbeats.Pingers() {
+		newest = max(newest, p.ConfigurationVersion)
+	}
+	return newest
+}
+
 // newerPeer returns the address of a VM that has a newer configuration, or "" if none is known.
 // While this VM has no configuration at all, it returns the seeds in turn.
 func (n *Node) newerPeer() string {
