--- a/node/node.go
+++ b/node/node.go
@@ -185,9 +185,7 @@
 	g.Go(func() error { return n.heartbeats.Run(runCtx) })
 	g.Go(func() error { return n.keeper.Run(runCtx) })
 	g.Go(func() error {
-		return mirror.Follow(runCtx, n.store, mirror.Options{
-			Table: platform.OperatorTable, FeedWait: configurationWait, Log: n.log, StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.configuration),
-		}, n.applyOperatorRows)
+		return mirror.Follow(runCtx, n.store, n.operatorTableOptions(), n.applyOperatorRows)
 	})
 	g.Go(func() error { n.pollPeers(runCtx); return nil })
 	g.Go(func() error { n.processor.Run(runCtx); return nil })
@@ -209,6 +207,14 @@
 	return err
 }
 
+// operatorTableOptions returns how the operator's table is followed.
+func (n *Node) operatorTableOptions() mirror.Options {
+	return mirror.Options{
+		Table: platform.OperatorTable, FeedWait: configurationWait, Log: n.log,
+		StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.configuration),
+	}
+}
+
 // applyOperatorRows applies an update of the operator's table.
 func (n *Node) applyOperatorRows(update mirror.Update) {
 	// The cordons come first, so that a VM that has a configuration also knows the cordons.
