Give up an unanswered feed in time for the configuration's bound

Callers saw routes refused with 404, and handled by the old configuration, for 2.5 to 2.8 s after a change was confirmed, shortly after an outage in which the store left requests unanswered.

Cause: a feed waited 3 s, was given up after 3.5 s and asked again 0.2 s later, whatever the bound was. The request sent last into the outage held each VM up for longer than the 2 s of the bound and the 3 s of excuse after an outage. Peers were meant to make up for it, but a change ends the requests of all VMs together, so that all of them wait in step and none has a newer version.

Now mirror.Options names the time within which a change has to be applied, and the wait follows from it: less the time limit of the call, less the time for the next request. After a call that ran into its time limit the next one follows without a pause. Claims and the registry keep their waits in this change.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -25,9 +25,10 @@
 // Options of Follow.
 type Options struct {
 	Table platform.Table
-	// FeedWait is how long the store holds a feed request back while there is no change. It
-	// also bounds how long a dead connection goes unnoticed.
-	FeedWait time.Duration
+	// MaxDelay is the time within which a change is applied once the store answers, even if it never
+	// answers the request sent before. The shorter it is, the more requests there are while nothing
+	// changes.
+	MaxDelay time.Duration
 	// MinInterval is the minimum time between two feed requests, so that rows which change all
 	// the time come in batches. A feed that is behind continues without a pause. Otherwise it
 	// would never catch up where more rows change in MinInterval than one answer holds.
@@ -37,9 +38,22 @@
 	StoreAnswered func(now time.Duration)
 }
 
-// retryInterval is the pause after a failed call. It allows ten attempts within the time in which
-// a configuration has to be in force.
-const retryInterval = 200 * time.Millisecond
+const (
+	// retryInterval is the least time between the starts of a failed call and of the next one.
+	retryInterval = 200 * time.Millisecond
+	// reconnectTime is the part of MaxDelay that is left for the request after an unanswered one: a
+	// lost SYN packet, a new connection, and a slow answer.
+	reconnectTime = 500 * time.Millisecond
+	// minFeedWait bounds the rate of requests where MaxDelay leaves no time to wait.
+	minFeedWait = 200 * time.Millisecond
+)
+
+// feedWait returns how long the store may hold a feed request back while there is no change. A
+// request without an answer is given up platform.FeedMargin later, and the next one has to be
+// answered within MaxDelay.
+func (o Options) feedWait() time.Duration {
+	return max(o.MaxDelay-platform.FeedMargin-reconnectTime, minFeedWait)
+}
 
 // Update is a batch of rows of a table.
 type Update struct {
@@ -52,8 +66,9 @@
 func Follow(ctx context.Context, source Source, o Options, apply func(Update)) error {
 	f := follower{source: source, options: o, apply: apply}
 	for ctx.Err() == nil {
+		started := bootclock.Now()
 		if !f.readOnce(ctx) {
-			sleep(ctx, retryInterval)
+			sleep(ctx, retryInterval-(bootclock.Now()-started))
 		}
 	}
 	return nil
@@ -105,7 +120,7 @@
 	if f.version == 0 {
 		return f.source.Read(ctx, f.options.Table)
 	}
-	return f.source.Feed(ctx, f.options.Table, f.version, f.options.FeedWait)
+	return f.source.Feed(ctx, f.options.Table, f.version, f.options.feedWait())
 }
 
 // storeLost counts a failed call and logs the first one after an answer.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -49,7 +49,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		err := Follow(ctx, source, Options{Table: "t", FeedWait: time.Second, Log: slog.New(slog.DiscardHandler)},
+		err := Follow(ctx, source, Options{Table: "t", MaxDelay: 2 * time.Second, Log: slog.New(slog.DiscardHandler)},
 			func(u Update) { updates = append(updates, u) })
 		must.NoError(t, err)
 	})
@@ -137,7 +137,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 		defer cancel()
 		maxBehind, newest := int64(0), int64(0)
-		err := Follow(ctx, source, Options{Table: "t", FeedWait: time.Second, MinInterval: minInterval, Log: slog.New(slog.DiscardHandler)},
+		err := Follow(ctx, source, Options{Table: "t", MaxDelay: 2 * time.Second, MinInterval: minInterval, Log: slog.New(slog.DiscardHandler)},
 			func(u Update) {
 				maxBehind = max(maxBehind, source.version()-newest)
 				newest = u.Version
--- a/node/node.go
+++ b/node/node.go
@@ -36,11 +36,6 @@
 	"github.com/burdockward/burdockward/work"
 )
 
-// configurationWait bounds how long a dead connection to the store goes unnoticed. It may exceed
-// the 2 s within which a new configuration has to be in force: this VM then fetches it from
-// another VM whose heartbeat reports a newer version.
-const configurationWait = 3 * time.Second
-
 // Options of a Node.
 type Options struct {
 	Settings platform.Settings
@@ -207,10 +202,12 @@
 	return err
 }
 
-// operatorTableOptions returns how the operator's table is followed.
+// operatorTableOptions returns how the operator's table is followed. Each VM has to keep the bound
+// by itself: a change ends the waiting requests of all VMs together, so that an outage may find all of
+// them at the same point of the cycle, and no VM has a newer configuration to offer.
 func (n *Node) operatorTableOptions() mirror.Options {
 	return mirror.Options{
-		Table: platform.OperatorTable, FeedWait: configurationWait, Log: n.log,
+		Table: platform.OperatorTable, MaxDelay: n.options.Settings.ConfigurationBound, Log: n.log,
 		StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.configuration),
 	}
 }
--- a/node/silentstore_test.go
+++ b/node/silentstore_test.go
@@ -14,13 +14,10 @@
 	"github.com/burdockward/burdockward/platform"
 )
 
-// configurationBound is the time within which a new configuration has to be in force.
-const configurationBound = 2 * time.Second
-
 // Time limits of a client of the store: for a read, and for a feed beyond its wait.
 const (
 	readLimit  = 1500 * time.Millisecond
-	feedMargin = 500 * time.Millisecond
+	feedMargin = platform.FeedMargin
 )
 
 // silentStore is a store that leaves requests unanswered during one outage. Requests that are
@@ -92,10 +89,12 @@
 // the store answers again, whenever in the cycle of requests the outage begins and ends.
 func TestUnansweredFeedDoesNotDelayConfigurationBeyondItsBound(t *testing.T) {
 	const step = 100 * time.Millisecond
-	for silence := step; silence <= 8*time.Second; silence += step {
-		for _, changeAfter := range []time.Duration{0, 500 * time.Millisecond, 1500 * time.Millisecond} {
-			if late := configurationDelay(t, silence, changeAfter); late > configurationBound {
-				t.Errorf("silence of %v, change %v after it: in force after %v", silence, changeAfter, late)
+	for _, bound := range []time.Duration{2 * time.Second, 6 * time.Second} {
+		for silence := step; silence <= 8*time.Second; silence += step {
+			for _, changeAfter := range []time.Duration{0, 500 * time.Millisecond, 1500 * time.Millisecond} {
+				if late := configurationDelay(t, bound, silence, changeAfter); late > bound {
+					t.Errorf("bound %v, silence of %v, change %v after it: in force after %v", bound, silence, changeAfter, late)
+				}
 			}
 		}
 	}
@@ -103,12 +102,15 @@
 
 // configurationDelay returns how long after a change the configuration is in force. The store is
 // silent before the change and answers again since a while.
-func configurationDelay(t *testing.T, silence, changeAfter time.Duration) (delay time.Duration) {
+func configurationDelay(t *testing.T, bound, silence, changeAfter time.Duration) (delay time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		log := slog.New(slog.DiscardHandler)
-		n := &Node{log: log, config: configuration{log: log}}
+		n := &Node{
+			options: Options{Settings: platform.Settings{ConfigurationBound: bound}},
+			log:     log, config: configuration{log: log},
+		}
 		from := time.Now().Add(50 * time.Millisecond)
 		store := &silentStore{silentFrom: from, silentUntil: from.Add(silence), changeAt: from.Add(silence + changeAfter)}
 		inForce := make(chan time.Time, 1)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -44,10 +44,9 @@
 	maxStartAge = 250 * time.Millisecond
 	// maxBatch bounds the messages handled between two rounds of placing.
 	maxBatch = 64
-	// registryFeedWait is how long a request for changes of the registry may wait. It bounds
-	// how long a dead connection to the store goes unnoticed, and is below the time within
-	// which a draining target has to be noticed.
-	registryFeedWait = 1200 * time.Millisecond
+	// maxRegistryDelay is the time within which a change of the registry is known once the store
+	// answers again. A draining target gets no more starts after 2 s.
+	maxRegistryDelay = 2200 * time.Millisecond
 	// registryInterval is the minimum time between two such requests, so that the heartbeats
 	// of targets come in a few reads a second.
 	registryInterval = 500 * time.Millisecond
@@ -212,7 +211,7 @@
 	})
 	g.Go(func() error {
 		return mirror.Follow(ctx, o.store, mirror.Options{
-			Table: platform.TargetsTable, FeedWait: registryFeedWait, MinInterval: registryInterval, Log: o.options.Log, StoreAnswered: o.options.StoreAnswered,
+			Table: platform.TargetsTable, MaxDelay: maxRegistryDelay, MinInterval: registryInterval, Log: o.options.Log, StoreAnswered: o.options.StoreAnswered,
 		}, func(u mirror.Update) { o.registryUpdated(ctx, u) })
 	})
 	if o.options.Jobs != nil {
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -25,8 +25,8 @@
 
 // Times of the keeper.
 const (
-	// feedTimeout bounds how long a dead connection to the store goes unnoticed.
-	feedTimeout = 3 * time.Second
+	// maxClaimDelay is the time within which a new claim is known once the store answers again.
+	maxClaimDelay = 4 * time.Second
 	// decideInterval is the time between two decisions, a fraction of heartbeat.SilenceTimeout.
 	decideInterval = 40 * time.Millisecond
 	// claimRetryInterval is the minimum time between two attempts to write a claim.
@@ -101,7 +101,7 @@
 func (k *Keeper) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error {
-		return mirror.Follow(ctx, k.store, mirror.Options{Table: claimsTable, FeedWait: feedTimeout, Log: k.options.Log, StoreAnswered: k.options.StoreAnswered}, k.applyUpdate)
+		return mirror.Follow(ctx, k.store, mirror.Options{Table: claimsTable, MaxDelay: maxClaimDelay, Log: k.options.Log, StoreAnswered: k.options.StoreAnswered}, k.applyUpdate)
 	})
 	g.Go(func() error { k.decide(ctx); return nil })
 	return g.Wait()
