--- a/owner/owner.go
+++ b/owner/owner.go
@@ -46,7 +46,7 @@
 	maxBatch = 64
 	// maxRegistryDelay is the time within which a change of the registry is known once the store
 	// answers again. A draining target gets no more starts after 2 s.
-	maxRegistryDelay = 2200 * time.Millisecond
+	maxRegistryDelay = 2 * time.Second
 	// registryInterval is the minimum time between two such requests, so that the heartbeats
 	// of targets come in a few reads a second.
 	registryInterval = 500 * time.Millisecond
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -26,7 +26,8 @@
 // Times of the keeper.
 const (
 	// maxClaimDelay is the time within which a new claim is known once the store answers again.
-	maxClaimDelay = 4 * time.Second
+	// Callers of a failure domain are refused while its new owner isn't known.
+	maxClaimDelay = 2 * time.Second
 	// decideInterval is the time between two decisions, a fraction of heartbeat.SilenceTimeout.
 	decideInterval = 40 * time.Millisecond
 	// claimRetryInterval is the minimum time between two attempts to write a claim.
