Ask peers with a newer configuration in turn

A VM that the store doesn't answer fetched the configuration from the first owner in the list of claims that had a newer one, at each attempt, and asked no other VM while that one couldn't be reached, or had ended with its claim still in force. The same held for profiles, of which only the newest holder was asked.

--- a/node/node.go
+++ b/node/node.go
@@ -95,8 +95,10 @@
 	// unusableProfiles is the version of a peer's profiles that this build can't use; only pollPeers
 	// uses it.
 	unusableProfiles int64
-	// lastSeed is the index of the seed that was asked last.
+	// lastSeed is the index of the seed that was asked last; peerTurn chooses a newer peer. Only pollPeers
+	// uses them.
 	lastSeed int
+	peerTurn peerTurn
 
 	mu sync.Mutex
 	// current is the owner that runs in this process, outgoing one that hands over to its
--- a/node/peers.go
+++ b/node/peers.go
@@ -1,11 +1,12 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/burdockward/burdockward/bootclock"
-	"github.com/burdockward/burdockward/heartbeat"
 )
 
 // peerPollInterval is the time between two checks for newer tables at other VMs. It allows a few
@@ -28,15 +29,18 @@
 }
 
 // fetchFromNewerPeer takes the store clock, the cordons, the configuration, the profiles and the claims
-// from a VM that has a newer configuration or newer profiles, if one is known.
+// from a VM that has a newer configuration or newer profiles, if one is known. While this VM has no
+// configuration at all, it asks the seeds as well.
 func (n *Node) fetchFromNewerPeer(ctx context.Context) {
-	n.config.recordPeerVersion(n.newestPeerVersion(), bootclock.Now())
-	address, profiles := n.newerPeer(), int64(0)
-	if address == "" {
-		address, profiles = n.peerWithNewerProfiles()
+	peers := n.knownPeers()
+	n.config.recordPeerVersion(newestConfiguration(peers), bootclock.Now())
+	if seed := n.nextSeed(); seed != "" {
+		n.fetchTables(ctx, seed, 0)
+		return
 	}
-	if address != "" {
-		n.fetchTables(ctx, address, profiles)
+	newer := newerPeers(peers, n.config.version(), max(n.profiles.version(), n.unusableProfiles))
+	if peer, ok := n.peerTurn.next(newer); ok {
+		n.fetchTables(ctx, peer.address, peer.profiles)
 	}
 }
 
@@ -58,67 +62,81 @@
 	n.keeper.Merge(tables.Claims)
 }
 
-// peerWithNewerProfiles returns the address of the VM that has the newest profiles, and their version;
-// "" if none has newer ones than this VM. Profiles that this build can't use are not fetched again.
-func (n *Node) peerWithNewerProfiles() (address string, version int64) {
-	var views []heartbeat.View
-	for _, held := range n.keeper.Claims() {
-		if view, ok := n.heartbeats.View(held.Claim.GetLife()); ok {
-			views = append(views, view)
-		}
+// nextSeed returns the next seed to ask while this VM has no configuration; "" if it has one, or the
+// turn is its own.
+func (n *Node) nextSeed() string {
+	seeds := n.options.Settings.Seeds
+	if n.config.version() > 0 || len(seeds) == 0 {
+		return ""
+	}
+	n.lastSeed = (n.lastSeed + 1) % len(seeds)
+	if seed := seeds[n.lastSeed]; seed != n.self.ControlAddress {
+		return seed
 	}
-	return newestProfiles(views, n.heartbeats.Pingers(), max(n.profiles.version(), n.unusableProfiles))
+	return ""
 }
 
-// newestProfiles returns the address of the VM with the newest profiles above a version; "" for none.
-func newestProfiles(views []heartbeat.View, pingers []heartbeat.Pinger, above int64) (address string, version int64) {
-	version = above
-	for _, view := range views {
-		if view.ProfilesVersion > version {
-			address, version = view.ControlAddress, view.ProfilesVersion
-		}
-	}
-	for _, p := range pingers {
-		if p.ProfilesVersion > version {
-			address, version = p.ControlAddress, p.ProfilesVersion
-		}
-	}
-	return address, version
+// peerVersions is a VM with the versions that its last heartbeat reported.
+type peerVersions struct {
+	address                 string
+	configuration, profiles int64
 }
 
-// newestPeerVersion returns the newest version of the configuration that a heartbeat has reported.
-func (n *Node) newestPeerVersion() int64 {
-	newest := int64(0)
+// knownPeers lists the owners and the entry VMs that heartbeats have come from.
+func (n *Node) knownPeers() []peerVersions {
+	var peers []peerVersions
 	for _, held := range n.keeper.Claims() {
 		if view, ok := n.heartbeats.View(held.Claim.GetLife()); ok {
-			newest = max(newest, view.ConfigurationVersion)
+			peers = append(peers, peerVersions{view.ControlAddress, view.ConfigurationVersion, view.ProfilesVersion})
 		}
 	}
 	for _, p := range n.heartbeats.Pingers() {
-		newest = max(newest, p.ConfigurationVersion)
+		peers = append(peers, peerVersions{p.ControlAddress, p.ConfigurationVersion, p.ProfilesVersion})
 	}
-	return newest
+	return peers
 }
 
-// newerPeer returns the address of a VM that has a newer configuration, or "" if none is known.
-// While this VM has no configuration at all, it returns the seeds in turn.
-func (n *Node) newerPeer() string {
-	version := n.config.version()
-	if seeds := n.options.Settings.Seeds; version == 0 && len(seeds) > 0 {
-		n.lastSeed = (n.lastSeed + 1) % len(seeds)
-		if seeds[n.lastSeed] != n.self.ControlAddress {
-			return seeds[n.lastSeed]
-		}
+// newestConfiguration returns the newest version of the configuration that a peer has; 0 for none.
+func newestConfiguration(peers []peerVersions) int64 {
+	newest := int64(0)
+	for _, p := range peers {
+		newest = max(newest, p.configuration)
 	}
-	for _, held := range n.keeper.Claims() {
-		if view, ok := n.heartbeats.View(held.Claim.GetLife()); ok && view.ConfigurationVersion > version {
-			return view.ControlAddress
+	return newest
+}
+
+// newerPeers returns the peers with a newer configuration or newer profiles than the given versions, each
+// address once. Those with the newest configuration come first, then those with the newest profiles.
+func newerPeers(peers []peerVersions, configuration, profiles int64) []peerVersions {
+	var newer []peerVersions
+	for _, p := range peers {
+		if p.configuration > configuration || p.profiles > profiles {
+			newer = append(newer, p)
 		}
 	}
-	for _, p := range n.heartbeats.Pingers() {
-		if p.ConfigurationVersion > version {
-			return p.ControlAddress
-		}
+	slices.SortFunc(newer, func(a, b peerVersions) int {
+		return cmp.Or(cmp.Compare(b.configuration, a.configuration), cmp.Compare(b.profiles, a.profiles), cmp.Compare(a.address, b.address))
+	})
+	seen := map[string]bool{}
+	return slices.DeleteFunc(newer, func(p peerVersions) bool {
+		repeated := seen[p.address]
+		seen[p.address] = true
+		return repeated
+	})
+}
+
+// peerTurn chooses which peer to ask next, so that one that doesn't answer isn't asked again before
+// the others.
+type peerTurn struct{ asked int }
+
+// next returns the peer to ask; false if there is none. The first one is asked first, then the others
+// in turn until no peer is newer.
+func (t *peerTurn) next(newer []peerVersions) (peer peerVersions, ok bool) {
+	if len(newer) == 0 {
+		t.asked = 0
+		return peerVersions{}, false
 	}
-	return ""
+	peer = newer[t.asked%len(newer)]
+	t.asked++
+	return peer, true
 }
--- a/node/profiles_test.go
+++ b/node/profiles_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/burdockward/burdockward/heartbeat"
 	"github.com/burdockward/burdockward/link"
 	"github.com/burdockward/burdockward/mirror"
 	"github.com/burdockward/burdockward/ownership"
@@ -78,18 +77,3 @@
 	must.Eq(t, 6, to.unusableProfiles)
 	must.Eq(t, 1, counts["profiles refused"])
 }
-
-// The VM with the newest profiles is asked, be it an owner or an entry VM; none where all are as old as
-// this one. VMs of older builds report no version.
-func TestNewestProfilesAreAskedFor(t *testing.T) {
-	views := []heartbeat.View{{ProfilesVersion: 4}, {}}
-	views[0].ControlAddress = "owner"
-	pingers := []heartbeat.Pinger{{ControlAddress: "older"}, {ControlAddress: "entry", ProfilesVersion: 5}}
-	address, version := newestProfiles(views, pingers, 3)
-	must.Eq(t, "entry", address)
-	must.Eq(t, 5, version)
-	address, _ = newestProfiles(views, nil, 3)
-	must.Eq(t, "owner", address)
-	address, _ = newestProfiles(views, pingers, 5)
-	must.Eq(t, "", address)
-}
