Fetch tables from peers over a connection of their own

When all connections between two VMs fall silent at once, each idle one cost an attempt to fetch the configuration from that peer its 400 ms, and up to 128 are kept for each VM.

The call for the tables now opens a connection each time. It is made only while a peer is known to have something newer, so that the connection costs little.

TestTablesAreFetchedBesideSilentConnection failed before (deadline exceeded after 400 ms) and passes.

--- a/link/link.go
+++ b/link/link.go
@@ -172,6 +172,8 @@
 // Client calls other VMs.
 type Client struct {
 	http *http.Client
+	// fresh opens a connection for each call.
+	fresh *http.Client
 	// lastRequest is the number of the newest request to run a job.
 	lastRequest atomic.Uint64
 	// Log gets a line for each job that is asked for again; with nil there are none.
@@ -180,14 +182,20 @@
 
 // NewClient creates a client for calls to any VM.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-		ReadBufferSize:      bufferBytes,
-		WriteBufferSize:     bufferBytes,
-	}}}
+	pooled := newTransport()
+	pooled.MaxIdleConnsPerHost, pooled.IdleConnTimeout = maxIdleConnections, time.Minute
+	fresh := newTransport()
+	fresh.DisableKeepAlives = true
+	return &Client{http: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression: true,
+		ReadBufferSize:     bufferBytes,
+		WriteBufferSize:    bufferBytes,
+	}
 }
 
 // fleet returns a client for the VM at an address.
@@ -300,11 +308,12 @@
 	return work.JobState(reply.GetState()), err
 }
 
-// Tables fetches what another VM last read from the store.
+// Tables fetches what another VM last read from the store, over a connection of its own: after all
+// connections between two VMs fall silent, each idle one would cost an attempt.
 func (c *Client) Tables(ctx context.Context, address string) (Tables, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := c.fleet(address).Tables(ctx, &linkpb.TablesRequest{})
+	reply, err := linkpb.NewFleetProtobufClient("http://"+address, c.fresh).Tables(ctx, &linkpb.TablesRequest{})
 	if err != nil {
 		return Tables{}, err
 	}
