Play a silent store and check configurations in tests and the soak

The stand-in of the platform answered each request with 503 during an outage, and woke the waiting ones, so that no request of a VM was ever lost. The soak changed the configuration now and then, and checked nothing about it. So neither could show a configuration that came into force late.

The stand-in's store can now fall silent: requests that wait or arrive are neither carried out nor answered, also after the outage. The store's feed and reads name the version of the rows they were made from; a row written meanwhile was skipped before.

--- a/lab/prepared/deployment.go
+++ b/lab/prepared/deployment.go
@@ -76,7 +76,7 @@
 	Targets        []*Target
 	VMs            []*VM
 	servers        []*http.Server
-	version        int64
+	configured     configured
 	cordons        cordons
 	// lastingDraws counts the draws of lasting jobs, also those above maxLasting.
 	lastingDraws atomic.Int64
@@ -201,21 +201,6 @@
 // domainName is the name of the failure domain with an index.
 func domainName(i int) string { return fmt.Sprintf("domain-%d", i) }
 
-// Configure writes a new configuration and returns its version.
-func (d *Deployment) Configure() int64 {
-	d.version++
-	d.Store.Write(wire.OperatorTable, wire.ConfigurationKey, wire.Configuration{
-		Version: d.version,
-		Routes: []wire.Route{{
-			Name: "queue", Host: Host, PathPrefix: Path, Service: "service", Attempts: 3, Stretch: 3, TargetLatencyMS: 500,
-		}, {
-			Name: "advised", Host: Host, PathPrefix: AdvisedPath, Service: "service", Attempts: 3, Stretch: 3, TargetLatencyMS: 500,
-			Advice: &wire.AdvicePolicy{DecideMS: float64(adviceTime.Milliseconds()), EachMS: 0.5, ValidMS: float64(ticketLifetime.Milliseconds())},
-		}},
-	})
-	return d.version
-}
-
 // listen serves HTTP at an address until Stop, and returns the address with its port.
 func (d *Deployment) listen(address string, handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp4", address)
@@ -297,6 +282,7 @@
 		fmt.Sprintf("port_range=%d,%d", firstPort, lastPort),
 		"seeds=" + v.seeds, "platform.address=" + v.storeAddress, "advice=" + v.adviserAddress,
 		fmt.Sprintf("limits.cpu_share=%g", v.cpuShare), "limits.memory_mb=284", "bounds.grace_s=6", "unknown.key=ignored",
+		fmt.Sprintf("bounds.config_apply_ms=%d", configurationBound.Milliseconds()),
 	}
 	for i := range v.domains {
 		lines = append(lines, "zones."+domainName(i)+"=region")
--- a/lab/prepared/e2e/e2e_test.go
+++ b/lab/prepared/e2e/e2e_test.go
@@ -242,6 +242,25 @@
 	}
 }
 
+// The store leaves requests unanswered for a while and then answers again. The change that it takes at its
+// return must be in force on all VMs within 2 s, although each VM's last request before was lost. The length
+// of the silence is that of a feed that waits 3 s, and of the pause after it, and a little more.
+func TestConfigurationIsInForceAfterSilentStore(t *testing.T) {
+	const bound = 2 * time.Second
+	d := start(t, 1, 3)
+	before := d.Configure()
+	for _, vm := range d.VMs {
+		must.True(t, d.AwaitConfiguration(t.Context(), vm, before, bound))
+	}
+	d.Store.SetSilent(true)
+	wait(3800 * time.Millisecond)
+	d.Store.SetSilent(false)
+	version := d.Configure()
+	for _, vm := range d.VMs {
+		must.True(t, d.AwaitConfiguration(t.Context(), vm, version, bound))
+	}
+}
+
 // restOfLine returns the first occurrence of a text in a log and what follows it in its line.
 func restOfLine(log, from string) string {
 	tail := log[strings.Index(log, from):]
--- a/lab/prepared/soak.go
+++ b/lab/prepared/soak.go
@@ -72,7 +72,11 @@
 	tally, durable := make(chan *Tally, 1), make(chan *DurableTally, 1)
 	go func() { tally <- d.Load(load, soakJobsPerSecond) }()
 	go func() { durable <- d.LoadDurable(load, soakDurablePerSecond) }()
-	s := &soaker{Deployment: d, random: rand.New(rand.NewPCG(seed, 0)), faulty: map[*VM]bool{}}
+	s := &soaker{Deployment: d, random: rand.New(rand.NewPCG(seed, 0)), faulty: map[*VM]bool{}, released: map[*VM]time.Time{}}
+	go d.changeConfiguration(load, rand.New(rand.NewPCG(seed, 1)))
+	for _, vm := range d.VMs {
+		go d.checkConfiguration(load, vm, func() time.Time { return s.lastFaulty(vm) })
+	}
 	counts := s.injectRandomFaults(ctx, length)
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
 		fmt.Printf("%4d %s\n", counts[name], name)
@@ -91,8 +95,19 @@
 	random *rand.Rand
 
 	mu sync.Mutex
-	// faulty has the VMs whose process has a fault.
-	faulty map[*VM]bool
+	// faulty has the VMs whose process has a fault, released when the last fault of each ended.
+	faulty   map[*VM]bool
+	released map[*VM]time.Time
+}
+
+// lastFaulty is when the last fault of a VM's process ended, or now during one.
+func (s *soaker) lastFaulty(vm *VM) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faulty[vm] {
+		return time.Now()
+	}
+	return s.released[vm]
 }
 
 // reserve marks a VM as faulty and reports whether it was not before.
@@ -111,6 +126,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.faulty, vm)
+	s.released[vm] = time.Now()
 }
 
 // injectInto begins a fault of a VM's process unless it has one, and returns what ends the fault.
@@ -171,6 +187,10 @@
 		s.Store.SetUnavailable("", true)
 		return func() { s.Store.SetUnavailable("", false) }
 	}},
+	{"store silent", func(s *soaker) func() {
+		s.Store.SetSilent(true)
+		return func() { s.Store.SetSilent(false) }
+	}},
 	{"store away for one VM", func(s *soaker) func() {
 		vm := s.drawVM()
 		s.Store.SetUnavailable(vm.StoreIP, true)
@@ -261,7 +281,7 @@
 	case float64(tally.Lost) > soakMaxLostShare*float64(jobs):
 		return fmt.Errorf("%d of %d jobs had no answer", tally.Lost, jobs)
 	}
-	fmt.Println("no task ran twice at the same time, no accepted job was lost, no refused job had started")
+	fmt.Println("no task ran twice at the same time, no accepted job was lost, no refused job had started, and configurations were in force in time")
 	return nil
 }
 
--- a/lab/prepared/store.go
+++ b/lab/prepared/store.go
@@ -12,6 +12,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -41,8 +42,10 @@
 	// unavailable has the addresses of the store that answer each call with 503; "" stands for
 	// all.
 	unavailable map[string]bool
-	// availableSince is when an outage last ended.
-	availableSince time.Time
+	// availableSince is when the last outage of each address ended.
+	availableSince map[string]time.Time
+	// silent is set while requests are left unanswered.
+	silent bool
 	// lostAnswers is the number of further writes that are applied and not answered.
 	lostAnswers int
 }
@@ -53,7 +56,10 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: map[string]wire.Row{}, changed: make(chan struct{}), began: time.Now(), unavailable: map[string]bool{}}
+	return &Store{
+		rows: map[string]wire.Row{}, changed: make(chan struct{}), began: time.Now(),
+		unavailable: map[string]bool{}, availableSince: map[string]time.Time{},
+	}
 }
 
 // SetUnavailable begins or ends an outage for the callers of one of the store's addresses; ""
@@ -62,22 +68,56 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable[host] && !unavailable {
-		s.availableSince = time.Now()
+		s.availableSince[host] = time.Now()
 	}
 	s.unavailable[host] = unavailable
 	s.wake()
 }
 
-// lastUnavailable is the end of the last outage, or now during one.
+// SetSilent begins or ends an outage in which requests are neither carried out nor answered. Those
+// that wait when it begins, or arrive in it, stay without an answer after its end.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent && !silent {
+		s.availableSince[""] = time.Now()
+	}
+	s.silent = silent
+	s.wake()
+}
+
+// lastUnavailable is the end of the last outage for any address, or now during one.
 func (s *Store) lastUnavailable() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, unavailable := range s.unavailable {
-		if unavailable {
-			return time.Now()
-		}
+	var last time.Time
+	for host := range s.unavailable {
+		last = latest(last, s.lastUnavailableAt(host))
+	}
+	return latest(last, s.lastUnavailableAt(""))
+}
+
+// lastUnavailableFor is lastUnavailable for the callers of one address.
+func (s *Store) lastUnavailableFor(host string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return latest(s.lastUnavailableAt(""), s.lastUnavailableAt(host))
+}
+
+// lastUnavailableAt is the end of the last outage of one address, without those of all; "" stands for
+// all. The caller holds the lock.
+func (s *Store) lastUnavailableAt(host string) time.Time {
+	if s.unavailable[host] || host == "" && s.silent {
+		return time.Now()
+	}
+	return s.availableSince[host]
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return s.availableSince
+	return b
 }
 
 // LoseAnswers has the next count writes be applied and not answered.
@@ -162,6 +202,10 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isSilent() {
+		ignore(r)
+		return
+	}
 	if s.isUnavailable(r) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -178,6 +222,19 @@
 	}
 }
 
+// ignore leaves a request unanswered until its caller closes the connection, which the server notices
+// once the body has been read.
+func ignore(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func (s *Store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 // isUnavailable reports whether a request came in on an address with an outage.
 func (s *Store) isUnavailable(r *http.Request) bool {
 	host := ""
@@ -192,17 +249,17 @@
 // pageSize is the number of rows of a read without a limit.
 const pageSize = 500
 
-// answer writes all rows as the answer.
+// answer writes rows as the answer to a write, with the store's version.
 func (s *Store) answer(w http.ResponseWriter, status int, rows []wire.Row) {
-	s.writePage(w, status, rows, false)
-}
-
-// writePage writes rows as the answer, with the store's version and clock, and whether more rows
-// follow.
-func (s *Store) writePage(w http.ResponseWriter, status int, rows []wire.Row, truncated bool) {
 	s.mu.Lock()
-	body := wire.Rows{Rows: rows, Truncated: truncated, Version: s.version, NowMS: (clockBase + time.Since(s.began)).Milliseconds()}
+	version := s.version
 	s.mu.Unlock()
+	s.writeRows(w, status, wire.Rows{Rows: rows, Version: version})
+}
+
+// writeRows writes an answer with the store's clock.
+func (s *Store) writeRows(w http.ResponseWriter, status int, body wire.Rows) {
+	body.NowMS = (clockBase + time.Since(s.began)).Milliseconds()
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
 }
@@ -215,6 +272,7 @@
 		limit = pageSize
 	}
 	s.mu.Lock()
+	version := s.version
 	var rows []wire.Row
 	for _, row := range s.rows {
 		if row.Table == query.Get(wire.TableParameter) && row.Partition == query.Get(wire.PartitionParameter) && row.Key >= query.Get(wire.FromParameter) {
@@ -223,7 +281,7 @@
 	}
 	s.mu.Unlock()
 	slices.SortFunc(rows, func(a, b wire.Row) int { return strings.Compare(a.Key, b.Key) })
-	s.writePage(w, http.StatusOK, rows[:min(limit, len(rows))], limit < len(rows))
+	s.writeRows(w, http.StatusOK, wire.Rows{Rows: rows[:min(limit, len(rows))], Truncated: limit < len(rows), Version: version})
 }
 
 // feed answers with the changes of a table after a version. It waits for one up to the caller's
@@ -236,7 +294,7 @@
 	for {
 		s.mu.Lock()
 		gone := after < s.oldest
-		changed := s.changed
+		changed, version, silent := s.changed, s.version, s.silent
 		var rows []wire.Row
 		for _, row := range s.history {
 			if row.Table == query.Get(wire.TableParameter) && row.Version > after {
@@ -244,6 +302,10 @@
 			}
 		}
 		s.mu.Unlock()
+		if silent {
+			ignore(r)
+			return
+		}
 		if s.isUnavailable(r) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -253,13 +315,13 @@
 			return
 		}
 		if len(rows) > 0 {
-			s.answer(w, http.StatusOK, rows)
+			s.writeRows(w, http.StatusOK, wire.Rows{Rows: rows, Version: version})
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			s.answer(w, http.StatusOK, nil)
+			s.writeRows(w, http.StatusOK, wire.Rows{Version: version})
 			return
 		case <-r.Context().Done():
 			return
