Close idle connections after silence for the table service, too

The table service of burdockward's own interfaces has the same fault as the metadata store had: with several idle connections that fall silent together, each costs a read its whole time of 1 s, and the pause after it, while a change has to be in force within 6 s.

sendonce.Options.OneHost now says that a client talks to one host only, and its idle connections are closed after a request that ran out of time. The silent server of the tests is in sendonce/sendoncetest.

--- a/link/silence_test.go
+++ b/link/silence_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net/http"
-	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/burdockward/burdockward/sendonce/sendoncetest"
 	"github.com/burdockward/burdockward/work"
 )
 
@@ -21,24 +21,13 @@
 // The open connection to a VM falls silent, and new ones work. The configuration must still come with the
 // first call, within its time limit.
 func TestTablesAreFetchedBesideSilentConnection(t *testing.T) {
-	peer := NewServer(configured{})
-	silent := ""
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		switch silent {
-		case "":
-			silent = r.RemoteAddr
-		case r.RemoteAddr:
-			<-r.Context().Done()
-			return
-		}
-		peer.ServeHTTP(w, r)
-	}))
-	defer server.Close()
+	server := sendoncetest.NewSilentServer(t, 1, NewServer(configured{}))
 	client := NewClient()
 	defer client.Close()
-	address := server.Listener.Addr().String()
+	address := strings.TrimPrefix(server.URL, "http://")
 	_, err := client.State(t.Context(), address, "job")
 	must.NoError(t, err)
+	server.Silence()
 	tables, err := client.Tables(t.Context(), address)
 	must.NoError(t, err)
 	must.Eq(t, "{}", string(tables.Configuration))
--- a/sendonce/sendonce.go
+++ b/sendonce/sendonce.go
@@ -51,6 +51,10 @@
 	MaxIdleOfHost, MaxIdle int
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes int64
+	// OneHost says that all requests go to one host. Its idle connections are then closed after a
+	// request that ran out of time: they may be silent as well, and each would cost a later request
+	// its whole time.
+	OneHost bool
 	// Dial opens connections; nil uses net.Dialer.
 	Dial DialFunc
 	// Header adds header fields to a request, such as those of a trace; may be nil.
@@ -152,10 +156,12 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
+		c.closeSilent(err)
 		return nil, classify(err, watch.seal())
 	}
 	answer, err := c.readAnswer(response)
 	if err != nil {
+		c.closeSilent(err)
 		return nil, &SentError{err}
 	}
 	return answer, nil
@@ -203,9 +209,19 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
+		c.closeSilent(err)
 		return nil, err
 	}
-	return c.readAnswer(response)
+	answer, err := c.readAnswer(response)
+	c.closeSilent(err)
+	return answer, err
+}
+
+// closeSilent closes the idle connections to the client's only host after a request that ran out of time.
+func (c *Client) closeSilent(err error) {
+	if c.options.OneHost && errors.Is(err, context.DeadlineExceeded) {
+		c.Close()
+	}
 }
 
 func (c *Client) readAnswer(response *http.Response) (*Answer, error) {
--- a/tableservice/tableservice.go
+++ b/tableservice/tableservice.go
@@ -90,6 +90,7 @@
 	if options.CommitTimeout == 0 {
 		options.CommitTimeout = DefaultCommitTimeout
 	}
+	options.HTTP.OneHost = true
 	return &Client{options: options, once: sendonce.New(options.HTTP)}, nil
 }
 
