--- a/lab/prepared/e2e/e2e_test.go
+++ b/lab/prepared/e2e/e2e_test.go
@@ -261,6 +261,12 @@
 	}
 }
 
+// Kills, freezes, planned stops, cordons, outages of the store and changes of the configuration overlap, in a
+// seeded series. They must not lose, double or falsely refuse jobs, nor delay a configuration beyond its bound.
+func TestOverlappingFaultsBreakNoPromise(t *testing.T) {
+	must.NoError(t, prepared.Soak(t.Context(), binary, 25*time.Second, 109, 0))
+}
+
 // restOfLine returns the first occurrence of a text in a log and what follows it in its line.
 func restOfLine(log, from string) string {
 	tail := log[strings.Index(log, from):]
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -27,7 +27,7 @@
 	Table platform.Table
 	// MaxDelay is the time within which a change is applied once the store answers, even if it never
 	// answers the request sent before. The shorter it is, the more requests there are while nothing
-	// changes.
+	// changes. Below two seconds it isn't kept after a full read without an answer.
 	MaxDelay time.Duration
 	// MinInterval is the minimum time between two feed requests, so that rows which change all
 	// the time come in batches. A feed that is behind continues without a pause. Otherwise it
