--- a/scheduler/kinds_test.go
+++ b/scheduler/kinds_test.go
@@ -322,7 +322,7 @@
 	}
 }
 
-// A durable background run that stands still on a hung target, without saving anything, must be stopped and
+// A durable background run on a hung target, which makes no progress and saves nothing, must be stopped and
 // placed again. Callers expect the job to end within 14 s of the end of the load.
 func TestHungBackgroundRunIsRestarted(t *testing.T) {
 	const patience = 14 * time.Second
