--- a/review/world-2/cases.go
+++ b/review/world-2/cases.go
@@ -127,7 +127,75 @@
 	return state != "failed", nil
 }
 
+// label has the only executors of a job's home that carry its label drain and leave, as planned. Those of
+// the other zones stay.
+func label(w *world) (bool, error) {
+	j := job{ID: newID(), Spec: "lasts", Steps: []step{{Count: 1, CPU: 3000, Mem: 64, Estimate: 1000, Requires: "b", Lasts: true}}}
+	if !w.submit(w.machines[0], j) || !w.awaitRunning(j, 5*time.Second) {
+		return false, errUnplayable("the job does not run")
+	}
+	time.Sleep(3 * time.Second)
+	home := w.where(j.tasks()[0]).zone
+	others := 0
+	for _, e := range w.executors {
+		if e.labels[0] == "b" && e.zone == home && w.trouble {
+			go e.leave(2500 * time.Millisecond)
+			time.Sleep(time.Second)
+		}
+		if e.labels[0] == "b" && e.zone != home {
+			others++
+		}
+	}
+	time.Sleep(4 * time.Second)
+	lost := w.watchLasting(j, 25*time.Second)
+	w.record.say("home %s; %d executors with the label stay in other zones; the task runs: %v; lost: %d", home, others, w.runs.isRunning(j.tasks()[0]), len(lost))
+	return len(lost) == 0, nil
+}
+
 // pending has jobs wait in one zone, then the owner's daemon of that zone is killed once.
 func pending(w *world) (bool, error) {
-	return true, nil
+	var jobs []job
+	for range 14 {
+		j := job{ID: newID(), Spec: "work=15000", Steps: []step{{Count: 1, CPU: 30000, Mem: 64, Estimate: 15000, Requires: "r1-1"}}}
+		if w.submit(w.machines[0], j) {
+			jobs = append(jobs, j)
+		}
+	}
+	time.Sleep(visibleTime + pendingDelay + time.Second)
+	waiting := func() int {
+		n := 0
+		for _, j := range jobs {
+			if w.runs.starts[j.tasks()[0]] == 0 {
+				n++
+			}
+		}
+		return n
+	}
+	asked := w.in(w.zones[1])[0]
+	owner := w.owner(w.zones[0])
+	if w.trouble {
+		w.record.say("trouble: %s is killed, and starts again a second later", owner.name)
+		owner.kill()
+		time.AfterFunc(time.Second, func() { _ = owner.start() })
+	}
+	bad, least := 0, 1000
+	began := time.Now()
+	first, last := time.Duration(0), time.Duration(0)
+	for time.Since(began) < 6*time.Second {
+		status, answer := w.send(asked, http.MethodGet, prefix, nil)
+		shown, _ := answer["pending"].(float64)
+		w.runs.mu.Lock()
+		have := waiting()
+		w.runs.mu.Unlock()
+		if status == http.StatusOK && int(shown)*2 < have {
+			if bad == 0 {
+				first = time.Since(began)
+			}
+			bad, last, least = bad+1, time.Since(began), min(least, int(shown))
+			w.record.add("MIXED      %s shows %d pending, of %d jobs that were accepted over 5 s ago and haven't begun", asked.name, int(shown), have)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.record.say("%d jobs accepted, %d still wait; %d answers with under half of them, from %v to %v after the kill", len(jobs), waiting(), bad, first.Round(time.Millisecond), last.Round(time.Millisecond))
+	return bad == 0, nil
 }
--- a/review/world-2/executor.go
+++ b/review/world-2/executor.go
@@ -174,7 +174,7 @@
 	close(e.changed)
 	e.changed = make(chan struct{})
 	e.mu.Unlock()
-	e.w.record.say("trouble: executor %s %s", id, why)
+	e.w.record.say("executor %s %s", id, why)
 	_ = server.Close()
 }
 
@@ -203,6 +203,19 @@
 	_ = e.start()
 }
 
+// leave drains the executor and has it leave for good.
+func (e *executor) leave(drainFor time.Duration) {
+	e.mu.Lock()
+	e.draining = true
+	id := e.id
+	e.register()
+	e.mu.Unlock()
+	e.w.record.say("planned: executor %s reports draining", id)
+	time.Sleep(drainFor)
+	e.die("has drained and leaves")
+	e.w.store.put("servers", id, nil)
+}
+
 // cut partitions the executor from all machines, and heals after a time.
 func (e *executor) cut(length time.Duration) {
 	e.setSilent(true)
--- a/review/world-2/main.go
+++ b/review/world-2/main.go
@@ -34,6 +34,8 @@
 	"zone-gone": {zones: 3, machines: 2, executors: 4, play: zoneGone},
 	"suspects":  {zones: 3, machines: 2, executors: 4, play: suspects},
 	"cuts":      {zones: 3, machines: 2, executors: 4, play: cuts},
+	"label":     {zones: 3, machines: 2, executors: 6, play: label},
+	"row":       {zones: 3, machines: 2, executors: 4, play: growingRow},
 	"pending":   {zones: 3, machines: 2, executors: 4, play: pending},
 }
 
--- /dev/null
+++ b/review/world-2/row.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Sizes of the case of the growing row.
+const (
+	rowTasks    = 170
+	occurrences = 47
+	rowInterval = 900 * time.Millisecond
+	rowCrashes  = 5
+	shortJobs   = 8
+	cancelJobs  = 24
+	rowVictims  = shortJobs + cancelJobs
+	ackTime     = 4 * time.Second
+)
+
+// growingRow has a repeated job run while an executor crashes now and then; meanwhile other jobs are
+// handed in, of which some are cancelled later.
+func growingRow(w *world) (bool, error) {
+	j := job{ID: newID(), Spec: "work=500", Steps: []step{{Count: rowTasks, CPU: 180, Mem: 64, Estimate: 500}},
+		Repeat: occurrences, First: time.Now().Add(time.Second).UnixMilli(), Interval: rowInterval.Milliseconds()}
+	if !w.submit(w.machines[0], j) {
+		return false, errUnplayable("the job was not accepted")
+	}
+	began := time.Now()
+	for i := range rowCrashes {
+		time.Sleep(time.Until(began.Add(time.Duration(3500+4500*i) * time.Millisecond)))
+		for end := time.Now().Add(2 * time.Second); w.trouble && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			if e, runs := w.busiest(); runs >= rowTasks*3/4 {
+				e.crash(3500 * time.Millisecond)
+				break
+			}
+		}
+	}
+	time.Sleep(time.Until(began.Add(26 * time.Second)))
+	var victims []job
+	for i := range rowVictims {
+		spec, estimate := "work=20000", int64(20000)
+		if i >= shortJobs {
+			spec, estimate = "work=200000", 200000
+		}
+		v := job{ID: evenID(i), Spec: spec, Steps: []step{{Count: 1, CPU: 100, Mem: 64, Estimate: estimate, Requires: "r1-1"}}}
+		if w.submit(w.machines[0], v) {
+			victims = append(victims, v)
+		}
+	}
+	for time.Sleep(time.Until(began.Add(30 * time.Second))); time.Since(began) < 62*time.Second; time.Sleep(3 * time.Second) {
+		w.record.add("store      the progress row of the repeated job has %d bytes", w.progressBytes(j.ID))
+	}
+	return w.judgeRow(victims)
+}
+
+// judgeRow cancels the long jobs and asks for the short ones, which have all run.
+func (w *world) judgeRow(victims []job) (bool, error) {
+	asked := w.in(w.zones[1])[0]
+	var unanswered, cancels, unshown, ended int
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, v := range victims {
+		long := v.Spec != "work=20000"
+		if !long && !w.runs.isDone(v.tasks()[0]) {
+			continue
+		}
+		calls.Go(func() {
+			ok := false
+			for end := time.Now().Add(2 * ackTime); !ok && time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+				if long {
+					status, _ := w.send(asked, http.MethodDelete, prefix+v.ID, nil)
+					ok = status == http.StatusOK || status == http.StatusGone
+				} else {
+					_, state := w.state(asked, v.ID)
+					ok = state == "completed"
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case long && !ok:
+				unanswered++
+				fallthrough
+			case long:
+				cancels++
+			case !ok:
+				unshown++
+				fallthrough
+			default:
+				ended++
+			}
+		})
+	}
+	calls.Wait()
+	w.record.say("cancels of accepted jobs without 2xx or 410 after %v: %d of %d; jobs whose tasks have ended done and that aren't shown as completed: %d of %d; writes that the store refused: %d",
+		2*ackTime, unanswered, cancels, unshown, ended, w.store.refused)
+	if cancels == 0 || ended == 0 {
+		return false, errUnplayable(fmt.Sprintf("%d cancels and %d ended jobs are too few", cancels, ended))
+	}
+	return unanswered < 3 || unanswered*10 <= cancels, nil
+}
+
+// busiest returns the executor with the most runs, and their number.
+func (w *world) busiest() (*executor, int) {
+	var best *executor
+	most := 0
+	for _, e := range w.executors {
+		e.mu.Lock()
+		if n := len(e.running); e.alive && n > most {
+			best, most = e, n
+		}
+		e.mu.Unlock()
+	}
+	return best, most
+}
+
+// progressBytes is the size of a job's progress row.
+func (w *world) progressBytes(id string) int {
+	for part := range 4 {
+		if value, ok := w.store.get("progress", fmt.Sprintf("jobs-%d", part), id); ok {
+			return len(value)
+		}
+	}
+	return 0
+}
+
+// evenID returns a random ID. Each four that follow each other fall into the four partitions of the
+// project's job rows, so that a run doesn't depend on the luck of the draw.
+func evenID(i int) string {
+	for {
+		id := newID()
+		hash := fnv.New32a()
+		_, _ = hash.Write([]byte(id))
+		if int(hash.Sum32()%4) == i%4 {
+			return id
+		}
+	}
+}
--- a/review/world-2/world.go
+++ b/review/world-2/world.go
@@ -284,6 +284,10 @@
 	ID    string `json:"-"`
 	Spec  string `json:"spec"`
 	Steps []step `json:"steps"`
+	// Repeat, First and Interval are those of a repeated job.
+	Repeat   int   `json:"repeat_count,omitempty"`
+	First    int64 `json:"first_run_ms,omitempty"`
+	Interval int64 `json:"interval_ms,omitempty"`
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
