Show that a burst of timed jobs ends a zone's daemons for good

Change: case 5: timed jobs are accepted until their owner exceeds its memory; each successor reads them again and is killed as well.

--- a/review/world-2/cases.go
+++ b/review/world-2/cases.go
@@ -199,3 +199,37 @@
 	w.record.say("%d jobs accepted, %d still wait; %d answers with under half of them, from %v to %v after the kill", len(jobs), waiting(), bad, first.Round(time.Millisecond), last.Round(time.Millisecond))
 	return bad == 0, nil
 }
+
+// takeover loses one executor and, just after it, the machine of the daemon that owns the zone's
+// executors. The tasks that are watched ran at the other executors, which stay sound.
+func takeover(w *world) (bool, error) {
+	j := job{ID: newID(), Spec: "lasts", Steps: []step{{Count: 3, CPU: 17000, Mem: 64, Estimate: 1000, Lasts: true}}}
+	if !w.submit(w.machines[0], j) || !w.awaitRunning(j, 5*time.Second) {
+		return false, errUnplayable("the job does not run")
+	}
+	time.Sleep(3 * time.Second)
+	e := w.where(j.tasks()[0])
+	owner := w.owner(e.zone)
+	watched := j
+	watched.only = nil
+	for _, task := range j.tasks() {
+		if w.where(task) != e {
+			watched.only = append(watched.only, task)
+		}
+	}
+	w.record.say("the 3 tasks run at 3 of the 4 executors of %s, which %s owns", e.zone, owner.name)
+	if w.trouble {
+		e.crash(0)
+		time.Sleep(300 * time.Millisecond)
+		w.record.say("trouble: machine %s is lost for good", owner.name)
+		owner.kill()
+	}
+	time.Sleep(calmBefore)
+	lost := w.watchLasting(watched, 24*time.Second)
+	var longest time.Duration
+	for _, span := range lost {
+		longest = max(longest, span)
+	}
+	w.record.say("%d of the %d tasks at sound executors were lost for a time, %v at most beyond the %v that a task may be away", len(lost), len(watched.only), longest.Round(time.Millisecond), lastingAway)
+	return len(lost) == 0, nil
+}
--- a/review/world-2/main.go
+++ b/review/world-2/main.go
@@ -36,6 +36,8 @@
 	"cuts":      {zones: 3, machines: 2, executors: 4, play: cuts},
 	"label":     {zones: 3, machines: 2, executors: 6, play: label},
 	"row":       {zones: 3, machines: 2, executors: 4, play: growingRow},
+	"takeover":  {zones: 3, machines: 2, executors: 4, play: takeover},
+	"timed":     {zones: 3, machines: 2, executors: 4, play: timed},
 	"pending":   {zones: 3, machines: 2, executors: 4, play: pending},
 }
 
--- /dev/null
+++ b/review/world-2/memory.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Sizes of the case of the timed jobs.
+const (
+	memoryLimitMB = 284
+	timedJobs     = 120
+	timedRepeats  = 7200
+	timedInterval = 10 * time.Second
+	timedPause    = 33 * time.Millisecond
+	memoryWatch   = 45 * time.Second
+	restartDelay  = time.Second
+	endsAllowed   = 3
+	endsMachines  = 2
+)
+
+// residentMB is the resident memory of the daemon's process in megabytes; 0 if it has ended.
+func (m *machine) residentMB() int {
+	m.mu.Lock()
+	pid := m.process.Process.Pid
+	m.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(data)) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmRSS:" {
+			kb, _ := strconv.Atoi(fields[1])
+			return kb >> 10
+		}
+	}
+	return 0
+}
+
+// limitMemory kills the daemon whenever it exceeds its memory, as the platform does, and starts it
+// again after a short delay, until the end of the case. It counts the kills.
+func (m *machine) limitMemory(until time.Time, kills map[string]int, mu *sync.Mutex) {
+	most := 0
+	for time.Now().Before(until) {
+		time.Sleep(20 * time.Millisecond)
+		mb := m.residentMB()
+		most = max(most, mb)
+		if mb <= memoryLimitMB {
+			continue
+		}
+		m.w.record.say("%s has %d MB of %d and is killed by the platform", m.name, mb, memoryLimitMB)
+		m.kill()
+		mu.Lock()
+		kills[m.name]++
+		mu.Unlock()
+		time.Sleep(restartDelay)
+		_ = m.start()
+	}
+	m.w.record.say("%s had %d MB at most", m.name, most)
+}
+
+// timed has a burst of jobs that repeat for a day come at once, at the machines of one zone.
+func timed(w *world) (bool, error) {
+	time.Sleep(2 * time.Second)
+	kills, mu := map[string]int{}, &sync.Mutex{}
+	until := time.Now().Add(memoryWatch)
+	var watches sync.WaitGroup
+	for _, m := range w.machines {
+		watches.Go(func() { m.limitMemory(until, kills, mu) })
+	}
+	jobs := timedJobs
+	if !w.trouble {
+		jobs = timedJobs / 10
+	}
+	accepted := 0
+	for i := range jobs {
+		j := job{ID: newID(), Spec: "work=30", Steps: []step{{Count: 1, CPU: 1000, Mem: 64, Estimate: 30}},
+			Repeat: timedRepeats, First: time.Now().Add(time.Minute).UnixMilli(), Interval: timedInterval.Milliseconds()}
+		w.demands.set(j.ID, []amount{{CPU: 1000, Mem: 64}})
+		if status, _ := w.send(w.in(w.zones[0])[i%2], "POST", prefix+j.ID, j); status == 200 {
+			accepted++
+		}
+		time.Sleep(timedPause)
+	}
+	w.record.say("%d of %d jobs accepted", accepted, jobs)
+	watches.Wait()
+	machines := 0
+	for _, n := range kills {
+		if n >= endsAllowed {
+			machines++
+		}
+	}
+	w.record.say("kills for exceeding the memory: %v", kills)
+	return machines < endsMachines, nil
+}
--- a/review/world-2/world.go
+++ b/review/world-2/world.go
@@ -288,6 +288,8 @@
 	Repeat   int   `json:"repeat_count,omitempty"`
 	First    int64 `json:"first_run_ms,omitempty"`
 	Interval int64 `json:"interval_ms,omitempty"`
+	// only names the tasks to watch; nil stands for all.
+	only []string
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -347,6 +349,9 @@
 
 // tasks lists the names of a job's tasks.
 func (j job) tasks() []string {
+	if j.only != nil {
+		return j.only
+	}
 	var names []string
 	for s, st := range j.Steps {
 		for i := range st.Count {
