--- a/review/world-2/main.go
+++ b/review/world-2/main.go
@@ -38,6 +38,7 @@
 	"row":       {zones: 3, machines: 2, executors: 4, play: growingRow},
 	"takeover":  {zones: 3, machines: 2, executors: 4, play: takeover},
 	"timed":     {zones: 3, machines: 2, executors: 4, play: timed},
+	"routes":    {zones: 3, machines: 2, executors: 4, play: routes},
 	"pending":   {zones: 3, machines: 2, executors: 4, play: pending},
 }
 
--- a/review/world-2/world.go
+++ b/review/world-2/world.go
@@ -288,6 +288,7 @@
 	Repeat   int   `json:"repeat_count,omitempty"`
 	First    int64 `json:"first_run_ms,omitempty"`
 	Interval int64 `json:"interval_ms,omitempty"`
+	Best     bool  `json:"best_effort,omitempty"`
 	// only names the tasks to watch; nil stands for all.
 	only []string
 }
