--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the second review's scripts. It needs Go alone: no network and no module.
+# Builds the stand-ins that the scripts of the second review start: one program, of this module.
 set -euo pipefail
-cd "$(dirname "$0")/world-2"
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -buildvcs=false -o ../../target/review-world-2 .
+cd "$(dirname "$0")/.."
+go build -buildvcs=false -o target/review-world-2 ./review/world-2
--- a/review/world-2/main.go
+++ b/review/world-2/main.go
@@ -30,16 +30,15 @@
 	play                       func(*world) (bool, error)
 }
 
+// The plays of the cases, and of two lesser findings that the report names.
 var plans = map[string]plan{
-	"zone-gone": {zones: 3, machines: 2, executors: 4, play: zoneGone},
-	"suspects":  {zones: 3, machines: 2, executors: 4, play: suspects},
-	"cuts":      {zones: 3, machines: 2, executors: 4, play: cuts},
-	"label":     {zones: 3, machines: 2, executors: 6, play: label},
-	"row":       {zones: 3, machines: 2, executors: 4, play: growingRow},
-	"takeover":  {zones: 3, machines: 2, executors: 4, play: takeover},
-	"timed":     {zones: 3, machines: 2, executors: 4, play: timed},
-	"routes":    {zones: 3, machines: 2, executors: 4, play: routes},
-	"pending":   {zones: 3, machines: 2, executors: 4, play: pending},
+	"timed":    {zones: 3, machines: 2, executors: 4, play: timed},
+	"row":      {zones: 3, machines: 2, executors: 4, play: growingRow},
+	"cuts":     {zones: 3, machines: 2, executors: 4, play: cuts},
+	"routes":   {zones: 3, machines: 2, executors: 4, play: routes},
+	"label":    {zones: 3, machines: 2, executors: 6, play: label},
+	"pending":  {zones: 3, machines: 2, executors: 4, play: pending},
+	"takeover": {zones: 3, machines: 2, executors: 4, play: takeover},
 }
 
 func main() {
