Keep a job's progress within a row of the store

Cause: the progress row kept failures and target losses of finished tasks beside the list of finished ones, one JSON entry for each task and target, and outgrew platform.row_bytes. The store refused the write for good. It was taken for an outage: the same batch was tried again, with up to 15 other jobs in it, and new jobs were refused.

Fix, for the class of rows and writes that outgrow what carries them: - A finished task keeps nothing else. A row that still doesn't fit is written with sets of tasks in place of entries by task; saved states and at last target losses are left out, finished tasks and failures never. Rows that fit are written as before, so older builds read them. - A write holds at most the bytes that the store takes: sixteen rows of 64 KB were more than 1 MB as well. - A write that the store refuses as invalid (400, 413) is no outage: its jobs are written one by one, and the refused one waits without the others. - A job that doesn't fit a row is refused at once and alone.

--- a/jobstore/open.go
+++ b/jobstore/open.go
@@ -83,7 +83,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	s := newShard(w.options.Group, w.options.Incarnation, w.number)
+	s := w.newShard()
 	s.fenceVersion = fenceVersion
 	w.loadProgress(s, progress.Rows)
 	unfinished := w.loadJobs(s, jobs.Rows)
--- a/jobstore/shard.go
+++ b/jobstore/shard.go
@@ -25,10 +25,12 @@
 	Unconfirmed
 	// Superseded means that another owner has taken over the group before the result was known.
 	Superseded
+	// TooLarge means that the job is not in the store, as it doesn't fit a row.
+	TooLarge
 )
 
 var resultNames = map[AcceptResult]string{
-	Stored: "stored", AlreadyStored: "known", NotStored: "not stored", Unconfirmed: "doubtful", Superseded: "uncertain",
+	Stored: "stored", AlreadyStored: "known", NotStored: "not stored", Unconfirmed: "doubtful", Superseded: "uncertain", TooLarge: "too large",
 }
 
 // String returns the result's label in metrics.
@@ -56,6 +58,13 @@
 	waiters     []waiter
 	onResult    func(AcceptResult)
 	queued      bool
+	// alone reports that the store has refused a write with this job, so that the next one holds no
+	// other. refusedUntil is when the job is written again after such a write, on the boot clock.
+	alone        bool
+	refusedUntil time.Duration
+	// omitted counts what the last encoded row leaves out.
+	omitted          int
+	omissionReported bool
 	// expiresAt is when the row of an ended job is removed, on the boot clock; 0 before the end.
 	expiresAt time.Duration
 }
@@ -87,6 +96,10 @@
 	superseded bool
 	// storeFailing reports that the last write got no answer or was rejected.
 	storeFailing bool
+	// rowBytes bounds the value of a row. reportRow is called for a job whose row the store does
+	// not take, or that doesn't hold all that is known.
+	rowBytes  int
+	reportRow func(id string, err error)
 	// callbacks are called after the state has changed and the lock is released.
 	callbacks []func()
 }
@@ -95,8 +108,10 @@
 // number that ends at one owner of the largest site while ended jobs stay.
 const maxJobs = 25_000
 
-func newShard(group string, incarnation, writer uint64) *shard {
-	return &shard{group: group, incarnation: incarnation, writer: writer, jobs: map[string]*trackedJob{}}
+func newShard(group string, incarnation, writer uint64, rowBytes int, reportRow func(id string, err error)) *shard {
+	return &shard{
+		group: group, incarnation: incarnation, writer: writer, jobs: map[string]*trackedJob{}, rowBytes: rowBytes, reportRow: reportRow,
+	}
 }
 
 // addCallback adds a call for takeCallbacks; nil is ignored.
@@ -113,8 +128,9 @@
 	return calls
 }
 
+// enqueue has a job written next. A job that the store has refused waits for enqueueDue.
 func (s *shard) enqueue(e *trackedJob) {
-	if !e.queued {
+	if !e.queued && e.refusedUntil == 0 {
 		e.queued = true
 		s.queue = append(s.queue, e)
 	}
@@ -181,10 +197,12 @@
 	return e.progress.State, true
 }
 
-// enqueueExpired queues the removal of ended jobs whose retention is over.
-func (s *shard) enqueueExpired(now time.Duration) {
+// enqueueDue queues the removal of ended jobs whose retention is over, and the jobs that the store
+// has refused and that are to be written again.
+func (s *shard) enqueueDue(now time.Duration) {
 	for _, e := range s.jobs {
-		if e.isExpired(now) && e.written == e.recorded {
+		if e.isExpired(now) && e.written == e.recorded || e.refusedUntil > 0 && now >= e.refusedUntil {
+			e.refusedUntil = 0
 			s.enqueue(e)
 		}
 	}
@@ -205,46 +223,88 @@
 	if !s.hasWrite() {
 		return nil
 	}
-	n := min(len(s.queue), maxBatchJobs)
 	changes := []platform.Change{{Action: platform.ActionCheck, Table: fencesTable, Key: s.group, Expected: s.fenceVersion}}
-	for _, e := range s.queue[:n] {
-		e.queued = false
-		changes = append(changes, e.nextChanges(now)...)
+	bytes := 0
+	for len(s.queue) > 0 && len(s.inFlight) < maxBatchJobs {
+		e := s.queue[0]
+		if len(s.inFlight) > 0 && (e.alone || s.inFlight[0].alone) {
+			break
+		}
+		next, err := e.nextChanges(now, s.rowBytes)
+		if err != nil {
+			s.queue, e.queued = s.queue[1:], false
+			s.postpone(now, e, err)
+			continue
+		}
+		if bytes += valueBytes(next); bytes > platform.MaxWriteBytes && len(s.inFlight) > 0 {
+			break
+		}
+		s.queue, e.queued = s.queue[1:], false
+		s.inFlight = append(s.inFlight, e)
+		s.reportOmitted(e)
+		changes = append(changes, next...)
 	}
-	s.inFlight = append([]*trackedJob{}, s.queue[:n]...)
-	s.queue = s.queue[n:]
 	return changes
 }
 
+// valueBytes is the size of the values that changes write.
+func valueBytes(changes []platform.Change) int {
+	n := 0
+	for _, c := range changes {
+		n += len(c.Value)
+	}
+	return n
+}
+
+// refusedRetryDelay is how long a job whose row the store doesn't take waits for its next write.
+const refusedRetryDelay = 10 * time.Second
+
+// postpone has a job wait whose row the store doesn't take, so that it delays no other job.
+func (s *shard) postpone(now time.Duration, e *trackedJob, err error) {
+	e.refusedUntil = now + refusedRetryDelay
+	s.addCallback(func() { s.reportRow(e.id, err) })
+}
+
+// reportOmitted reports once that a job's row doesn't hold all that is known of its tasks.
+func (s *shard) reportOmitted(e *trackedJob) {
+	if e.omitted > 0 && !e.omissionReported {
+		e.omissionReported = true
+		err := ErrRowTooLarge.Errorf("%d facts about the tasks left out of a row of %d bytes: submit smaller jobs", e.omitted, s.rowBytes)
+		s.addCallback(func() { s.reportRow(e.id, err) })
+	}
+}
+
 // nextChanges returns the changes of the next write of a job: first its jobs row, later its
-// progress, at last the removal of the progress row.
-func (e *trackedJob) nextChanges(now time.Duration) []platform.Change {
+// progress, at last the removal of the progress row. A value has at most rowBytes bytes.
+func (e *trackedJob) nextChanges(now time.Duration, rowBytes int) ([]platform.Change, error) {
 	if !e.isStored {
 		return []platform.Change{
 			{Action: platform.ActionPut, Table: jobsTable, Key: e.id, Value: e.encodedJob},
 			{Action: platform.ActionCheck, Table: progressTable, Key: e.id},
-		}
+		}, nil
 	}
 	if e.isExpired(now) {
-		return []platform.Change{{Action: platform.ActionRemove, Table: progressTable, Key: e.id, Expected: e.progressVersion}}
+		return []platform.Change{{Action: platform.ActionRemove, Table: progressTable, Key: e.id, Expected: e.progressVersion}}, nil
 	}
-	value, err := json.Marshal(e.progress)
+	value, omitted, err := e.progress.encode(rowBytes)
 	if err != nil {
-		panic("encode the progress of a job: " + err.Error())
+		return nil, err
 	}
+	e.omitted = omitted
 	changes := []platform.Change{{Action: platform.ActionPut, Table: progressTable, Key: e.id, Value: value, Expected: e.progressVersion}}
 	if e.progress.State.IsFinal() && e.jobVersion > 0 {
 		changes = append(changes, platform.Change{Action: platform.ActionRemove, Table: jobsTable, Key: e.id, Expected: e.jobVersion})
 	}
 	e.inFlight, e.endInFlight = e.recorded, e.progress.State.IsFinal()
-	return changes
+	return changes, nil
 }
 
 // handleResult updates the jobs of the batch in flight from the answer to its write.
 func (s *shard) handleResult(now time.Duration, written platform.WriteResult, err error) {
 	sent := s.inFlight
 	s.inFlight = nil
-	s.storeFailing = err != nil && !errors.Is(err, platform.ErrConflict)
+	isAnswer := errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrWriteInvalid)
+	s.storeFailing = err != nil && !isAnswer
 	switch {
 	case err == nil:
 		for _, e := range sent {
@@ -252,6 +312,8 @@
 		}
 	case errors.Is(err, platform.ErrConflict):
 		s.handleConflict(now, sent, written.Current)
+	case errors.Is(err, platform.ErrWriteInvalid):
+		s.handleRefused(now, sent, err)
 	case errors.Is(err, platform.ErrWriteUnconfirmed):
 		for _, e := range sent {
 			s.retryUnconfirmed(e)
@@ -263,6 +325,25 @@
 	}
 }
 
+// handleRefused takes the answer that the store never takes a write like this one. The jobs of the
+// batch are written again, each alone; one that is refused alone is postponed, or dropped if it
+// is new.
+func (s *shard) handleRefused(now time.Duration, sent []*trackedJob, err error) {
+	if len(sent) == 1 {
+		e := sent[0]
+		if e.isStored || e.unconfirmedWrites > 0 {
+			s.postpone(now, e, err)
+		} else {
+			s.handleNotWritten(e)
+		}
+		return
+	}
+	for _, e := range sent {
+		e.alone = true
+		s.enqueue(e)
+	}
+}
+
 // maxUnconfirmedWrites is the number of lost answers after which the caller of a new job gets
 // Unconfirmed. A single answer is lost now and then.
 const maxUnconfirmedWrites = 2
@@ -291,7 +372,7 @@
 
 // handleWritten updates a job whose write was applied at a version.
 func (s *shard) handleWritten(now time.Duration, e *trackedJob, version int64) {
-	e.unconfirmedWrites = 0
+	e.unconfirmedWrites, e.alone = 0, false
 	switch {
 	case !e.isStored:
 		s.markStored(e, version)
@@ -400,6 +481,11 @@
 // get Superseded.
 func (s *shard) giveUp(sent []*trackedJob) {
 	s.superseded = true
+	for _, e := range s.jobs {
+		if e.refusedUntil > 0 {
+			sent = append(sent, e)
+		}
+	}
 	for _, e := range append(sent, s.queue...) {
 		if !e.isStored {
 			onResult := e.onResult
--- a/jobstore/world_test.go
+++ b/jobstore/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"log/slog"
 	"maps"
 	"os"
 	"slices"
@@ -38,6 +39,8 @@
 	delayed []delayedWrite
 	// failures are the results of the next writes; once it is empty, writes succeed.
 	failures []failure
+	// rowBytes bounds the value of a row; 0 for none. refused counts the writes that broke it.
+	rowBytes, refused int
 	// everStored has each job that was ever stored, removed ones included.
 	everStored map[string]bool
 }
@@ -101,9 +104,20 @@
 	return platform.WriteResult{Version: f.version}, nil
 }
 
+// isInvalid reports whether a write breaks the store's limits.
+func (f *fakeStore) isInvalid(changes []platform.Change) bool {
+	return valueBytes(changes) > platform.MaxWriteBytes || f.rowBytes > 0 && slices.ContainsFunc(changes, func(c platform.Change) bool {
+		return len(c.Value) > f.rowBytes
+	})
+}
+
 func (f *fakeStore) Write(_ context.Context, partition string, changes []platform.Change) (platform.WriteResult, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.isInvalid(changes) {
+		f.refused++
+		return platform.WriteResult{}, platform.ErrWriteInvalid.Errorf("status 400")
+	}
 	next := succeeds
 	if len(f.failures) > 0 {
 		next, f.failures = f.failures[0], f.failures[1:]
@@ -194,6 +208,7 @@
 		t: t, store: newFakeStore(), now: time.Second, owners: map[string]*fakeOwner{},
 		results: map[string][]AcceptResult{}, done: map[string]map[int]bool{}, ended: map[string]work.JobState{},
 	}
+	w.store.rowBytes = worldRowBytes
 	for _, group := range []string{"a", "b"} {
 		w.takeOver(group)
 	}
@@ -209,7 +224,7 @@
 	w.lastIncarnation++
 	w.store.failures = nil
 	writer := New(Options{
-		Group: group, Incarnation: w.lastIncarnation, Retention: time.Minute, Clock: func() time.Duration { return w.now }, Count: func(string, string) {},
+		Group: group, Incarnation: w.lastIncarnation, Retention: time.Minute, RowBytes: worldRowBytes, Log: slog.New(slog.DiscardHandler), Clock: func() time.Duration { return w.now }, Count: func(string, string) {},
 	}, w.store)
 	unfinished, err := writer.Open(context.Background(), int64(w.lastIncarnation))
 	must.NoError(w.t, err)
@@ -321,6 +336,55 @@
 	})
 }
 
+// worldRowBytes bounds a row in the worlds. A few lost targets of each task outgrow it.
+const worldRowBytes = 1200
+
+// growProgress records lost targets, failed runs or saved states of a job's tasks, so that its row
+// grows.
+func (w *world) growProgress() {
+	shards, ids := w.runningJobs()
+	if len(ids) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(ids)-1).Draw(w.t, "grown job")
+	kind := rapid.SampledFrom([]string{"loss", "loss", "failure", "state"}).Draw(w.t, "fact")
+	shards[at].record(ids[at], func(p *Progress) {
+		if p.State.IsFinal() {
+			return
+		}
+		for task := range 4 {
+			switch kind {
+			case "loss":
+				p.addLoss(task, TargetLoss{Target: fmt.Sprint("target-", len(p.TargetLosses[task])), Incarnation: 1791181946123})
+			case "failure":
+				p.addFailures(task, 1)
+			case "state":
+				p.setSaved(task, fmt.Sprintf("%0100d", task))
+			}
+		}
+	}, nil)
+}
+
+// checkAllWritten checks that each owner writes all that it has recorded once the store works.
+func (w *world) checkAllWritten() {
+	for _, o := range w.owners {
+		for partition, s := range o.shards {
+			for range 60 {
+				changes := s.nextBatch(w.now)
+				if changes == nil {
+					break
+				}
+				written, err := w.store.Write(context.Background(), partitionName(partition), changes)
+				s.handleResult(w.now, written, err)
+				w.runCallbacks(s)
+			}
+			for id, e := range s.jobs {
+				must.Eq(w.t, e.recorded, e.written, must.Sprintf("the progress of %s is not written", id))
+			}
+		}
+	}
+}
+
 // shardsWithWrites lists the shards that have jobs to write, with their partitions.
 func (w *world) shardsWithWrites() (shards []*shard, partitions []int) {
 	for _, o := range w.allOwners() {
@@ -390,7 +454,9 @@
 		w := newWorld(rt)
 		for range rapid.IntRange(10, 120).Draw(rt, "steps") {
 			id := fmt.Sprintf("job%d", rapid.IntRange(0, 9).Draw(rt, "job"))
-			switch rapid.SampledFrom([]string{"accept", "accept", "note", "note", "write", "write", "write", "write", "late", "take over"}).Draw(rt, "action") {
+			switch rapid.SampledFrom([]string{"accept", "accept", "note", "note", "write", "write", "write", "write", "late", "take over", "grow", "grow"}).Draw(rt, "action") {
+			case "grow":
+				w.growProgress()
 			case "accept":
 				w.accept(id)
 			case "note":
@@ -404,5 +470,7 @@
 			}
 			w.checkInvariants()
 		}
+		w.store.failures = nil
+		w.checkAllWritten()
 	})
 }
--- a/jobstore/write.go
+++ b/jobstore/write.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// runSweeps has the rows of expired jobs removed until the context ends.
+// runSweeps has the rows of expired jobs removed, and refused rows written again, until the context ends.
 func (w *Writer) runSweeps(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -102,7 +102,7 @@
 		}
 		w.mu.Lock()
 		for _, s := range w.shards {
-			s.enqueueExpired(bootclock.Now())
+			s.enqueueDue(bootclock.Now())
 		}
 		w.mu.Unlock()
 		for _, wake := range w.wake {
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -1,6 +1,7 @@
 package jobstore
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -51,8 +52,10 @@
 	Incarnation uint64
 	// Retention is how long callers may ask for a job after its end.
 	Retention time.Duration
-	Log       *slog.Logger
-	// Count counts unreadable rows by table; it must not block.
+	// RowBytes bounds the value of a row; 0 stands for platform.DefaultRowBytes.
+	RowBytes int
+	Log      *slog.Logger
+	// Count counts unreadable rows by table, and rows that are too large; it must not block.
 	Count func(what, label string)
 	// Clock returns the store's clock.
 	Clock func() time.Duration
@@ -79,12 +82,29 @@
 	w := &Writer{options: o, store: store, number: lastWriter.Add(1)}
 	w.records = newTargetRecords(o, store, w.number)
 	for i := range w.shards {
-		w.shards[i] = newShard(o.Group, o.Incarnation, w.number)
+		w.shards[i] = w.newShard()
 		w.wake[i] = make(chan struct{}, 1)
 	}
 	return w
 }
 
+// newShard returns a shard without jobs and without a fence.
+func (w *Writer) newShard() *shard {
+	return newShard(w.options.Group, w.options.Incarnation, w.number, w.options.rowBytes(), w.reportRow)
+}
+
+// rowBytes is the most bytes of a row's value that a write can hold.
+func (o Options) rowBytes() int {
+	return min(cmp.Or(max(o.RowBytes, 0), platform.DefaultRowBytes), platform.MaxWriteBytes)
+}
+
+// reportRow logs and counts a job whose row the store doesn't take, or that doesn't hold all that is
+// known.
+func (w *Writer) reportRow(id string, err error) {
+	w.options.Count("rows_too_large", string(progressTable))
+	w.options.Log.Error("row of a job too large", "job", id, "error", err)
+}
+
 // TargetRecords returns the record of the targets at which tasks of the jobs may run.
 func (w *Writer) TargetRecords() *TargetRecords { return w.records }
 
@@ -145,6 +165,10 @@
 		onResult(NotStored)
 		return
 	}
+	if len(value) > w.options.rowBytes() {
+		onResult(TooLarge)
+		return
+	}
 	w.update(job.ID, func(s *shard) { s.accept(job.ID, value, onResult) })
 }
 
@@ -152,8 +176,7 @@
 func (w *Writer) RecordTaskDone(id string, task int, done func()) {
 	w.update(id, func(s *shard) {
 		s.record(id, func(p *Progress) {
-			p.Done = append(p.Done, task)
-			delete(p.Saved, task)
+			p.markDone(task)
 		}, done)
 	})
 }
@@ -162,11 +185,8 @@
 func (w *Writer) RecordTaskFailed(id string, task int, run int64, done func()) {
 	w.update(id, func(s *shard) {
 		s.record(id, func(p *Progress) {
-			if p.Failures == nil {
-				p.Failures, p.LastFailedRun = map[int]int{}, map[int]int64{}
-			}
-			p.Failures[task]++
-			p.LastFailedRun[task] = max(p.LastFailedRun[task], run)
+			p.addFailures(task, 1)
+			p.setLastFailed(task, run)
 		}, done)
 	})
 }
@@ -175,10 +195,7 @@
 func (w *Writer) RecordTargetLoss(id string, task int, loss TargetLoss) {
 	w.update(id, func(s *shard) {
 		s.record(id, func(p *Progress) {
-			if p.TargetLosses == nil {
-				p.TargetLosses = map[int][]TargetLoss{}
-			}
-			p.TargetLosses[task] = append(p.TargetLosses[task], loss)
+			p.addLoss(task, loss)
 		}, nil)
 	})
 }
@@ -187,10 +204,7 @@
 func (w *Writer) RecordSavedState(id string, task int, saved string) {
 	w.update(id, func(s *shard) {
 		s.record(id, func(p *Progress) {
-			if p.Saved == nil {
-				p.Saved = map[int]string{}
-			}
-			p.Saved[task] = saved
+			p.setSaved(task, saved)
 		}, nil)
 	})
 }
--- a/jobstore/writer_test.go
+++ b/jobstore/writer_test.go
@@ -29,6 +29,11 @@
 	return w, unfinished
 }
 
+// newTestShard returns a shard of group a without a fence.
+func newTestShard() *shard {
+	return newShard("a", 1, 1, platform.DefaultRowBytes, func(string, error) {})
+}
+
 // startWriter opens a writer that runs until the test ends.
 func startWriter(t *testing.T, store Store, group string, incarnation uint64, token int64) *Writer {
 	t.Helper()
@@ -178,12 +183,12 @@
 
 // The progress row of an ended job is removed once its retention is over, not before.
 func TestEndedJobIsRemovedAfterRetention(t *testing.T) {
-	s := newShard("a", 1, 1)
+	s := newTestShard()
 	s.fenceVersion = 1
 	s.add(testJob, 0, 7, Progress{Group: "a", State: work.StateCompleted}, time.Minute)
-	s.enqueueExpired(59 * time.Second)
+	s.enqueueDue(59 * time.Second)
 	must.Nil(t, s.nextBatch(59*time.Second))
-	s.enqueueExpired(61 * time.Second)
+	s.enqueueDue(61 * time.Second)
 	changes := s.nextBatch(61 * time.Second)
 	must.SliceLen(t, 2, changes)
 	must.Eq(t, platform.Change{Action: platform.ActionRemove, Table: progressTable, Key: testJob, Expected: 7}, changes[1])
@@ -194,7 +199,7 @@
 
 // A full batch stays within the most changes of one write.
 func TestBatchStaysWithinMaxChanges(t *testing.T) {
-	s := newShard("a", 1, 1)
+	s := newTestShard()
 	s.fenceVersion = 1
 	for i := range 100 {
 		id := string(rune('A' + i))
@@ -206,7 +211,7 @@
 
 // A change that is recorded while a write is in flight goes into the next write.
 func TestChangeDuringWriteGoesIntoNextWrite(t *testing.T) {
-	s := newShard("a", 1, 1)
+	s := newTestShard()
 	s.fenceVersion = 1
 	s.add(testJob, 5, 0, Progress{Group: "a", State: work.StateQueued}, 0)
 	notified := 0
--- a/lab/prepared/store.go
+++ b/lab/prepared/store.go
@@ -24,6 +24,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/burdockward/burdockward/link/linkpb"
+	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/platform/wire"
 )
 
@@ -333,7 +334,8 @@
 // the connection after the transaction was applied.
 func (s *Store) write(w http.ResponseWriter, r *http.Request) {
 	var tx wire.Transaction
-	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || json.Unmarshal(body, &tx) != nil || !isWithinLimits(tx, len(body)) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -348,6 +350,20 @@
 	}
 }
 
+// Limits of a transaction.
+const (
+	maxEntries    = 100
+	maxWriteBytes = 1 << 20
+)
+
+// isWithinLimits reports whether the store takes a transaction of so many bytes.
+func isWithinLimits(tx wire.Transaction, size int) bool {
+	tooLarge := slices.ContainsFunc(tx.Put, func(row wire.Row) bool {
+		return base64.StdEncoding.DecodedLen(len(row.Value)) > platform.DefaultRowBytes+2
+	})
+	return !tooLarge && size <= maxWriteBytes && len(tx.Expected)+len(tx.Put)+len(tx.Remove) <= maxEntries
+}
+
 // apply makes all changes of a transaction or, if a row does not have its expected version, none.
 // It returns the current rows among the expected ones, and whether the answer is to be lost.
 func (s *Store) apply(tx wire.Transaction) (current []wire.Row, applied, lost bool) {
--- a/node/owners.go
+++ b/node/owners.go
@@ -98,7 +98,8 @@
 		Delegate:     n.delegateOrHandOver, NeedsCapacity: n.heartbeats.RequestLoads, StoreClock: n.storeClock.nowIfKnown,
 		HasEnded: n.newEndedCheck(), Cordons: n.cordons.board.View, ConfirmCordons: n.confirmCordons, Profiles: n.profilesInForce, ConfirmClaim: n.keeper.ConfirmOwnership,
 		Jobs: jobstore.New(jobstore.Options{
-			Group: held.Group, VM: n.self.VM, Incarnation: n.self.Incarnation, Retention: n.options.Settings.JobRetention, Log: n.log, Count: n.options.Count, Clock: n.storeClock.now,
+			Group: held.Group, VM: n.self.VM, Incarnation: n.self.Incarnation, Retention: n.options.Settings.JobRetention,
+			RowBytes: n.options.Settings.RowBytes, Log: n.log, Count: n.options.Count, Clock: n.storeClock.now,
 		}, n.store),
 	}
 	if n.adviser != nil {
--- a/owner/durable.go
+++ b/owner/durable.go
@@ -182,6 +182,8 @@
 		return work.Outcome{Result: work.Accepted}
 	case jobstore.NotStored:
 		return work.Outcome{Result: work.Refused, Reason: "the store takes no jobs", RetryAfter: unstoredRetryAfter}
+	case jobstore.TooLarge:
+		return work.Outcome{Result: work.Refused, Reason: "the job doesn't fit a row of the store: submit fewer or smaller steps"}
 	default:
 		return work.Outcome{Result: work.Unknown, Reason: "another VM has taken over while the job was stored"}
 	}
