Fail no job for a loss that was only suspected

Callers saw: a job with a lasting task was shown as failed and its running task was stopped, though no run had failed and no executor had crashed.

Cause: a target that doesn't answer counts as lost under its tasks at once, and that suspicion was stored as a fact. The store kept it when the target answered again, a successor took each stored loss for one under a run that had begun, and confirmed it as soon as the target wasn't known any more.

Fix, for the class of suspicions that are stored as facts: - The store has for each loss whether the run had begun and whether the incarnation has certainly ended, and a loss that turns out to be none is removed: when the target answers again, drains, or its task is cleared. - A successor counts only confirmed losses. One whose target has been gone since before it began stays undecided: the task runs isolated, and no job fails for it. - A target that is silent and not listed may be cut off from the registry as well. Under a durable job's task that is confirmed only after 20 s; with three such losses the task waits for the verdict. Such a target that returns in the same incarnation clears the losses, confirmed ones too.

Rows of older builds count as unconfirmed.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -75,7 +75,7 @@
 	EndedAt time.Duration `json:"ended,omitempty"`
 }
 
-// TargetLoss is the loss of a target while a task ran on it.
+// TargetLoss is the loss of a target while a task ran on it. There is one for each incarnation.
 type TargetLoss struct {
 	Target string `json:"target"`
 	// Incarnation is when the target's process started, in milliseconds since 1970; 0 where the
@@ -85,6 +85,15 @@
 	// Isolated reports that the task had the target to itself.
 	Correlated bool `json:"excused,omitempty"`
 	Isolated   bool `json:"alone,omitempty"`
+	// Begun reports that the run was known to have started. Confirmed reports that the incarnation has
+	// certainly ended; until then the target may only have been out of reach.
+	Begun     bool `json:"begun,omitempty"`
+	Confirmed bool `json:"confirmed,omitempty"`
+}
+
+// isSame reports whether two records are of the loss of one incarnation.
+func (l TargetLoss) isSame(other TargetLoss) bool {
+	return l.Target == other.Target && l.Incarnation == other.Incarnation
 }
 
 // validate reports why a job read under a key can't be run: another writer may have left a row
--- a/jobstore/progress.go
+++ b/jobstore/progress.go
@@ -160,7 +160,8 @@
 
 func compareLosses(a, b TargetLoss) int {
 	return cmp.Or(cmp.Compare(a.Target, b.Target), cmp.Compare(a.Incarnation, b.Incarnation),
-		compareBool(a.Correlated, b.Correlated), compareBool(a.Isolated, b.Isolated))
+		compareBool(a.Correlated, b.Correlated), compareBool(a.Isolated, b.Isolated),
+		compareBool(a.Begun, b.Begun), compareBool(a.Confirmed, b.Confirmed))
 }
 
 // compareBool orders false before true.
@@ -198,13 +199,25 @@
 	p.LastFailedRun[task] = max(p.LastFailedRun[task], run)
 }
 
+// addLoss records a loss in place of an earlier record of it.
 func (p *Progress) addLoss(task int, loss TargetLoss) {
+	p.removeLoss(task, loss)
 	if p.TargetLosses == nil {
 		p.TargetLosses = map[int][]TargetLoss{}
 	}
 	p.TargetLosses[task] = append(p.TargetLosses[task], loss)
 }
 
+// removeLoss removes the record of a loss.
+func (p *Progress) removeLoss(task int, loss TargetLoss) {
+	rest := slices.DeleteFunc(p.TargetLosses[task], loss.isSame)
+	if len(rest) > 0 {
+		p.TargetLosses[task] = rest
+	} else {
+		delete(p.TargetLosses, task)
+	}
+}
+
 func (p *Progress) setSaved(task int, state string) {
 	if p.Saved == nil {
 		p.Saved = map[int]string{}
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -191,7 +191,8 @@
 	})
 }
 
-// RecordTargetLoss records the loss of a target while a task ran on it.
+// RecordTargetLoss records the loss of a target while a task ran on it, in place of an earlier record
+// of the same loss.
 func (w *Writer) RecordTargetLoss(id string, task int, loss TargetLoss) {
 	w.update(id, func(s *shard) {
 		s.record(id, func(p *Progress) {
@@ -200,6 +201,13 @@
 	})
 }
 
+// RecordTargetCleared removes the record of a loss that doesn't count against the task.
+func (w *Writer) RecordTargetCleared(id string, task int, loss TargetLoss) {
+	w.update(id, func(s *shard) {
+		s.record(id, func(p *Progress) { p.removeLoss(task, loss) }, nil)
+	})
+}
+
 // RecordSavedState records the state that a task has saved.
 func (w *Writer) RecordSavedState(id string, task int, saved string) {
 	w.update(id, func(s *shard) {
--- a/owner/durable.go
+++ b/owner/durable.go
@@ -148,6 +148,8 @@
 		o.options.Jobs.RecordTaskFailed(e.Job, e.Task, e.Run, func() { o.completionRecorded(ctx, e.Completion) })
 	case scheduler.TaskCrashed:
 		o.options.Jobs.RecordTargetLoss(e.Job, e.Task, jobstore.TargetLoss(e.Crash))
+	case scheduler.TaskCleared:
+		o.options.Jobs.RecordTargetCleared(e.Job, e.Task, jobstore.TargetLoss(e.Crash))
 	case scheduler.TaskSaved:
 		o.options.Jobs.RecordSavedState(e.Job, e.Task, e.Saved)
 	case scheduler.JobEnded:
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -390,7 +390,7 @@
 			o.giveUpPart(e)
 		case scheduler.Answer:
 			o.answerCaller(e)
-		case scheduler.StoreJob, scheduler.TaskDone, scheduler.TaskFailed, scheduler.TaskCrashed, scheduler.TaskSaved, scheduler.JobEnded:
+		case scheduler.StoreJob, scheduler.TaskDone, scheduler.TaskFailed, scheduler.TaskCrashed, scheduler.TaskCleared, scheduler.TaskSaved, scheduler.JobEnded:
 			o.record(ctx, e)
 		case scheduler.RecordTarget, scheduler.ForgetTarget:
 			o.recordTarget(ctx, e)
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -18,7 +18,11 @@
 // Only one loss of each task is left out like this.
 //
 // A silent target may only be cut off. Its loss counts as provisional until the target answers in
-// the same incarnation, and confirms nothing before that incarnation has certainly ended.
+// the same incarnation, and confirms nothing before that incarnation has certainly ended. The
+// registry drops a target that is cut off from it as well, so for durable jobs a target that is only
+// silent and not listed counts as gone after absenceTimeout. The store has a loss as provisional too,
+// until it is confirmed there or removed: a successor that can't find out what became of the target
+// keeps the task isolated, but fails no job for it.
 
 // Parameters of losses and poison tasks.
 const (
@@ -42,6 +46,9 @@
 	// lossTimeout is how long the loss of a silent target may still be confirmed: by then the
 	// registry has dropped the entry of a target that is gone.
 	lossTimeout = 6 * time.Second
+	// absenceTimeout is how long a target that is silent and not listed may yet return: it outlasts a
+	// partition after which a target still has its runs.
+	absenceTimeout = 20 * time.Second
 	// lossRetention is how long tasks and jobs are remembered beyond their job's end, in case
 	// they are handed in again. maxRemembered bounds how many.
 	lossRetention = time.Minute
@@ -53,11 +60,13 @@
 	Crash
 	// at is when the loss was noticed; after is how long the run had been in progress by then.
 	at, after time.Duration
-	// begun says that the run was known to have started.
-	begun bool
-	// confirmed says that the incarnation has certainly ended, cleared that it goes on.
-	confirmed, cleared bool
-	task               *task
+	// cleared says that the incarnation goes on, undecided that it can't be found out: the target has
+	// been gone since before this owner began.
+	cleared, undecided bool
+	// absentSince is when the target was given up although nothing shows that its incarnation has
+	// ended; 0 if it wasn't.
+	absentSince time.Duration
+	task        *task
 }
 
 // Crash names the incarnation of a target that was lost under a task. Incarnation is 0 if the
@@ -68,6 +77,14 @@
 	// Correlated marks a correlated loss. Isolated says that the task ran isolated there, and was
 	// known to have started.
 	Correlated, Isolated bool
+	// Begun says that the run was known to have started, Confirmed that the incarnation has certainly
+	// ended.
+	Begun, Confirmed bool
+}
+
+// isSame reports whether two records are of the loss of the same incarnation.
+func (c Crash) isSame(other Crash) bool {
+	return c.Target == other.Target && c.Incarnation == other.Incarnation
 }
 
 // targetLossEvent is a target that fell silent or whose incarnation ended.
@@ -85,6 +102,9 @@
 	events []targetLossEvent
 	// unresolved holds the losses by target, as long as they may be confirmed or cleared.
 	unresolved map[string][]*targetLoss
+	// confirmed holds the confirmed losses by target, as long as the jobs go on: a target that was
+	// given up may return.
+	confirmed map[string][]*targetLoss
 	// awaitingClaim holds the tasks whose jobs fail once the claim is confirmed.
 	awaitingClaim []*task
 	// endedTasks holds tasks of callers' jobs that have ended, by task name. poisoned holds why
@@ -106,17 +126,26 @@
 }
 
 func newLossTracker() lossTracker {
-	return lossTracker{unresolved: map[string][]*targetLoss{}, endedTasks: map[string]endedTask{}, poisoned: map[string]poisonedJob{}}
+	return lossTracker{unresolved: map[string][]*targetLoss{}, confirmed: map[string][]*targetLoss{}, endedTasks: map[string]endedTask{}, poisoned: map[string]poisonedJob{}}
 }
 
-// TaskCrashed has the store record a target that was lost under a task.
+// TaskCrashed has the store record a target that was lost under a task, in place of an earlier
+// record of the same loss.
 type TaskCrashed struct {
 	Job  string
 	Task int
 	Crash
 }
 
+// TaskCleared has the store remove the record of a loss that doesn't count against its task.
+type TaskCleared struct {
+	Job  string
+	Task int
+	Crash
+}
+
 func (TaskCrashed) effect() {}
+func (TaskCleared) effect() {}
 
 // currentLosses returns the task's losses that were not cleared.
 func (t *task) currentLosses() []*targetLoss {
@@ -127,11 +156,38 @@
 // isSuspect reports whether a target was lost under the task, and the loss was not cleared.
 func (t *task) isSuspect() bool { return len(t.losses) > 0 && len(t.currentLosses()) > 0 }
 
-// hasUnresolvedLoss reports whether a task with lossesToFail losses has to wait until all of them
-// are confirmed or cleared.
+// decidedLosses returns the losses that count towards failing the job, or may do so yet.
+func (t *task) decidedLosses() []*targetLoss {
+	var decided []*targetLoss
+	for _, loss := range t.currentLosses() {
+		if !loss.undecided {
+			decided = append(decided, loss)
+		}
+	}
+	return decided
+}
+
+// confirmedLosses returns the losses of targets whose incarnations have certainly ended.
+func (t *task) confirmedLosses() []*targetLoss {
+	var confirmed []*targetLoss
+	for _, loss := range t.currentLosses() {
+		if loss.Confirmed {
+			confirmed = append(confirmed, loss)
+		}
+	}
+	return confirmed
+}
+
+// hasUnresolvedLoss reports whether a task with lossesToFail losses has to wait until none of them is
+// provisional, or one with maxLosses losses until no target may return.
 func (t *task) hasUnresolvedLoss() bool {
-	losses := t.currentLosses()
-	return len(losses) >= lossesToFail && slices.ContainsFunc(losses, func(loss *targetLoss) bool { return !loss.confirmed })
+	losses := t.decidedLosses()
+	provisional, absent := false, false
+	for _, loss := range losses {
+		absent = absent || loss.absentSince > 0
+		provisional = provisional || !loss.Confirmed && loss.absentSince == 0
+	}
+	return len(losses) >= lossesToFail && provisional || len(losses) >= maxLosses && absent
 }
 
 // recordTargetLoss remembers what ran on a target that fell silent or whose incarnation ended.
@@ -147,30 +203,95 @@
 	s.crashes.events = append(s.crashes.events, event)
 }
 
-// clearTargetLoss clears the losses of a silent target that answers again in the same incarnation.
+// clearTargetLoss clears the losses of a target that answers in the same incarnation: one that was
+// silent, or one that had been given up.
 func (s *State) clearTargetLoss(t *target) {
-	if !t.presumedLost {
-		return
+	if t.presumedLost {
+		t.presumedLost = false
+		s.crashes.events = slices.DeleteFunc(s.crashes.events, func(e targetLossEvent) bool { return e.target == t.ID })
+		s.clearUnresolved(t.ID)
 	}
-	t.presumedLost = false
-	s.crashes.events = slices.DeleteFunc(s.crashes.events, func(e targetLossEvent) bool { return e.target == t.ID })
-	for _, loss := range s.crashes.unresolved[t.ID] {
-		loss.cleared = true
-		s.enqueue(loss.task.job)
+	for _, loss := range slices.Concat(s.crashes.unresolved[t.ID], s.crashes.confirmed[t.ID]) {
+		if loss.Incarnation == t.Incarnation {
+			s.clearLoss(loss)
+		}
+	}
+	s.crashes.forgetCleared(t.ID)
+}
+
+// forgetCleared forgets the cleared losses of a target.
+func (c *lossTracker) forgetCleared(target string) {
+	for _, losses := range []map[string][]*targetLoss{c.unresolved, c.confirmed} {
+		rest := slices.DeleteFunc(losses[target], func(loss *targetLoss) bool { return loss.cleared })
+		if len(rest) > 0 {
+			losses[target] = rest
+		} else {
+			delete(losses, target)
+		}
+	}
+}
+
+// clearUnresolved clears the unresolved losses of a target.
+func (s *State) clearUnresolved(target string) {
+	for _, loss := range s.crashes.unresolved[target] {
+		s.clearLoss(loss)
+	}
+	delete(s.crashes.unresolved, target)
+}
+
+// clearLoss drops a loss that doesn't count against its task, here and in the store.
+func (s *State) clearLoss(loss *targetLoss) {
+	loss.cleared = true
+	s.enqueue(loss.task.job)
+	if loss.task.job.stored && !loss.task.job.ended {
+		s.emit(TaskCleared{Job: loss.task.job.sub.Job.ID, Task: loss.task.index, Crash: loss.Crash})
 	}
-	delete(s.crashes.unresolved, t.ID)
 }
 
 // endIncarnation confirms the losses of a target whose incarnation has certainly ended, and
-// records one for each task that still runs there.
+// records one for each task that still runs there. A draining target was still up after it had been
+// silent, and ends as planned.
 func (s *State) endIncarnation(now time.Duration, t *target) {
 	s.settle(now, t.ID, "its incarnation has ended")
+	if t.Draining {
+		s.clearUnresolved(t.ID)
+	}
+	s.recordTargetLoss(now, t)
+	for _, r := range t.sortedRuns() {
+		s.recordTaskLossAs(now, r, true)
+	}
+	t.presumedLost = false
+	s.confirmLosses(now, t.ID)
+}
+
+// endAbsent records the losses of a target that is silent and that the registry doesn't list any more.
+// Those of durable jobs' tasks are confirmed only if it stays away.
+func (s *State) endAbsent(now time.Duration, t *target) {
+	if t.Draining {
+		s.endIncarnation(now, t)
+		return
+	}
+	s.settle(now, t.ID, "it is not listed any more")
 	s.recordTargetLoss(now, t)
 	for _, r := range t.sortedRuns() {
 		s.recordTaskLoss(now, r)
 	}
 	t.presumedLost = false
+	var absent, ended []*targetLoss
+	for _, loss := range s.crashes.unresolved[t.ID] {
+		if loss.task.job.isDurable() {
+			loss.absentSince = now
+			absent = append(absent, loss)
+			s.enqueue(loss.task.job)
+		} else {
+			ended = append(ended, loss)
+		}
+	}
+	s.crashes.unresolved[t.ID] = ended
 	s.confirmLosses(now, t.ID)
+	if len(absent) > 0 {
+		s.crashes.unresolved[t.ID] = absent
+	}
 }
 
 // confirmLosses marks a target's losses as confirmed and fails the jobs that are poisoned by them.
@@ -178,18 +299,26 @@
 	losses := s.crashes.unresolved[target]
 	delete(s.crashes.unresolved, target)
 	for _, loss := range losses {
-		loss.confirmed = true
+		s.crashes.confirmed[target] = append(s.crashes.confirmed[target], loss)
+		loss.absentSince = 0
+		if !loss.Confirmed {
+			loss.Confirmed = true
+			s.storeLoss(loss.task, loss.Crash)
+		}
 	}
 	for _, loss := range losses {
 		s.failIfPoisoned(now, loss.task)
 	}
 }
 
-// recordTaskLoss records the loss of a run's target against the run's task, or as the task's one
+// recordTaskLoss records the loss of a run's target that may yet answer again.
+func (s *State) recordTaskLoss(now time.Duration, r *run) { s.recordTaskLossAs(now, r, false) }
+
+// recordTaskLossAs records the loss of a run's target against the run's task, or as the task's one
 // correlated loss. The loss of a draining target doesn't count. A run that either of two incarnations
 // may have started was in one of them at most, so it counts one loss however often its target
 // restarts.
-func (s *State) recordTaskLoss(now time.Duration, r *run) {
+func (s *State) recordTaskLossAs(now time.Duration, r *run, confirmed bool) {
 	t, tk := r.target, r.task
 	if tk.done || tk.job.dropped || s.leaving || t.Draining || !t.presumedLost || r.loss != nil && !r.loss.cleared {
 		return
@@ -202,7 +331,7 @@
 		s.rememberLosses(now, tk)
 		return
 	}
-	loss := &targetLoss{Crash: Crash{Target: t.ID, Incarnation: t.Incarnation, Isolated: r.isolated && !r.sharing && r.state == running}, at: now, after: now - r.ordered, begun: r.state == running, task: tk}
+	loss := &targetLoss{Crash: Crash{Target: t.ID, Incarnation: t.Incarnation, Isolated: r.isolated && !r.sharing && r.state == running, Begun: r.state == running, Confirmed: confirmed}, at: now, after: now - r.ordered, task: tk}
 	r.loss, tk.step.hasSuspects = loss, true
 	tk.losses = append(tk.currentLosses(), loss)
 	s.crashes.unresolved[t.ID] = append(s.crashes.unresolved[t.ID], loss)
@@ -243,13 +372,13 @@
 
 // isPoison reports whether a task has crashed as many targets as it may.
 func (t *task) isPoison() bool {
-	losses := t.currentLosses()
+	losses := t.confirmedLosses()
 	if len(losses) < lossesToFail || t.hasUnresolvedLoss() {
 		return false
 	}
 	begun := 0
 	for _, loss := range losses {
-		begun += boolToInt(loss.begun)
+		begun += boolToInt(loss.Begun)
 	}
 	return len(losses) >= maxLosses || begun >= lossesToFail && losses[len(losses)-1].Isolated
 }
@@ -275,7 +404,7 @@
 	if tk.job.ended || !tk.isPoison() {
 		return
 	}
-	losses := tk.currentLosses()
+	losses := tk.confirmedLosses()
 	if !s.hadClaimAt(losses[len(losses)-1].at) {
 		if !slices.Contains(s.crashes.awaitingClaim, tk) {
 			s.crashes.awaitingClaim = append(s.crashes.awaitingClaim, tk)
@@ -339,16 +468,24 @@
 }
 
 // restoreStoredLosses restores the losses of a previous owner's task from the store. Whether the
-// targets' incarnations have ended is still to be found out.
+// targets' incarnations have ended is still to be found out where that owner had not.
 func (s *State) restoreStoredLosses(now time.Duration, tk *task, targets []Crash) {
 	for _, c := range targets {
 		if c.Correlated {
 			tk.correlatedLosses++
 			continue
 		}
-		loss := &targetLoss{Crash: c, at: now, begun: true, task: tk}
+		loss := &targetLoss{Crash: c, at: now, task: tk}
 		tk.losses, tk.step.hasSuspects = append(tk.losses, loss), true
-		s.crashes.unresolved[c.Target] = append(s.crashes.unresolved[c.Target], loss)
+		if c.Confirmed {
+			s.crashes.confirmed[c.Target] = append(s.crashes.confirmed[c.Target], loss)
+		} else {
+			s.crashes.unresolved[c.Target] = append(s.crashes.unresolved[c.Target], loss)
+		}
+	}
+	if tk.isPoison() {
+		// retryVerdicts ends the job.
+		s.crashes.awaitingClaim = append(s.crashes.awaitingClaim, tk)
 	}
 }
 
@@ -358,19 +495,25 @@
 	c := &s.crashes
 	c.events = slices.DeleteFunc(c.events, func(e targetLossEvent) bool { return now-e.at > correlationWindow+lossTimeout })
 	for _, target := range slices.Sorted(maps.Keys(c.unresolved)) {
-		t := s.targets[target]
+		t, first := s.targets[target], c.unresolved[target][0]
+		overdue := now-first.at > lossTimeout
 		switch {
-		case t == nil && s.registryRead, t != nil && c.unresolved[target][0].Incarnation < t.Incarnation:
+		case t != nil && first.Incarnation < t.Incarnation:
 			s.confirmLosses(now, target)
-		case t != nil && now-c.unresolved[target][0].at > lossTimeout:
+		case t != nil && overdue:
 			// The registry still lists the target, so its incarnation goes on.
-			for _, loss := range c.unresolved[target] {
-				loss.cleared = true
-				s.enqueue(loss.task.job)
+			s.clearUnresolved(target)
+		case t == nil && first.absentSince > 0:
+			if now-first.absentSince > absenceTimeout {
+				s.confirmLosses(now, target)
 			}
-			delete(c.unresolved, target)
+		case t == nil && s.registryRead && overdue:
+			s.leaveUndecided(target)
 		}
 	}
+	maps.DeleteFunc(c.confirmed, func(_ string, losses []*targetLoss) bool {
+		return !slices.ContainsFunc(losses, func(loss *targetLoss) bool { return !loss.cleared && !loss.task.done && !loss.task.job.ended })
+	})
 	for name, past := range c.endedTasks {
 		if now-past.at > lossRetention {
 			delete(c.endedTasks, name)
@@ -382,3 +525,13 @@
 		}
 	}
 }
+
+// leaveUndecided gives up finding out whether a target's incarnation ended under the tasks. The target
+// was lost under a previous owner and is gone: it may have crashed then, or left as planned later.
+func (s *State) leaveUndecided(target string) {
+	for _, loss := range s.crashes.unresolved[target] {
+		loss.undecided = true
+		s.enqueue(loss.task.job)
+	}
+	delete(s.crashes.unresolved, target)
+}
--- a/scheduler/fake_target_test.go
+++ b/scheduler/fake_target_test.go
@@ -208,6 +208,17 @@
 	return tasks
 }
 
+// leave has a target report that it is draining and end a while later, as planned; a new target takes
+// its place.
+func (t *fakeTarget) leave(after time.Duration) {
+	if t.down || t.draining {
+		return
+	}
+	t.draining = true
+	t.announce(10 * ms)
+	t.world.after(after, t.crash)
+}
+
 // crash ends a target's process; a new target takes its place.
 func (t *fakeTarget) crash() {
 	if t.down {
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -151,6 +151,9 @@
 
 // clearSuspect drops the losses that count against the task of a run.
 func (s *State) clearSuspect(now time.Duration, r *run) {
+	for _, loss := range r.task.currentLosses() {
+		s.clearLoss(loss)
+	}
 	r.task.losses = nil
 	r.endIsolation()
 	s.emit(LogEvent{Message: "task cleared", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: r.target.ID, Age: now - r.ordered})
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -255,6 +255,7 @@
 	}
 	if entry.Draining && !t.Draining {
 		s.emit(LogEvent{Message: "target is draining", Target: entry.ID})
+		s.clearUnresolved(entry.ID)
 	}
 	if entry.Capacity != t.registryCapacity {
 		t.registryCapacity = entry.Capacity
@@ -293,7 +294,7 @@
 	late := now-t.unlistedSince > unlistedTimeout
 	switch {
 	case t.hasNoRuns() && (late || t.state == silent), late && t.failedPolls >= silentPolls && s.hasOnlyExpiredRuns(now, t):
-		s.loseTarget(now, t, "it is not listed any more")
+		s.loseAbsentTarget(now, t)
 	case late && !t.retired:
 		t.retired = true
 		s.emit(LogEvent{Message: "target takes no new tasks", Target: t.ID, Detail: "it is not listed any more", Age: now - t.unlistedSince})
@@ -320,8 +321,20 @@
 
 // loseTarget ends a target's incarnation and loses all its runs.
 func (s *State) loseTarget(now time.Duration, t *target, why string) {
-	s.emit(LogEvent{Message: "target lost", Target: t.ID, Detail: why, Age: now - t.lease.readAt})
 	s.endIncarnation(now, t)
+	s.loseRunsOf(now, t, why)
+}
+
+// loseAbsentTarget gives up a target that is silent and that the registry doesn't list any more, and loses
+// all its runs. Its incarnation may go on, out of reach.
+func (s *State) loseAbsentTarget(now time.Duration, t *target) {
+	s.endAbsent(now, t)
+	s.loseRunsOf(now, t, "it is not listed any more")
+}
+
+// loseRunsOf drops a target and loses all its runs.
+func (s *State) loseRunsOf(now time.Duration, t *target, why string) {
+	s.emit(LogEvent{Message: "target lost", Target: t.ID, Detail: why, Age: now - t.lease.readAt})
 	for _, r := range t.sortedRuns() {
 		s.loseRun(now, r, why)
 	}
