Move durable jobs to the failure domain that can run them

Cause: a durable job was bound to the group that had accepted it. Its tasks aren't delegated, since only its owner may record them, and its group in the store never changed.

Fix, for jobs that are bound to one failure domain: when no target of the group can hold a task whose turn has come for 1.5 s, and targets of another, uncordoned one can, the whole job moves. One write under this owner's fence names the new group in both of the job's rows and adds a row to the table `moves`, which owners follow; the new owner reads the job and continues it. An owner that begins later finds it by its group. Weighed: to delegate tasks (two owners would record one job, and a completion could be acknowledged before it is recorded), to notify by a call between VMs (lost with either VM). A job moves only while no run of it can be in progress: no target of the group is silent or being taken over. It isn't cancelled or failed meanwhile.

With the search switched off TestJobMovesWhereItsLabelIs and TestFailedMoveIsTriedAgain fail. TestFuzzDurableJobs now also draws moves and adoptions under lost, late and rejected writes, and checks that each stored job has one owner in the end. Its owners' rows now name their Writer, as real ones do.

Not covered: a job of which one task runs here while another one's label is only elsewhere, and a group that could hold the task but is full for good.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -52,6 +52,8 @@
 	// Incarnation is that of the owner that accepted the job, Writer the number of its Writer.
 	Incarnation uint64 `json:"life"`
 	Writer      uint64 `json:"writer,omitempty"`
+	// Moves counts the moves of the job from one group to another.
+	Moves int `json:"moves,omitempty"`
 	// Arrived is when the caller sent the job, on the store's clock.
 	Arrived time.Duration `json:"arrived"`
 }
--- /dev/null
+++ b/jobstore/move_test.go
@@ -0,0 +1,89 @@
+package jobstore
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// follow has a writer adopt jobs until the test ends.
+func follow(t *testing.T, w *Writer) <-chan DurableJob {
+	adopted := make(chan DurableJob, 8)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.FollowMoves(ctx, func(job DurableJob) { adopted <- job })
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return adopted
+}
+
+// A job that moves to another group is known to its owner alone, with all that was recorded before.
+func TestMovedJobIsAdopted(t *testing.T) {
+	store := newFakeStore()
+	a, b := startWriter(t, store, "a", 1, 1), startWriter(t, store, "b", 2, 2)
+	adopted := follow(t, b)
+	must.Eq(t, Stored, acceptJob(a, testJob))
+	a.RecordTaskFailed(testJob, 1, 7, nil)
+	recorded := make(chan struct{})
+	a.RecordTaskDone(testJob, 0, func() { close(recorded) })
+	moved := make(chan bool, 1)
+	a.Move(t.Context(), testJob, "b", func(ok bool) { moved <- ok })
+	must.True(t, <-moved)
+	<-recorded
+	job := <-adopted
+	must.Eq(t, testJob, job.Job.ID)
+	must.Eq(t, []int{0}, job.Progress.Done)
+	must.Eq(t, map[int]int{1: 1}, job.Progress.Failures)
+	_, known := a.State(testJob)
+	must.False(t, known)
+	must.Eq(t, AlreadyStored, acceptJob(a, testJob))
+	awaitStored(func(done func()) { b.RecordEnd(testJob, work.StateCompleted, done) })
+	state, _ := b.State(testJob)
+	must.Eq(t, work.StateCompleted, state)
+	must.True(t, eventually(func() bool {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return len(store.table(PartitionOf(testJob), movesTable)) == 0
+	}))
+}
+
+// Successors of both owners find a moved job in its new group, also if nobody has adopted it yet.
+func TestSuccessorsFindMovedJob(t *testing.T) {
+	store := newFakeStore()
+	a := startWriter(t, store, "a", 1, 1)
+	must.Eq(t, Stored, acceptJob(a, testJob))
+	moved := make(chan bool, 1)
+	a.Move(t.Context(), testJob, "b", func(ok bool) { moved <- ok })
+	must.True(t, <-moved)
+	_, unfinished := openWriter(t, store, "a", 3, 3)
+	must.SliceEmpty(t, unfinished)
+	next, unfinished := openWriter(t, store, "b", 4, 4)
+	must.SliceLen(t, 1, unfinished)
+	adopted := follow(t, next)
+	must.True(t, eventually(func() bool {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return len(store.table(PartitionOf(testJob), movesTable)) == 0
+	}))
+	must.Eq(t, 0, len(adopted))
+}
+
+// A previous owner that doesn't know of its successor can't give a job away.
+func TestPreviousOwnerCannotMoveJobs(t *testing.T) {
+	store := newFakeStore()
+	previous := startWriter(t, store, "a", 1, 1)
+	must.Eq(t, Stored, acceptJob(previous, testJob))
+	openWriter(t, store, "a", 2, 2)
+	previous.Move(t.Context(), testJob, "b", func(bool) {})
+	must.True(t, eventually(previous.IsSuperseded))
+	_, unfinished := openWriter(t, store, "b", 3, 3)
+	must.SliceEmpty(t, unfinished)
+}
--- a/jobstore/shard.go
+++ b/jobstore/shard.go
@@ -55,9 +55,11 @@
 	inFlight int
 	// endInFlight reports that the write in flight holds the job's end.
 	endInFlight bool
-	waiters     []waiter
-	onResult    func(AcceptResult)
-	queued      bool
+	// move is set while the job is being given to another group.
+	move     *outgoingMove
+	waiters  []waiter
+	onResult func(AcceptResult)
+	queued   bool
 	// alone reports that the store has refused a write with this job, so that the next one holds no
 	// other. refusedUntil is when the job is written again after such a write, on the boot clock.
 	alone        bool
@@ -286,6 +288,9 @@
 	if e.isExpired(now) {
 		return []platform.Change{{Action: platform.ActionRemove, Table: progressTable, Key: e.id, Expected: e.progressVersion}}, nil
 	}
+	if e.move != nil {
+		return e.moveChanges(rowBytes)
+	}
 	value, omitted, err := e.progress.encode(rowBytes)
 	if err != nil {
 		return nil, err
@@ -376,6 +381,8 @@
 	switch {
 	case !e.isStored:
 		s.markStored(e, version)
+	case e.move != nil && e.move.inFlight:
+		s.handleMoved(e, e.inFlight)
 	case e.isExpired(now):
 		delete(s.jobs, e.id)
 	default:
@@ -417,7 +424,7 @@
 
 // handleConflict updates the jobs of a batch from the current rows, after one was not as expected.
 func (s *shard) handleConflict(now time.Duration, sent []*trackedJob, current []platform.Row) {
-	rows := map[platform.Table]map[string]platform.Row{jobsTable: {}, progressTable: {}, fencesTable: {}}
+	rows := map[platform.Table]map[string]platform.Row{jobsTable: {}, progressTable: {}, fencesTable: {}, movesTable: {}}
 	for _, row := range current {
 		if rows[row.Table] != nil && !row.Deleted && row.Version > 0 {
 			rows[row.Table][row.Key] = row
@@ -428,6 +435,10 @@
 		return
 	}
 	for _, e := range sent {
+		if e.move != nil && e.move.inFlight {
+			s.reconcileMove(e, rows[jobsTable][e.id], rows[progressTable][e.id], rows[movesTable][e.id])
+			continue
+		}
 		s.reconcile(now, e, rows[jobsTable][e.id], rows[progressTable][e.id])
 	}
 }
--- a/jobstore/world_test.go
+++ b/jobstore/world_test.go
@@ -170,6 +170,26 @@
 	return rows, nil
 }
 
+// Feed returns the rows of a table that are newer than a version, and waits for one if there is none.
+func (f *fakeStore) Feed(ctx context.Context, table platform.Table, after int64, wait time.Duration) (platform.Rows, error) {
+	for end := time.Now().Add(wait); ; sleep(ctx, 5*time.Millisecond) {
+		f.mu.Lock()
+		rows := platform.Rows{Version: f.version}
+		for _, tables := range f.rows {
+			for _, row := range tables[table] {
+				if row.Version > after {
+					rows.Rows = append(rows.Rows, row)
+				}
+			}
+		}
+		f.mu.Unlock()
+		if len(rows.Rows) > 0 || ctx.Err() != nil || time.Now().After(end) {
+			slices.SortFunc(rows.Rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+			return rows, ctx.Err()
+		}
+	}
+}
+
 // progress reads a job's progress row.
 func (f *fakeStore) progress(id string) (Progress, bool) {
 	rows, _ := f.Get(context.Background(), progressTable, PartitionOf(id), id)
@@ -182,6 +202,7 @@
 
 // fakeOwner is an owner with its shards; the test decides when it writes.
 type fakeOwner struct {
+	writer      *Writer
 	shards      [Partitions]*shard
 	incarnation uint64
 }
@@ -228,7 +249,7 @@
 	}, w.store)
 	unfinished, err := writer.Open(context.Background(), int64(w.lastIncarnation))
 	must.NoError(w.t, err)
-	w.owners[group] = &fakeOwner{shards: writer.shards, incarnation: w.lastIncarnation}
+	w.owners[group] = &fakeOwner{writer: writer, shards: writer.shards, incarnation: w.lastIncarnation}
 	for _, job := range unfinished {
 		for task := range w.done[job.Job.ID] {
 			must.SliceContains(w.t, job.Progress.Done, task)
@@ -274,7 +295,7 @@
 		return
 	}
 	s := w.pickOwner("accept").shardOf(id)
-	value, _ := json.Marshal(AcceptedJob{Job: work.Job{ID: id}, Group: s.group, Incarnation: s.incarnation})
+	value, _ := json.Marshal(AcceptedJob{Job: work.Job{ID: id}, Group: s.group, Incarnation: s.incarnation, Writer: s.writer})
 	s.accept(id, value, func(r AcceptResult) {
 		w.results[id] = append(w.results[id], r)
 		switch r {
@@ -317,6 +338,10 @@
 	at := rapid.IntRange(0, len(ids)-1).Draw(w.t, "job")
 	s, id := shards[at], ids[at]
 	if rapid.IntRange(0, 2).Draw(w.t, "end") == 0 {
+		if s.jobs[id].move != nil {
+			// The scheduler ends no job while it moves.
+			return
+		}
 		s.record(id, func(p *Progress) { *p = Progress{Group: p.Group, State: work.StateCompleted} }, func() {
 			p, ok := w.store.progress(id)
 			must.True(w.t, ok && p.State == work.StateCompleted)
@@ -336,6 +361,60 @@
 	})
 }
 
+// moveJob has an owner give a job to the other group.
+func (w *world) moveJob() {
+	shards, ids := w.runningJobs()
+	if len(ids) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(ids)-1).Draw(w.t, "moving job")
+	s, id := shards[at], ids[at]
+	for _, o := range w.allOwners() {
+		if o.shardOf(id) != s || s.jobs[id].move != nil {
+			continue
+		}
+		to := map[string]string{"a": "b", "b": "a"}[s.group]
+		m, err := o.writer.prepareMove(context.Background(), id, to)
+		if err != nil {
+			return
+		}
+		m.onResult = func(bool) {}
+		s.move(id, m)
+		w.runCallbacks(s)
+	}
+}
+
+// adoptJobs has an owner adopt the jobs that were given to its group.
+func (w *world) adoptJobs(o *fakeOwner) {
+	rows, _, err := o.writer.readMoves(context.Background(), 0)
+	must.NoError(w.t, err)
+	for _, row := range rows {
+		_ = o.writer.adoptRow(context.Background(), row, func(job DurableJob) {
+			for task := range w.done[job.Job.ID] {
+				must.SliceContains(w.t, job.Progress.Done, task)
+			}
+			_, ended := w.ended[job.Job.ID]
+			must.False(w.t, ended)
+		})
+	}
+}
+
+// checkEachJobHasOneOwner checks that each stored job that hasn't ended belongs to one owner.
+func (w *world) checkEachJobHasOneOwner() {
+	for id := range w.store.everStored {
+		if p, ok := w.store.progress(id); ok && p.State.IsFinal() {
+			continue
+		}
+		owners := 0
+		for _, o := range w.owners {
+			if o.shardOf(id).jobs[id] != nil {
+				owners++
+			}
+		}
+		must.Eq(w.t, 1, owners, must.Sprintf("%s has %d owners", id, owners))
+	}
+}
+
 // worldRowBytes bounds a row in the worlds. A few lost targets of each task outgrow it.
 const worldRowBytes = 1200
 
@@ -454,7 +533,12 @@
 		w := newWorld(rt)
 		for range rapid.IntRange(10, 120).Draw(rt, "steps") {
 			id := fmt.Sprintf("job%d", rapid.IntRange(0, 9).Draw(rt, "job"))
-			switch rapid.SampledFrom([]string{"accept", "accept", "note", "note", "write", "write", "write", "write", "late", "take over", "grow", "grow"}).Draw(rt, "action") {
+			switch rapid.SampledFrom([]string{"accept", "accept", "note", "note", "write", "write", "write", "write", "late", "take over", "grow", "grow", "move", "adopt"}).Draw(rt, "action") {
+			case "move":
+				w.moveJob()
+			case "adopt":
+				w.store.failures = nil
+				w.adoptJobs(w.pickOwner("adopt"))
 			case "grow":
 				w.growProgress()
 			case "accept":
@@ -472,5 +556,12 @@
 		}
 		w.store.failures = nil
 		w.checkAllWritten()
+		for len(w.store.delayed) > 0 {
+			w.store.applyDelayed()
+		}
+		w.adoptJobs(w.owners["a"])
+		w.adoptJobs(w.owners["b"])
+		w.checkAllWritten()
+		w.checkEachJobHasOneOwner()
 	})
 }
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -25,6 +25,7 @@
 	Write(ctx context.Context, partition string, changes []platform.Change) (platform.WriteResult, error)
 	ReadPartition(ctx context.Context, table platform.Table, partition string) (platform.Rows, error)
 	Get(ctx context.Context, table platform.Table, partition, key string) (platform.Rows, error)
+	Feed(ctx context.Context, table platform.Table, after int64, wait time.Duration) (platform.Rows, error)
 }
 
 // Times of a Writer.
--- a/owner/cordon.go
+++ b/owner/cordon.go
@@ -19,6 +19,7 @@
 		}
 		o.cordonsVersion = view.Version
 		o.state.CordonReported(now, view.IsCordoned(o.options.FailureDomain))
+		o.state.SetCordonedDomains(view.Domains)
 	})
 }
 
--- a/owner/durable.go
+++ b/owner/durable.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +82,9 @@
 		jobs, err := o.options.Jobs.Open(ctx, o.token.Load())
 		if err == nil {
 			o.post(ctx, func(now time.Duration) { o.resumeJobs(now, jobs) })
+			o.options.Jobs.FollowMoves(ctx, func(job jobstore.DurableJob) {
+				o.post(ctx, func(now time.Duration) { o.adoptJob(now, job) })
+			})
 			return
 		}
 		if !logged {
@@ -97,19 +101,38 @@
 func (o *Owner) resumeJobs(now time.Duration, jobs []jobstore.DurableJob) {
 	o.durable.accepting = true
 	o.options.Log.Info("kept jobs taken over", "group", o.options.Group, "jobs", len(jobs))
-	clock, _ := o.options.StoreClock()
 	for _, job := range jobs {
-		o.lastRef++
-		o.state.ResumeJob(now, scheduler.Submission{
-			Ref: o.lastRef, Job: job.Job, Queue: job.Queue, Age: max(clock-job.Arrived, 0),
-		}, scheduler.Progress{
-			Done: job.Progress.Done, Fails: job.Progress.Failures, LastFailed: job.Progress.LastFailedRun, Saved: job.Progress.Saved,
-			Crashed: schedulerCrashes(job.Progress.TargetLosses),
-		})
+		o.resumeJob(now, job)
 	}
 	o.state.FinishResume(now)
 }
 
+// resumeJob continues a durable job from what the store has of it.
+func (o *Owner) resumeJob(now time.Duration, job jobstore.DurableJob) {
+	clock, _ := o.options.StoreClock()
+	o.lastRef++
+	o.state.ResumeJob(now, scheduler.Submission{
+		Ref: o.lastRef, Job: job.Job, Queue: job.Queue, Age: max(clock-job.Arrived, 0),
+	}, scheduler.Progress{
+		Done: job.Progress.Done, Fails: job.Progress.Failures, LastFailed: job.Progress.LastFailedRun, Saved: job.Progress.Saved,
+		Crashed: schedulerCrashes(job.Progress.TargetLosses),
+	})
+}
+
+// moveJob gives a durable job to another group and notifies the State of the result.
+func (o *Owner) moveJob(ctx context.Context, e scheduler.MoveJob) {
+	o.options.Jobs.Move(ctx, e.Job, e.Group, func(moved bool) {
+		o.options.Count("job_moves", strconv.FormatBool(moved))
+		o.post(ctx, func(time.Duration) { o.state.HandleJobMoved(e.Job, moved) })
+	})
+}
+
+// adoptJob continues a durable job that another group has given to this one.
+func (o *Owner) adoptJob(now time.Duration, job jobstore.DurableJob) {
+	o.options.Log.Info("job adopted from another failure domain", "group", o.options.Group, "job", job.Job.ID)
+	o.resumeJob(now, job)
+}
+
 // schedulerCrashes converts the stored target losses, by task, to the scheduler's type.
 func schedulerCrashes(stored map[int][]jobstore.TargetLoss) map[int][]scheduler.Crash {
 	crashes := map[int][]scheduler.Crash{}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -392,6 +392,8 @@
 			o.answerCaller(e)
 		case scheduler.StoreJob, scheduler.TaskDone, scheduler.TaskFailed, scheduler.TaskCrashed, scheduler.TaskCleared, scheduler.TaskSaved, scheduler.JobEnded:
 			o.record(ctx, e)
+		case scheduler.MoveJob:
+			go o.moveJob(ctx, e)
 		case scheduler.RecordTarget, scheduler.ForgetTarget:
 			o.recordTarget(ctx, e)
 		case scheduler.LogEvent:
--- a/owner/reader.go
+++ b/owner/reader.go
@@ -17,8 +17,10 @@
 	domain string
 	// known holds the entry of each target as of the last read.
 	known map[string]work.Target
-	log   *slog.Logger
-	count func(what, label string)
+	// foreign holds the entries of other failure domains' targets as of the last read.
+	foreign map[string]work.Target
+	log     *slog.Logger
+	count   func(what, label string)
 }
 
 // registryChanges is what has changed in the registry.
@@ -28,6 +30,8 @@
 	// snapshot is set if all rows were read; present then holds all targets of the domain.
 	snapshot bool
 	present  map[string]bool
+	// foreign are the changes to targets of other failure domains.
+	foreign []targetChange
 }
 
 // targetChange is the change of one entry.
@@ -38,7 +42,9 @@
 }
 
 // isEmpty reports whether there is nothing to apply.
-func (n registryChanges) isEmpty() bool { return !n.snapshot && len(n.changes) == 0 }
+func (n registryChanges) isEmpty() bool {
+	return !n.snapshot && len(n.changes) == 0 && len(n.foreign) == 0
+}
 
 // maxUnreadableRowLogs bounds the log lines on unreadable rows of one read. Hundreds of them
 // would use up the log's limit, so that other lines of that second would be dropped.
@@ -51,10 +57,17 @@
 		r.known = map[string]work.Target{}
 		n.present = map[string]bool{}
 	}
+	unlisted := map[string]bool{}
+	if n.snapshot {
+		for id := range r.foreign {
+			unlisted[id] = true
+		}
+	}
 	unreadable := 0
 	for _, row := range update.Rows.Rows {
 		if row.Deleted {
 			r.remove(&n, row.Key)
+			r.removeForeign(&n, row.Key)
 			continue
 		}
 		target, err := platform.DecodeTarget(row.Key, row.Value)
@@ -65,12 +78,19 @@
 				r.log.Warn("row not understood", "table", platform.TargetsTable, "key", row.Key, "version", row.Version, "error", err)
 			}
 			r.remove(&n, row.Key)
+			r.removeForeign(&n, row.Key)
 		case target.FailureDomain != r.domain:
 			r.remove(&n, row.Key)
+			r.addForeign(&n, target)
+			delete(unlisted, row.Key)
 		default:
+			r.removeForeign(&n, row.Key)
 			r.addIfChanged(&n, target)
 		}
 	}
+	for id := range unlisted {
+		r.removeForeign(&n, id)
+	}
 	if unreadable > maxUnreadableRowLogs {
 		r.log.Warn("more rows not understood", "table", platform.TargetsTable, "rows", unreadable-maxUnreadableRowLogs)
 	}
@@ -90,6 +110,28 @@
 	n.changes = append(n.changes, targetChange{id: target.ID, target: &target})
 }
 
+// addForeign adds another failure domain's target to the changes if it is new or has changed.
+func (r *registryReader) addForeign(n *registryChanges, target work.Target) {
+	last, known := r.foreign[target.ID]
+	if known && sameTarget(last, target) {
+		return
+	}
+	if r.foreign == nil {
+		r.foreign = map[string]work.Target{}
+	}
+	r.foreign[target.ID] = target
+	n.foreign = append(n.foreign, targetChange{id: target.ID, target: &target})
+}
+
+// removeForeign adds to the changes that an entry describes no target of another failure domain any
+// more, if it did before.
+func (r *registryReader) removeForeign(n *registryChanges, id string) {
+	if _, known := r.foreign[id]; known {
+		delete(r.foreign, id)
+		n.foreign = append(n.foreign, targetChange{id: id})
+	}
+}
+
 // sameTarget reports whether two entries of a target, the older one first, are equal. Progress
 // of the warm-up is no change.
 func sameTarget(a, b work.Target) bool {
--- a/owner/registry.go
+++ b/owner/registry.go
@@ -53,6 +53,13 @@
 		o.registry.listed[c.id] = *c.target
 		o.addTarget(now, *c.target)
 	}
+	for _, c := range n.foreign {
+		if c.target == nil {
+			o.state.ForeignTargetUnlisted(c.id)
+		} else {
+			o.state.ForeignTargetListed(*c.target)
+		}
+	}
 	if n.snapshot {
 		o.registry.snapshotRead = true
 		o.state.RegistryRead()
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -401,7 +401,7 @@
 // failIfPoisoned fails the job of a task that has crashed as many targets as it may. The task isn't
 // started again while that waits for the claim.
 func (s *State) failIfPoisoned(now time.Duration, tk *task) {
-	if tk.job.ended || !tk.isPoison() {
+	if tk.job.ended || tk.job.moving || !tk.isPoison() {
 		return
 	}
 	losses := tk.confirmedLosses()
--- a/scheduler/durable.go
+++ b/scheduler/durable.go
@@ -112,7 +112,7 @@
 // JobEnded reports its end.
 func (s *State) CancelDurable(now time.Duration, id string) bool {
 	j := s.jobsByKey[id]
-	if j == nil || !j.stored {
+	if j == nil || !j.stored || j.moving {
 		return false
 	}
 	j.cancelled = true
--- /dev/null
+++ b/scheduler/move_test.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// newLabelledHarness returns a harness with two usable targets of this group, of which t00 has the
+// label, and a target of another failure domain with it.
+func newLabelledHarness(t *testing.T) *harness {
+	b := newHarness(t, Options{})
+	b.s.FinishResume(b.now)
+	b.s.RegistryRead()
+	for id, labels := range map[string][]string{"t00": {"b", "r1"}, "t01": {"a", "r1"}} {
+		b.listTarget(work.Target{ID: id, Labels: labels, Capacity: work.Resources{CPU: 4}})
+		b.effects()
+		b.answerPoll(id, work.PollAnswer{ClockMS: 5000})
+	}
+	b.s.ForeignTargetListed(work.Target{ID: "x", Service: "s", FailureDomain: "hall-b", Labels: []string{"b", "r9"}, Capacity: work.Resources{CPU: 4}})
+	return b
+}
+
+// startLabelled has a stored job run whose steps need the given labels, and returns its starts.
+func (b *harness) startLabelled(labels ...string) []StartRun {
+	var steps []work.Step
+	for _, label := range labels {
+		steps = append(steps, work.Step{Tasks: 1, PerTask: work.Resources{CPU: 1}, Lasting: true, RequiredLabel: label})
+	}
+	starts := pickEffects[StartRun](b.acceptAndStore(b.jobOfSteps("j", steps...)))
+	b.confirmStarts(starts)
+	return starts
+}
+
+// removeLabelled has the target with the label drain and leave.
+func (b *harness) removeLabelled() {
+	entry := b.s.targets["t00"].Target
+	entry.Draining = true
+	b.s.TargetListed(b.now, entry)
+	b.s.loseTarget(b.now, b.s.targets["t00"], "it has left")
+}
+
+// tick advances the time in steps of 20 ms in which the targets answer polls, and returns the effects.
+func (b *harness) tick(length time.Duration) []Effect {
+	var all []Effect
+	for end := b.now + length; b.now < end; {
+		effects := b.advance(20 * ms)
+		for _, poll := range pickEffects[Poll](effects) {
+			b.answerPoll(poll.To.ID, work.PollAnswer{ClockMS: 5000 + b.now.Milliseconds()})
+		}
+		all = append(all, effects...)
+	}
+	return all
+}
+
+// A durable job whose label only targets of another failure domain have any more moves there.
+func TestJobMovesWhereItsLabelIs(t *testing.T) {
+	b := newLabelledHarness(t)
+	must.SliceLen(t, 1, b.startLabelled("b"))
+	must.SliceEmpty(t, pickEffects[MoveJob](b.tick(2*moveDelay)))
+	b.removeLabelled()
+	moves := pickEffects[MoveJob](b.tick(moveDelay + 2*moveCheckInterval))
+	must.Eq(t, []MoveJob{{Job: "j", Group: "hall-b"}}, moves)
+	must.False(t, b.s.CancelDurable(b.now, "j"), must.Sprint("the job is cancelled here while it moves"))
+	b.s.HandleJobMoved("j", true)
+	must.MapNotContainsKey(t, b.s.jobsByKey, "j")
+}
+
+// A job whose move can't be stored goes on where it is, and moves later.
+func TestFailedMoveIsTriedAgain(t *testing.T) {
+	b := newLabelledHarness(t)
+	b.startLabelled("b")
+	b.removeLabelled()
+	must.SliceLen(t, 1, pickEffects[MoveJob](b.tick(moveDelay+2*moveCheckInterval)))
+	b.s.HandleJobMoved("j", false)
+	must.SliceLen(t, 1, pickEffects[MoveJob](b.tick(moveDelay+2*moveCheckInterval)))
+	b.s.HandleJobMoved("j", false)
+	b.listTarget(work.Target{ID: "t02", Labels: []string{"b", "r2"}, Capacity: work.Resources{CPU: 4}})
+	b.effects()
+	b.answerPoll("t02", work.PollAnswer{ClockMS: 5000})
+	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
+}
+
+// No job moves while a run of it may be in progress, while no other domain can run it, or to a
+// cordoned domain.
+func TestJobStaysInItsDomain(t *testing.T) {
+	for name, c := range map[string]struct {
+		labels  []string
+		prepare func(b *harness)
+	}{
+		"runs":          {[]string{"b", "a"}, func(*harness) {}},
+		"silent target": {[]string{"b"}, func(b *harness) { b.s.targets["t01"].state = silent }},
+		"cordoned":      {[]string{"b"}, func(b *harness) { b.s.SetCordonedDomains([]string{"hall-b"}) }},
+		"draining":      {[]string{"b"}, func(b *harness) { b.s.foreign.targets["x"] = work.Target{ID: "x", Service: "s", Draining: true} }},
+		"gone":          {[]string{"b"}, func(b *harness) { b.s.ForeignTargetUnlisted("x") }},
+		"too small": {[]string{"b"}, func(b *harness) {
+			b.s.ForeignTargetListed(work.Target{ID: "x", Service: "s", FailureDomain: "hall-b", Labels: []string{"b"}})
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newLabelledHarness(t)
+			b.startLabelled(c.labels...)
+			b.removeLabelled()
+			c.prepare(b)
+			var moves []MoveJob
+			for range 15 {
+				moves = append(moves, pickEffects[MoveJob](b.advance(200*ms))...)
+			}
+			must.SliceEmpty(t, moves)
+		})
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -85,7 +85,7 @@
 // that was taken over starts while a target may have more completions of previous owners than it has
 // listed, or a run of a previous owner.
 func (s *State) placeJob(now time.Duration, j *job, failed *failedPlacements) {
-	if s.stoppingRuns[j.sub.Job.ID] > 0 || s.hasEarlierRequest(j) || !s.hasKeepalive(now, j) || !s.mayStartNow(now, j) {
+	if j.moving || s.stoppingRuns[j.sub.Job.ID] > 0 || s.hasEarlierRequest(j) || !s.hasKeepalive(now, j) || !s.mayStartNow(now, j) {
 		return
 	}
 	for _, st := range j.currentSteps() {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -180,6 +180,7 @@
 	adoption      adoption
 	cordon        cordon
 	crashes       lossTracker
+	foreign       foreignTargets
 	evidence      evidence
 	// lateCompletions holds, for each durable job whose end is being written to the store, the
 	// completions that arrived after its end.
@@ -243,6 +244,7 @@
 		resend:                newResendPolicy(o.SendOnce),
 		cordon:                cordon{known: !o.AwaitCordon},
 		crashes:               newLossTracker(),
+		foreign:               foreignTargets{targets: map[string]work.Target{}},
 		evidence:              newEvidence(),
 		listedAtStart:         map[string]int64{},
 		succession:            succession{unsettled: map[string]work.Target{}},
@@ -349,6 +351,7 @@
 	s.expireGivenUp(now)
 	s.evidence.expire(now)
 	s.tickLosses(now)
+	s.moveMisplaced(now)
 	s.expirePredecessors(now)
 	s.checkClaim(now)
 	s.retryAwaitingClaim(now)
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -272,6 +272,11 @@
 		}
 		return
 	}
+	if j.moving {
+		// The new owner doesn't learn of it, so it must not be acknowledged.
+		t.unrecorded[end.Number] = true
+		return
+	}
 	for _, task := range j.tasks {
 		if task.name == end.Run.Task && task.run == nil {
 			t.unrecorded[end.Number] = true
