Keep heartbeats within a datagram

All processes were sound.

Cause: the owner's answer to a heartbeat carried the pending jobs of all queues. Beyond 8 KB the reader's buffer cut it off, it could not be decoded and was dropped, so the owner counted as silent; its successor read the same jobs and fell silent as well. The same held for the loads of some hundred services.

Fix: pending jobs beyond 900 bytes are sent in pages, in the order of the queues' names. The entry VM's next ping names the last queue that it has, so that a lost datagram delays one page, and the counts are used once all pages are there, after 20 pings at most (a second) up to 120 KB. An answer that still exceeds a datagram leaves out pending jobs and then loads: whether an owner counts as alive doesn't depend on how much it has to report. Readers take datagrams of up to 60 KB. VMs of older builds get a first page, which fits their buffer, and take it for all queues.

--- a/heartbeat/heartbeat.go
+++ b/heartbeat/heartbeat.go
@@ -27,8 +27,9 @@
 	"github.com/burdockward/burdockward/link/linkpb"
 )
 
-// maxDatagram bounds the datagrams that are read; pings and pongs have a few hundred bytes.
-const maxDatagram = 8 << 10
+// maxDatagram bounds the datagrams that are sent and read. Most pings and pongs have a few hundred
+// bytes; one whose load names many services may have some thousand.
+const maxDatagram = 60 << 10
 
 // Self describes this VM in its pings and answers.
 type Self struct {
@@ -61,6 +62,8 @@
 	ReceiveLoads(owner uint64, loads []*linkpb.Load)
 	// ReportLateHeartbeat takes an unusually long gap between two heartbeats of a VM.
 	ReportLateHeartbeat(vm string, gap time.Duration)
+	// ReportLargeHeartbeat takes that an answer didn't hold all that this VM has to report.
+	ReportLargeHeartbeat()
 	// Cordons returns the cordoned failure domains; nil before they are known.
 	Cordons() *linkpb.Cordons
 	// ReceiveCordons takes the cordoned failure domains that another VM reports.
@@ -212,7 +215,7 @@
 			Vm: s.self.VM, Life: s.self.Incarnation, FailureDomain: s.self.FailureDomain,
 			Stamp: v.Timestamp, OwnerLife: incarnation, ConfigurationVersion: version,
 			CpuShare: share, Leaving: leaving, Control: s.self.ControlAddress, Heartbeat: s.self.HeartbeatAddress,
-			Cordons: cordons, ProfilesVersion: profiles,
+			Cordons: cordons, ProfilesVersion: profiles, PendingAfter: v.pages.last,
 		}
 		if v.SameGroup {
 			ping.DeclaredCpuShare, ping.Sockets, ping.LinkMbps = s.self.Limits.DeclaredCPUShare, s.self.Limits.Sockets, s.self.Limits.LinkMbps
@@ -278,15 +281,20 @@
 func (s *Service) receive(ctx context.Context) error {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
+		err := s.receiveOne(buffer)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if err != nil || n == 0 {
-			continue
-		}
+	}
+}
+
+// receiveOne waits for a datagram and handles it.
+func (s *Service) receiveOne(buffer []byte) error {
+	n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
+	if err == nil && n > 0 {
 		s.handleDatagram(buffer[0], buffer[1:n], from)
 	}
+	return err
 }
 
 // handleDatagram decodes a ping or a pong and passes it on; it drops all else.
@@ -342,11 +350,15 @@
 	pong := &linkpb.Pong{
 		Vm: s.self.VM, Life: s.self.Incarnation, Stamp: int64(bootclock.Now()), Control: s.self.ControlAddress,
 		ConfigurationVersion: s.listener.ConfigurationVersion(), Loads: s.listener.Loads(),
-		Owned: s.listener.Claim(), Pending: s.listener.PendingJobs(),
+		Owned:   s.listener.Claim(),
 		Cordons: s.listener.Cordons(), ProfilesVersion: s.listener.ProfilesVersion(),
 	}
+	pong.Pending, pong.PendingPage = pendingPage(s.listener.PendingJobs(), ping.GetPendingAfter())
 	if ping.GetFailureDomain() == s.self.FailureDomain {
 		pong.Succession = s.listener.Succession()
 	}
+	if fitDatagram(pong, func(p *linkpb.Pong) int { return 1 + proto.Size(p) }, maxDatagram) {
+		s.listener.ReportLargeHeartbeat()
+	}
 	s.writeTo(from, pong)
 }
--- a/heartbeat/peertable.go
+++ b/heartbeat/peertable.go
@@ -123,6 +123,8 @@
 	pingedSince time.Duration
 	// cancelAlive ends View.Alive.
 	cancelAlive context.CancelFunc
+	// pages collects the owner's pending jobs.
+	pages pendingPages
 	// hasClaim says that the owner still holds a claim.
 	hasClaim bool
 }
@@ -169,11 +171,23 @@
 	v.Timestamp = pong.GetStamp()
 	v.LastHeard = now
 	v.Loads = pong.GetLoads()
-	v.PendingJobs = pong.GetPending()
+	v.recordPending(pong)
 	v.ConfigurationVersion, v.ProfilesVersion = pong.GetConfigurationVersion(), pong.GetProfilesVersion()
 	return gap
 }
 
+// recordPending takes the pending jobs of an owner's answer.
+func (v *view) recordPending(pong *linkpb.Pong) {
+	page := pong.GetPendingPage()
+	if page == nil {
+		v.PendingJobs, v.pages = pong.GetPending(), pendingPages{}
+		return
+	}
+	if pending, complete := v.pages.take(pong.GetPending(), page); complete {
+		v.PendingJobs = pending
+	}
+}
+
 // giveUp has the next pings to an owner name a request.
 func (t *peerTable) giveUp(now time.Duration, owner uint64, given GivenUp) {
 	requests := t.givenUp[owner]
--- a/heartbeat/peertable_test.go
+++ b/heartbeat/peertable_test.go
@@ -142,6 +142,7 @@
 func (silentListener) Cordons() *linkpb.Cordons                  { return nil }
 func (silentListener) ReceiveCordons(string, *linkpb.Cordons)    {}
 func (silentListener) ReportLateHeartbeat(string, time.Duration) {}
+func (silentListener) ReportLargeHeartbeat()                     {}
 func (silentListener) Succession() *linkpb.Succession            { return nil }
 func (silentListener) ReceiveSuccession(uint64, *linkpb.Succession) {
 }
--- a/node/listener.go
+++ b/node/listener.go
@@ -43,6 +43,9 @@
 	return loads
 }
 
+// ReportLargeHeartbeat implements heartbeat.Listener.
+func (n *Node) ReportLargeHeartbeat() { n.options.Count("heartbeats_cut", "pong") }
+
 // PendingJobs implements heartbeat.Listener.
 func (n *Node) PendingJobs() map[string]int32 {
 	if o := n.currentOwner(); o != nil {
