Ask for moved jobs again soon after an unanswered call

Cause: the feed of moved jobs waited for 10 s at the store. A call that is made in the last moments of an outage in which the store is silent is never answered, so a job that moved just after it would have been adopted up to 10.5 s later, beside the 6 s that a lasting task may be away.

Change: it waits for 2 s, so that the next call is made 2.5 s later at the latest.

Evidence: TestMovedJobIsAdoptedAfterUnansweredFeed fails with 10 s and passes with 2 s.

--- a/jobstore/move.go
+++ b/jobstore/move.go
@@ -133,8 +133,10 @@
 
 // Times of following the moves.
 const (
-	// moveWait is how long a call waits for moved jobs, moveRetryDelay the pause after a failed one.
-	moveWait       = 10 * time.Second
+	// moveWait is how long a call waits for moved jobs. A call that the store never answers, as in an
+	// outage in which it is silent, is given up platform.FeedMargin later, and a task waits for that
+	// long. moveRetryDelay is the pause after a failed call.
+	moveWait       = 2 * time.Second
 	moveRetryDelay = 500 * time.Millisecond
 )
 
--- a/jobstore/move_test.go
+++ b/jobstore/move_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/work"
 )
 
@@ -87,3 +91,39 @@
 	_, unfinished := openWriter(t, store, "b", 3, 3)
 	must.SliceEmpty(t, unfinished)
 }
+
+// silentStore leaves the first request to the feed unanswered, as an outage does in which the store
+// takes requests and answers none.
+type silentStore struct {
+	*fakeStore
+	asked atomic.Int32
+}
+
+func (f *silentStore) Feed(ctx context.Context, table platform.Table, after int64, wait time.Duration) (platform.Rows, error) {
+	if f.asked.Add(1) == 1 {
+		ctx, cancel := context.WithTimeout(ctx, wait+platform.FeedMargin)
+		defer cancel()
+		<-ctx.Done()
+		return platform.Rows{}, platform.ErrStoreUnavailable.Errorf("no answer")
+	}
+	return f.fakeStore.Feed(ctx, table, after, wait)
+}
+
+// A job that moves while the last request to the feed stays unanswered is adopted before its tasks
+// count as lost.
+func TestMovedJobIsAdoptedAfterUnansweredFeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		a := startWriter(t, store, "a", 1, 1)
+		b := startWriter(t, &silentStore{fakeStore: store}, "b", 2, 2)
+		must.Eq(t, Stored, acceptJob(a, testJob))
+		adopted := follow(t, b)
+		synctest.Wait()
+		moved := make(chan bool, 1)
+		a.Move(t.Context(), testJob, "b", func(ok bool) { moved <- ok })
+		must.True(t, <-moved)
+		began := time.Now()
+		<-adopted
+		must.LessEq(t, 3500*time.Millisecond, time.Since(began))
+	})
+}
