--- a/jobstore/move_test.go
+++ b/jobstore/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -127,3 +128,41 @@
 		must.LessEq(t, 3500*time.Millisecond, time.Since(began))
 	})
 }
+
+// A move whose answer was lost is not written again over what became of the job since: it has ended in
+// its new group, or has come back.
+func TestRetriedMoveSparesLaterRows(t *testing.T) {
+	for name, c := range map[string]struct {
+		job      *AcceptedJob
+		progress Progress
+	}{
+		"ended":     {nil, Progress{Group: "b", State: work.StateCompleted}},
+		"came back": {&AcceptedJob{Group: "a", Moves: 2}, Progress{Group: "a", State: work.StateQueued, Done: []int{1}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := newFakeStore()
+			s := storedShard(store, "j")
+			moved := false
+			job, _ := json.Marshal(AcceptedJob{Group: "b", Moves: 1})
+			s.move("j", &outgoingMove{group: "b", number: 1, job: job, row: []byte("{}"), onResult: func(ok bool) { moved = ok }})
+			changes := s.nextBatch(0)
+			_, err := store.apply(partitionName(0), changes)
+			must.NoError(t, err)
+			s.handleResult(0, platform.WriteResult{}, platform.ErrWriteUnconfirmed.Errorf("no answer"))
+			progress, _ := json.Marshal(c.progress)
+			later := []platform.Change{
+				{Action: platform.ActionRemove, Table: jobsTable, Key: "j", Expected: store.version},
+				{Table: progressTable, Key: "j", Value: progress, Expected: store.version},
+			}
+			if c.job != nil {
+				value, _ := json.Marshal(*c.job)
+				later[0] = platform.Change{Table: jobsTable, Key: "j", Value: value, Expected: store.version}
+			}
+			_, err = store.apply(partitionName(0), later)
+			must.NoError(t, err)
+			writeAll(s, store, 0, 4)
+			must.True(t, moved)
+			must.Eq(t, progress, store.table(partitionName(0), progressTable)["j"].Value)
+		})
+	}
+}
