Adopt no job whose move from here is unconfirmed

Cause: an owner that still waited for the answer to a move took the job's return for one that it knew already and removed the row of the moves table; then it learned that its own move had been applied, and forgot the job. The job stood still until the next takeover. It needs a job to come back before its move is confirmed, as in an outage of the store.

--- a/jobstore/move.go
+++ b/jobstore/move.go
@@ -215,9 +215,10 @@
 	switch e := s.jobs[id]; {
 	case s.superseded:
 		return DurableJob{}, false, ErrSuperseded.Errorf("job %s is not adopted: step down", id)
-	case e != nil && !e.isStored:
-		// A caller has sent the job here as well. Its write is about to show that the job exists.
-		return DurableJob{}, false, platform.ErrStoreUnavailable.Errorf("job %s is being stored: adopt it later", id)
+	case e != nil && (!e.isStored || e.move != nil):
+		// A caller has sent the job here as well, or the job comes back before its move from here is
+		// confirmed. The next answer of the store has it forgotten here.
+		return DurableJob{}, false, platform.ErrStoreUnavailable.Errorf("job %s is being written: adopt it later", id)
 	case e != nil:
 		return DurableJob{}, false, nil
 	}
--- a/jobstore/progress.go
+++ b/jobstore/progress.go
@@ -83,47 +83,43 @@
 	compact := p.compact()
 	saved := compact.Saved
 	compact.Saved = nil
-	for {
-		value, err = json.Marshal(compact)
-		if err != nil {
-			return nil, 0, err
-		}
-		if len(value) <= limit {
-			break
-		}
+	value, err = json.Marshal(compact)
+	for err == nil && len(value) > limit {
 		if len(compact.LossSets) == 0 {
 			return nil, 0, ErrRowTooLarge.Errorf("the progress of %d tasks takes %d bytes, a row takes %d: submit smaller jobs", len(p.Done)+len(p.Failures), len(value), limit)
 		}
-		last := len(compact.LossSets) - 1
-		omitted += len(compact.LossSets[last].Tasks.tasks())
-		compact.LossSets = compact.LossSets[:last]
+		omitted += compact.dropLastLosses()
+		value, err = json.Marshal(compact)
 	}
-	var room int
-	compact.Saved, room = fittingStates(saved, limit-len(value))
-	omitted += len(saved) - len(compact.Saved)
-	if room == 0 {
-		return value, omitted, nil
+	if err != nil {
+		return nil, 0, err
 	}
+	compact.Saved = fittingStates(saved, limit-len(value))
+	omitted += len(saved) - len(compact.Saved)
 	value, err = json.Marshal(compact)
 	return value, omitted, err
 }
 
-// fittingStates returns the saved states that fit a number of bytes as JSON, and what they take.
-func fittingStates(saved map[int]string, room int) (fitting map[int]string, used int) {
-	const fieldBytes = len(`"saved":{},`)
-	used = fieldBytes
-	fitting = map[int]string{}
+// fittingStates returns the saved states that fit a number of bytes as JSON.
+func fittingStates(saved map[int]string, room int) map[int]string {
+	room -= len(`"saved":{},`)
+	fitting := map[int]string{}
 	for _, task := range slices.Sorted(maps.Keys(saved)) {
 		entry, err := json.Marshal(map[int]string{task: saved[task]})
-		if err == nil && used+len(entry) <= room {
+		if err == nil && len(entry) <= room {
 			fitting[task] = saved[task]
-			used += len(entry)
+			room -= len(entry)
 		}
 	}
-	if len(fitting) == 0 {
-		return nil, 0
-	}
-	return fitting, used
+	return fitting
+}
+
+// dropLastLosses leaves out the last set of losses and returns how many losses it had.
+func (s *storedProgress) dropLastLosses() int {
+	last := len(s.LossSets) - 1
+	dropped := len(s.LossSets[last].Tasks.tasks())
+	s.LossSets = s.LossSets[:last]
+	return dropped
 }
 
 // compact returns the progress with sets of tasks in place of lists by task. The losses of most
--- a/jobstore/shard.go
+++ b/jobstore/shard.go
@@ -249,33 +249,6 @@
 	return changes
 }
 
-// valueBytes is the size of the values that changes write.
-func valueBytes(changes []platform.Change) int {
-	n := 0
-	for _, c := range changes {
-		n += len(c.Value)
-	}
-	return n
-}
-
-// refusedRetryDelay is how long a job whose row the store doesn't take waits for its next write.
-const refusedRetryDelay = 10 * time.Second
-
-// postpone has a job wait whose row the store doesn't take, so that it delays no other job.
-func (s *shard) postpone(now time.Duration, e *trackedJob, err error) {
-	e.refusedUntil = now + refusedRetryDelay
-	s.addCallback(func() { s.reportRow(e.id, err) })
-}
-
-// reportOmitted reports once that a job's row doesn't hold all that is known of its tasks.
-func (s *shard) reportOmitted(e *trackedJob) {
-	if e.omitted > 0 && !e.omissionReported {
-		e.omissionReported = true
-		err := ErrRowTooLarge.Errorf("%d facts about the tasks left out of a row of %d bytes: submit smaller jobs", e.omitted, s.rowBytes)
-		s.addCallback(func() { s.reportRow(e.id, err) })
-	}
-}
-
 // nextChanges returns the changes of the next write of a job: first its jobs row, later its
 // progress, at last the removal of the progress row. A value has at most rowBytes bytes.
 func (e *trackedJob) nextChanges(now time.Duration, rowBytes int) ([]platform.Change, error) {
@@ -330,25 +303,6 @@
 	}
 }
 
-// handleRefused takes the answer that the store never takes a write like this one. The jobs of the
-// batch are written again, each alone; one that is refused alone is postponed, or dropped if it
-// is new.
-func (s *shard) handleRefused(now time.Duration, sent []*trackedJob, err error) {
-	if len(sent) == 1 {
-		e := sent[0]
-		if e.isStored || e.unconfirmedWrites > 0 {
-			s.postpone(now, e, err)
-		} else {
-			s.handleNotWritten(e)
-		}
-		return
-	}
-	for _, e := range sent {
-		e.alone = true
-		s.enqueue(e)
-	}
-}
-
 // maxUnconfirmedWrites is the number of lost answers after which the caller of a new job gets
 // Unconfirmed. A single answer is lost now and then.
 const maxUnconfirmedWrites = 2
