Test that misbehaving clients can't end or block a process

Cause: callers are assumed to stay inside the limits. Nothing bounds what one process holds for all its clients together, and several waits for a client have no end.

Change: crowds of clients that send unfinished bodies, headers and calls, bodies whose decoded form is many times as large, jobs of the most tasks, or that keep connections and read no answers, towards every port of `serve` and of `run`. The tests check that the process lives, its peak of resident memory and its open descriptors against the limits of its settings (96 MB for `serve`, 128 MB of CONTRIBUTING.md for `run`), and that a job is served afterwards. The crowd is 500 clients and 256 KB a body; settings of the tests have low limits. The lab's deployment takes memory, descriptors and the operator's bound on bodies as options, and lab/usage reads the peak from the kernel.

--- a/lab/e2e/world_test.go
+++ b/lab/e2e/world_test.go
@@ -71,6 +71,8 @@
 	admin       *http.Client
 	ledger      ledger
 	unique      atomic.Int64
+	// descriptors is that of options.
+	descriptors int
 }
 
 // targetGroup is one process that serves the targets of one rack.
@@ -102,6 +104,10 @@
 	teams    []profile.Team
 	// network forwards all messages between the VMs; when it is nil they are sent directly.
 	network *network
+	// alone says that no other test may run at the same time.
+	alone bool
+	// descriptors limits the open files of each daemon; 0 leaves the limit of the test's process.
+	descriptors int
 }
 
 // rack is the size of a group of targets.
@@ -116,8 +122,10 @@
 
 func newWorldWith(t *testing.T, o options, racks ...rack) *world {
 	t.Helper()
-	t.Parallel()
-	w := &world{t: t, dir: t.TempDir(), admin: &http.Client{Timeout: 5 * time.Second}}
+	if !o.alone {
+		t.Parallel()
+	}
+	w := &world{t: t, dir: t.TempDir(), admin: &http.Client{Timeout: 5 * time.Second}, descriptors: o.descriptors}
 	t.Cleanup(w.admin.CloseIdleConnections)
 	w.startPlatform()
 	must.Eq(t, 0, w.applyTeams(o.teams...).code)
@@ -243,7 +251,11 @@
 	must.NoError(w.t, err)
 	path := filepath.Join(w.dir, vm.id+".jsonc")
 	must.NoError(w.t, os.WriteFile(path, text, 0o600))
-	vm.process = startProcess(w.t, vm.id, w.log(vm.id), binaries.daemon, "run", "--settings", path)
+	command := []string{binaries.daemon, "run", "--settings", path}
+	if w.descriptors > 0 {
+		command = append([]string{"/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, w.descriptors)}, command...)
+	}
+	vm.process = startProcess(w.t, vm.id, w.log(vm.id), command[0], command[1:]...)
 }
 
 func (w *world) kill(vm int)   { w.vms[vm].process.kill() }
--- a/lab/prepared/callers.go
+++ b/lab/prepared/callers.go
@@ -181,3 +181,13 @@
 	defer client.CloseIdleConnections()
 	post(client, d.VMs[0], Path+fmt.Sprintf("%016x", rand.Uint64()), body)
 }
+
+// Submit submits a best-effort job of one task to a VM, padded with spaces to a number of bytes. It returns the
+// status of the answer, 0 without one, and the job's state.
+func (d *Deployment) Submit(vm *VM, padTo int) (status int, state string) {
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	body := drawJobBody(true, 1, 1)
+	body = append(body, bytes.Repeat([]byte{' '}, max(padTo-len(body), 0))...)
+	return post(client, vm, Path+fmt.Sprintf("%s%015x", bestEffortPrefix, rand.Uint64()>>4), body)
+}
--- a/lab/prepared/configuration.go
+++ b/lab/prepared/configuration.go
@@ -61,6 +61,7 @@
 			Advice: &wire.AdvicePolicy{DecideMS: float64(adviceTime.Milliseconds()), EachMS: 0.5, ValidMS: float64(ticketLifetime.Milliseconds())},
 		}},
 	}
+	configuration.Limits.MaxBodyBytes = d.options.MaxBodyBytes
 	for added := max(version-keptRoutes, 0) + 1; added <= version; added++ {
 		configuration.Routes = append(configuration.Routes, wire.Route{
 			Name: fmt.Sprint("version-", added), Host: Host, PathPrefix: versionPath(added), Service: "service", Attempts: 3, Stretch: 3, TargetLatencyMS: 500,
--- a/lab/prepared/deployment.go
+++ b/lab/prepared/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/burdockward/burdockward/lab/usage"
 	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/platform/wire"
 )
@@ -30,6 +32,11 @@
 	CPUShare float64
 	// CPUShares are shares for the first VMs of each failure domain, in place of CPUShare.
 	CPUShares []float64
+	// MemoryMB and Descriptors are the limits that the settings give each VM; 0 stands for
+	// defaultMemoryMB and for settings without a limit of descriptors.
+	MemoryMB, Descriptors int
+	// MaxBodyBytes is the operator's bound on the body of a request; 0 means that none is set.
+	MaxBodyBytes int64
 }
 
 // cpuShare returns the share of a core of a VM of a failure domain.
@@ -43,6 +50,9 @@
 // defaultCPUShare is that of the smallest VM of the sites kasa and thapa.
 const defaultCPUShare = 0.4
 
+// defaultMemoryMB is the memory of the smallest VM of the sites kasa and thapa.
+const defaultMemoryMB = 284
+
 // Ports of the VMs. Each VM has a loopback address of its own.
 const (
 	frontendPort = 8161
@@ -94,6 +104,8 @@
 	seeds          string
 	domains        int
 	cpuShare       float64
+	memoryMB       int
+	descriptors    int
 	inRotation     atomic.Bool
 
 	mu      sync.Mutex
@@ -104,11 +116,21 @@
 // Frontend is the VM's address for callers.
 func (v *VM) Frontend() string { return net.JoinHostPort(v.IP, fmt.Sprint(frontendPort)) }
 
+// OtherAddresses returns the addresses of the VM that are not for callers: those for the calls of other VMs,
+// for readiness checks, for metrics and for relayed orders.
+func (v *VM) OtherAddresses() (control, ready, metrics, relay string) {
+	at := func(port int) string { return net.JoinHostPort(v.IP, fmt.Sprint(port)) }
+	return at(controlPort), at(readyPort), at(MetricsPort), at(firstPort)
+}
+
 // Start starts the simulated platform and the processes of all VMs.
 func Start(o Options) (*Deployment, error) {
 	if o.CPUShare == 0 {
 		o.CPUShare = defaultCPUShare
 	}
+	if o.MemoryMB == 0 {
+		o.MemoryMB = defaultMemoryMB
+	}
 	d := &Deployment{options: o, Store: NewStore(), Recorder: NewRecorder(), Adviser: NewAdviser(), stopped: make(chan struct{})}
 	d.cordons.since = map[string]time.Time{}
 	adviser, err := d.listen("127.0.7.1:0", d.Adviser)
@@ -131,6 +153,7 @@
 			d.VMs = append(d.VMs, &VM{
 				Name: fmt.Sprintf("vm-%d-%d", domain, i), Domain: domainName(domain),
 				IP: fmt.Sprintf("127.0.%d.%d", 10+domain, 1+i), dir: o.Dir, binary: o.Binary, storeAddress: store, StoreIP: storeIP, adviserAddress: d.adviserAddress, cpuShare: o.cpuShare(i),
+				memoryMB: o.MemoryMB, descriptors: o.Descriptors,
 			})
 		}
 	}
@@ -281,9 +304,12 @@
 		fmt.Sprintf("listen.control_plane=%s:%d", v.IP, controlPort),
 		fmt.Sprintf("port_range=%d,%d", firstPort, lastPort),
 		"seeds=" + v.seeds, "platform.address=" + v.storeAddress, "advice=" + v.adviserAddress,
-		fmt.Sprintf("limits.cpu_share=%g", v.cpuShare), "limits.memory_mb=284", "bounds.grace_s=6", "unknown.key=ignored",
+		fmt.Sprintf("limits.cpu_share=%g", v.cpuShare), fmt.Sprintf("limits.memory_mb=%d", v.memoryMB), "bounds.grace_s=6", "unknown.key=ignored",
 		fmt.Sprintf("bounds.config_apply_ms=%d", configurationBound.Milliseconds()),
 	}
+	if v.descriptors > 0 {
+		lines = append(lines, fmt.Sprintf("limits.max_fds=%d", v.descriptors))
+	}
 	for i := range v.domains {
 		lines = append(lines, "zones."+domainName(i)+"=region")
 	}
@@ -299,6 +325,20 @@
 	}
 }
 
+// errNoProcess means that a VM has no process.
+var errNoProcess = errors.New("the VM has no process: start it first")
+
+// Usage returns what the VM's process takes of the machine. It fails if the process has ended.
+func (v *VM) Usage() (usage.Usage, error) {
+	v.mu.Lock()
+	process := v.process
+	v.mu.Unlock()
+	if process == nil {
+		return usage.Usage{}, errNoProcess
+	}
+	return usage.Of(process.Process.Pid)
+}
+
 // Kill kills the process and waits for its end.
 func (v *VM) Kill() {
 	v.Signal(syscall.SIGKILL)
