Bound what requests hold, and close clients that only hold places

Callers saw: a VM that ended for lack of memory while clients sent unfinished bodies or headers, and a VM that answered nobody while clients kept its places: idle after an answer, owing a body that nothing needs, or not reading what they asked for.

Cause: the connections were bounded, what they hold was not. A body grew by copies of itself; a header of small fields takes twenty times its bytes. An answer waited without end for the rest of a body that it doesn't depend on, a write for a client that doesn't read, and a new client for one that had asked nothing for two minutes. Readiness, metrics and the calls of other VMs had no bound on connections, metrics headers of 1 MB, and a port of the relay took messages of 1 MB.

Change: package intake. Budget: 16 KB for each connection, which an ordinary job needs, and a share of the VM's memory for all that is larger (--request-memory-share, 0.125, checked). Bytes are reserved before they are taken, for what has arrived: headers, bodies, their decoded form, the job while it is served. A body beyond it is refused with 503 and Retry-After before anything is handed on; an unfinished header ends its connection. Places: a new connection takes the place of the one that has waited longest for its client, never of one whose request is being served. Answers don't wait for bodies; the rest of a body is read for a second after the answer, so that closing doesn't lose it. Writes end after 3 s. All servers of `serve` and the relay's port use it. Counters intake_NAME, a line "turning clients away" at most each second, gauge request_bytes_shared_used. Weighed: fewer connections (refuses ordinary callers as well), a fixed bound on large requests (bytes are what runs out), a least rate for bodies (the 3 s for a whole body bound a drip already).

Conclusion: the memory for arriving requests is bounded in bytes, and places go to clients that use them. TestCallersAreLimitedToTheirShareOfSockets said that callers wait for a place; they now get that of an idle one, and it checks who loses it. TestLimitedConnectionGivesAccessToItsSocket moved to intake unchanged.

--- a/cmd/burdockward/app_test.go
+++ b/cmd/burdockward/app_test.go
@@ -40,6 +40,7 @@
 		"unknown command":     {args: []string{"rum"}, status: exitUsage, out: `unknown command or argument "rum"`},
 		"extra argument":      {args: []string{"run", "--settings", goodFile, "x"}, status: exitUsage, out: `argument "x"`},
 		"check":               {args: []string{"check-config", goodFile}, out: goodFile + ": ok"},
+		"share too large":     {args: []string{"serve", "--request-memory-share", "0.9"}, status: exitUsage, out: "0.9 is out of range: give a number from 0.05 to 0.25"},
 		"check bad":           {args: []string{"check-config", bad}, status: exitUsage, out: "other = 2: is not a known key"},
 		"check nothing":       {args: []string{"check-config"}, status: exitUsage, out: "needs one settings file"},
 		"version":             {args: []string{"--version"}, out: "burdockward version"},
--- a/cmd/burdockward/serve.go
+++ b/cmd/burdockward/serve.go
@@ -2,19 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
-	"net/http"
-	"net/http/pprof"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"strconv"
 	"syscall"
-	"time"
 
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/burdockward/burdockward/intake"
 	"github.com/burdockward/burdockward/node"
 	"github.com/burdockward/burdockward/oplog"
 	"github.com/burdockward/burdockward/platform"
@@ -28,9 +27,6 @@
 // defaultMetricsPort is the default of --metrics-port.
 const defaultMetricsPort = 9464
 
-// metricsTimeout bounds the reading of a metrics request's header.
-const metricsTimeout = 3 * time.Second
-
 // serveCommand defines the command that runs an entry VM on prepared machines.
 func (a *app) serveCommand() *cli.Command {
 	return &cli.Command{
@@ -40,6 +36,10 @@
 			&cli.IntFlag{
 				Name: "metrics-port", Usage: "serve metrics (/metrics) and profiles (/debug/pprof/) at TCP `PORT` of the VM's address; 0 serves neither", Value: defaultMetricsPort,
 			},
+			&cli.FloatFlag{
+				Name: "request-memory-share", Usage: "`SHARE` of the VM's memory that the requests of callers may hold together, beside a little for each; further large ones are refused", Value: node.DefaultRequestMemoryShare,
+				Validator: checkRequestMemoryShare,
+			},
 			&cli.BoolFlag{Name: "place-by-end", Usage: "start tasks where they are expected to end in time, by the usual speed of each target"},
 			&cli.BoolFlag{Name: "correct-admission", Usage: "correct the forecasts by which jobs are accepted or refused, by their outcomes"},
 			&cli.BoolFlag{Name: "return-times", Usage: "give each refused caller its own time to come again"},
@@ -50,6 +50,15 @@
 	}
 }
 
+// checkRequestMemoryShare is the validator of --request-memory-share.
+func checkRequestMemoryShare(share float64) error {
+	// The condition is negated so that NaN fails as well.
+	if !(share >= node.MinRequestMemoryShare && share <= node.MaxRequestMemoryShare) {
+		return fmt.Errorf("%v is out of range: give a number from %v to %v", share, node.MinRequestMemoryShare, node.MaxRequestMemoryShare)
+	}
+	return nil
+}
+
 // serve runs the entry VM until the context ends. SIGHUP makes it read its settings file again.
 func (a *app) serve(ctx context.Context, cmd *cli.Command) error {
 	load := func() (platform.Settings, error) { return platform.LoadSettings(os.Getenv(platform.SettingsVariable)) }
@@ -70,6 +79,8 @@
 		Settings: s, LoadSettings: load, Reload: reload, Log: log,
 		Count:   func(what, label string) { counters.Add(what, label, 1) },
 		Observe: counters.Observe, Gauge: counters.Set,
+		RequestMemoryShare: cmd.Float("request-memory-share"),
+
 		PlaceByEnd:       cmd.Bool("place-by-end"),
 		CorrectAdmission: cmd.Bool("correct-admission"), ReturnTimes: cmd.Bool("return-times"),
 		BalanceDomains: cmd.Bool("balance-domains"), HandOverJobs: cmd.Bool("hand-over-jobs"),
@@ -81,7 +92,10 @@
 	ctx, stop := context.WithCancel(ctx)
 	if port := cmd.Int("metrics-port"); port > 0 {
 		g.Go(func() error {
-			return serveMetrics(ctx, net.JoinHostPort(s.IP, strconv.Itoa(port)), tel.MetricsHandler())
+			return serveMetrics(ctx, net.JoinHostPort(s.IP, strconv.Itoa(port)), tel.MetricsHandler(), intake.Options{
+				Name: "metrics", Places: metricsPlaces, Budget: intake.NewBudget(metricsBytes, metricsBytes), WriteTimeout: metricsTimeout, Log: log,
+				Count: func(what, label string) { counters.Add(what, label, 1) },
+			})
 		})
 	}
 	g.Go(func() error {
@@ -94,21 +108,3 @@
 	}
 	return nil
 }
-
-// serveMetrics serves the metrics and the profiles of the process until the context ends.
-func serveMetrics(ctx context.Context, address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return err
-	}
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", handler)
-	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
-	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: metricsTimeout}
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	if err := server.Serve(listener); ctx.Err() == nil {
-		return err
-	}
-	return nil
-}
--- a/node/ages.go
+++ b/node/ages.go
@@ -42,5 +42,6 @@
 		n.options.Gauge("configuration_behind_seconds", n.config.behind(now).Seconds())
 		n.options.Gauge("configuration_version", float64(n.config.version()))
 		n.options.Gauge("requests_present", float64(n.requests.Load()))
+		n.options.Gauge("request_bytes_shared_used", float64(n.requestMemory.Used()))
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 
 	"github.com/burdockward/burdockward/entry"
 	"github.com/burdockward/burdockward/heartbeat"
+	"github.com/burdockward/burdockward/intake"
 	"github.com/burdockward/burdockward/jobstore"
 	"github.com/burdockward/burdockward/link"
 	"github.com/burdockward/burdockward/link/linkpb"
@@ -48,6 +49,10 @@
 	Observe func(what string, took time.Duration)
 	// Gauge sets the value of a gauge; it must not block.
 	Gauge func(what string, value float64)
+	// RequestMemoryShare is the share of the VM's memory that requests of callers may hold together while they
+	// are read, decoded and served, beside a guaranteed amount for each connection; 0 stands for
+	// DefaultRequestMemoryShare.
+	RequestMemoryShare float64
 	// PlaceByEnd is scheduler.Options.PlaceByEnd.
 	PlaceByEnd bool
 	// CorrectAdmission and ReturnTimes switch the parts of the scheduler of these names on.
@@ -80,6 +85,8 @@
 	// awaitingAnswers is the newest owner that ends once its jobs are answered; nil for none.
 	awaitingAnswers atomic.Pointer[owner.Owner]
 	requests        atomic.Int64
+	// requestMemory is the memory for the requests of callers.
+	requestMemory *intake.Budget
 	// probingOwner is set while probeOwner checks whether an owner's process has ended.
 	probingOwner atomic.Bool
 	storeClock   storeClock
@@ -123,6 +130,8 @@
 		targets:    platform.NewTargetClient(),
 		peerClient: link.NewClient(),
 		config:     configuration{log: o.Log},
+
+		requestMemory: o.requestBudget(),
 	}
 	n.peerClient.Log = o.Log
 	n.cordons.init(n)
--- a/node/servers.go
+++ b/node/servers.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/burdockward/burdockward/intake"
 	"github.com/burdockward/burdockward/platform"
 )
 
@@ -26,10 +26,28 @@
 const maxHeaderBytes = 16 << 10
 
 // callerSocketDivisor limits callers to one third of the process's sockets: each request may need
-// another socket to an owner, and an owner also needs sockets to its targets. Further callers wait
-// until a connection ends; one that sends nothing is closed after three seconds.
+// another socket to an owner, and an owner also needs sockets to its targets.
 const callerSocketDivisor = 3
 
+// The other VMs may take a third as well: an owner has a connection for each job that another VM has sent. What
+// readiness checks, metrics and relayed orders take is small beside the rest.
+const (
+	peerSocketDivisor  = 3
+	smallSocketDivisor = 16
+	relaySocketDivisor = 8
+	// maxSmallServerPlaces is ample for the platform's readiness checks.
+	maxSmallServerPlaces = 32
+)
+
+// smallServerPlaces returns the places of a server that few clients ask, briefly.
+func smallServerPlaces(sockets int) int {
+	return min(max(sockets/smallSocketDivisor, 1), maxSmallServerPlaces)
+}
+
+// answerTimeout bounds the writing of an answer, which fits the buffers of its connection unless the client doesn't
+// read what it asks for.
+const answerTimeout = 3 * time.Second
+
 // maxRelayedOwners bounds the owners for which this VM relays orders. It includes previous
 // owners whose connection isn't closed yet.
 const maxRelayedOwners = 64
@@ -51,36 +69,59 @@
 func listen(s platform.Settings, n *Node) (servers, error) {
 	var open servers
 	for _, h := range []struct {
-		server  **openServer
-		address string
-		handler http.Handler
+		server **openServer
+		limitedServer
 	}{
-		{&open.control, s.ControlAddress, n.handler()},
-		{&open.ready, s.ReadyAddress, platform.ReadyHandler(n.isReady)},
-		{&open.frontend, s.FrontendAddress, platform.NewCallerHandler(n)},
+		{&open.control, limitedServer{"control", s.ControlAddress, s.MaxSockets / peerSocketDivisor, n.options.requestBudget(), n.handler()}},
+		{&open.ready, limitedServer{"ready", s.ReadyAddress, smallServerPlaces(s.MaxSockets), intake.NewBudget(guaranteedBytes, guaranteedBytes), platform.ReadyHandler(n.isReady)}},
+		{&open.frontend, limitedServer{"frontend", s.FrontendAddress, s.MaxSockets / callerSocketDivisor, n.requestMemory, platform.NewCallerHandler(n)}},
 	} {
-		listener, err := net.Listen("tcp4", h.address)
+		server, err := n.listenLimited(h.limitedServer)
 		if err != nil {
 			open.close()
 			return servers{}, err
 		}
-		if h.server == &open.frontend {
-			listener = limitCallers(listener, max(s.MaxSockets/callerSocketDivisor, 1))
-		}
-		*h.server = &openServer{listener: listener, http: &http.Server{
-			Handler: h.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ConnContext: platform.CallerContext,
-		}}
+		*h.server = server
 	}
 	relay, err := net.Listen("tcp4", n.self.HeartbeatAddress)
 	if err != nil {
 		open.close()
 		return servers{}, err
 	}
-	open.relay = netutil.LimitListener(relay, maxRelayedOwners)
+	open.relay = intake.Limit(relay, intake.Options{
+		Name: "relay", Places: min(maxRelayedOwners, max(s.MaxSockets/relaySocketDivisor, 1)), Budget: intake.NewBudget(guaranteedBytes, guaranteedBytes),
+		WriteTimeout: answerTimeout, Log: n.log, Count: n.options.Count,
+	})
 	return open, nil
 }
 
+// limitedServer is a server for clients that may misbehave.
+type limitedServer struct {
+	name, address string
+	// places is the most open connections, budget what their requests may hold.
+	places  int
+	budget  *intake.Budget
+	handler http.Handler
+}
+
+// listenLimited opens the listener of a server.
+func (n *Node) listenLimited(s limitedServer) (*openServer, error) {
+	listener, err := net.Listen("tcp4", s.address)
+	if err != nil {
+		return nil, err
+	}
+	limited := intake.Limit(listener, intake.Options{
+		Name: s.name, Places: s.places, Budget: s.budget, WriteTimeout: answerTimeout, Log: n.log, Count: n.options.Count,
+	})
+	return &openServer{listener: limited, http: &http.Server{
+		Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: limited.TrackState,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return platform.CallerContext(intake.ConnContext(ctx, conn), conn)
+		},
+	}}, nil
+}
+
 func (s servers) all() []*openServer { return []*openServer{s.frontend, s.ready, s.control} }
 
 // serve runs the HTTP servers on goroutines of the group until they are closed.
--- a/relay/server.go
+++ b/relay/server.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/burdockward/burdockward/bootclock"
+	"github.com/burdockward/burdockward/intake"
 	"github.com/burdockward/burdockward/link/linkpb"
 	"github.com/burdockward/burdockward/work"
 )
@@ -29,6 +30,11 @@
 	staleOrderAge = 100 * time.Millisecond
 	// acceptRetryPause is the pause after a connection that could not be accepted.
 	acceptRetryPause = 50 * time.Millisecond
+	// maxOrderBytes bounds an order: the largest payload and the largest saved state of a task, which fits a row
+	// of the store.
+	maxOrderBytes = 128 << 10
+	// orderReadTimeout bounds the reading of an order that has begun to arrive.
+	orderReadTimeout = 3 * time.Second
 	// bufferBytes is enough to write messages that arrive together at once.
 	bufferBytes = 16 << 10
 )
@@ -80,6 +86,9 @@
 // serveOwner serves the connection of one owner until it breaks or the context ends.
 func (s *Server) serveOwner(ctx context.Context, conn net.Conn) {
 	owner := conn.RemoteAddr().String()
+	if limited, ok := conn.(*intake.Conn); ok {
+		limited.EndHeader()
+	}
 	s.Log.Info("carrying orders", "owner", owner)
 	ctx, cancel := context.WithCancel(ctx)
 	answers := make(chan proto.Message, answerQueueSize)
@@ -103,10 +112,13 @@
 	reader := bufio.NewReaderSize(conn, bufferBytes)
 	slots := make(chan struct{}, maxForwarded)
 	for {
-		order := &linkpb.Carry{}
-		if err := (protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}).UnmarshalFrom(reader, order); err != nil {
+		order, err := readOrder(conn, reader)
+		if err != nil {
 			return err
 		}
+		if limited, ok := conn.(*intake.Conn); ok {
+			limited.SetServing()
+		}
 		select {
 		case slots <- struct{}{}:
 		default:
@@ -121,6 +133,21 @@
 	}
 }
 
+// readOrder waits for an order and reads it within orderReadTimeout.
+func readOrder(conn net.Conn, reader *bufio.Reader) (*linkpb.Carry, error) {
+	if _, err := reader.Peek(1); err != nil {
+		return nil, err
+	}
+	// The errors of deadlines are ignored: a connection that is closed fails to read as well.
+	_ = conn.SetReadDeadline(time.Now().Add(orderReadTimeout))
+	order := &linkpb.Carry{}
+	if err := (protodelim.UnmarshalOptions{MaxSize: maxOrderBytes}).UnmarshalFrom(reader, order); err != nil {
+		return nil, err
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	return order, nil
+}
+
 // sendAnswer queues the answer to an order to be written.
 func (s *Server) sendAnswer(ctx context.Context, answers chan<- proto.Message, order *linkpb.Carry, answer *linkpb.Carried) {
 	answer.Sequence = order.GetSequence()
--- a/work/work.go
+++ b/work/work.go
@@ -109,6 +109,21 @@
 	return tasks
 }
 
+// What a job takes in memory beside its texts.
+const (
+	jobBytes  = 512
+	stepBytes = 256
+)
+
+// Bytes returns about how much memory the job takes, without the state of its tasks.
+func (j Job) Bytes() int64 {
+	bytes := jobBytes + len(j.ID) + len(j.Payload)
+	for _, step := range j.Steps {
+		bytes += stepBytes + len(step.RequiredLabel) + len(step.PreferredRack) + 8*len(step.DependsOn)
+	}
+	return int64(bytes)
+}
+
 // CriticalPath returns the declared run time of the longest chain of dependent steps.
 func (j Job) CriticalPath() time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
