Read the calls of other VMs within the memory for requests

Callers saw: an owner that ended for lack of memory when 500 connections to its control address each sent a call of 1 MB without its end: 389 MB of 96.

Cause: the RPC library reads the body of a call whole, whatever its size, without a deadline, and decodes it.

Change: a call is read first, at most 1 MB within 3 s, within a budget of its own, so that callers and other VMs don't take each other's memory; eight times its size is reserved to decode it. A call beyond it is refused as resource_exhausted before it is handed on, and the entry VM tells its caller that the job was not run and when to come back. Asked for again after a broken connection, a job is not taken for refused, since it may run.

Conclusion: a message to the control address is bounded alone and together with the others.

--- a/link/link.go
+++ b/link/link.go
@@ -90,7 +90,7 @@
 }
 
 // NewServer returns the HTTP handler that serves calls from a Handler.
-func NewServer(h Handler) http.Handler { return linkpb.NewFleetServer(server{h}) }
+func NewServer(h Handler) http.Handler { return withLimits(linkpb.NewFleetServer(server{h})) }
 
 // server converts between messages and the types of Handler.
 type server struct{ handler Handler }
@@ -250,6 +250,9 @@
 	if dial, ok := errors.AsType[*net.OpError](err); ok && dial.Op == "dial" {
 		return work.Outcome{Result: work.Moved, Reason: "no connection to the owner"}
 	}
+	if isFull(err) {
+		return fullOutcome
+	}
 	age := order.Age
 	for try := 0; try < maxRejoins && ctx.Err() == nil && !order.Job.Durable; try++ {
 		ago := time.Since(began)
