Bound the memory of the jobs that an owner holds

Callers saw: an owner that ended for lack of memory under whole jobs of a thousand tasks, which each VM of its failure domain hands on: 124 MB of 96 from one VM, 146 MB from three.

Cause: admission bounds jobs by the forecast of their start. Jobs of many short tasks start in time, and each takes some 700 KB until it ends.

Change: the scheduler counts about what each job takes until it ends, and refuses further ones beyond a fifth of the VM's memory (scheduler.Options.MaxJobBytes), before it builds their state: "the owner holds as many jobs as its memory allows", to be sent again after 1 s, counter jobs_beyond_memory. Jobs that it has to continue, of its predecessor or of a moved group, are counted but always taken, and so is a job while there is no other. At 284 MB that is 57 MB, some 9,000 jobs of four tasks with the largest payload; a domain has some hundreds.

Conclusion: requests of callers, calls of other VMs and jobs each have their part of a VM's memory.

--- a/node/memory.go
+++ b/node/memory.go
@@ -17,6 +17,13 @@
 	assumedMemoryMB = 128
 )
 
+// jobMemoryShare is the share of the VM's memory that the jobs of an owner may take. With the requests of callers and
+// of other VMs it leaves a third of the soft memory limit for everything else.
+const jobMemoryShare = 0.2
+
+// maxJobBytes returns how much memory the jobs of an owner may take.
+func (o Options) maxJobBytes() int64 { return int64(jobMemoryShare * float64(o.memoryBytes())) }
+
 // memoryBytes returns the memory of this VM.
 func (o Options) memoryBytes() int64 {
 	if o.Settings.MemoryMB <= 0 {
--- a/node/owners.go
+++ b/node/owners.go
@@ -90,6 +90,7 @@
 		Schedule: scheduler.Options{
 			StopTimeout: n.options.Settings.MaxStopTime, MaxLease: n.options.Settings.MaxLease,
 			ResendDelay: n.options.Settings.MinResendDelay, KeepaliveTimeout: heartbeat.KeepaliveTimeout,
+			MaxJobBytes:      n.options.maxJobBytes(),
 			PlaceByEnd:       n.options.PlaceByEnd,
 			CorrectAdmission: n.options.CorrectAdmission, ReturnTimes: n.options.ReturnTimes,
 		},
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -56,6 +56,11 @@
 		s.answer(sub, work.Outcome{Result: work.Refused, Reason: cordonedReason, RetryAfter: cordonedRetryAfter})
 		return
 	}
+	if !s.hasMemoryFor(sub.Job) {
+		s.emit(Count{"jobs_beyond_memory", sub.Queue.Name})
+		s.answer(sub, work.Outcome{Result: work.Refused, Reason: "the owner holds as many jobs as its memory allows", RetryAfter: fullRetryAfter})
+		return
+	}
 	j := s.newJob(now, sub)
 	if why := s.unservableReason(j); why != "" {
 		s.answer(sub, work.Outcome{Result: work.Refused, Reason: why, RetryAfter: unservableRetryAfter})
@@ -74,7 +79,7 @@
 	j.record(now, "taken", "", "", s.describeLoad(j))
 	s.noteSeenAgain(now, j)
 	s.jobs[sub.Ref] = j
-	s.jobsByKey[sub.key()] = j
+	s.hold(j)
 	s.addOpen(j)
 	if s.restoreLosses(now, j); j.ended {
 		return
--- a/scheduler/adopt.go
+++ b/scheduler/adopt.go
@@ -121,7 +121,7 @@
 	} else {
 		s.emit(Count{"jobs_handed_over", "taken over"})
 		s.jobs[j.sub.Ref] = j
-		s.jobsByKey[j.sub.key()] = j
+		s.hold(j)
 		s.addOpen(j)
 	}
 	for _, r := range handed.Runs {
--- a/scheduler/durable.go
+++ b/scheduler/durable.go
@@ -225,7 +225,7 @@
 	j.ended, j.dropped = true, true
 	s.noteWaiting(j)
 	delete(s.jobs, j.sub.Ref)
-	delete(s.jobsByKey, j.sub.key())
+	s.release(j)
 	delete(s.recurringJobs, j)
 	s.unreserveJob(j)
 }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -14,6 +14,8 @@
 	sub      Submission
 	estimate *queueEstimate
 	pool     *pool
+	// bytes is what the job counts for in State.jobBytes; 0 unless it is in State.jobsByKey.
+	bytes int64
 	// account is that of its profile in pool.shares. notedWaiting is the processor of its waiting
 	// tasks that the account has.
 	account      int
@@ -376,7 +378,7 @@
 	outcome = s.withReturnTime(now, j, outcome)
 	s.noteWaiting(j)
 	delete(s.jobs, j.sub.Ref)
-	delete(s.jobsByKey, j.sub.key())
+	s.release(j)
 	s.removeOpen(j)
 	delete(s.recurringJobs, j)
 	s.unreserveJob(j)
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -30,6 +30,9 @@
 	// RecordTargets starts tasks of durable jobs only at targets that the store has recorded, and
 	// only while the claim is confirmed.
 	RecordTargets bool
+	// MaxJobBytes is about how much memory the jobs that have not ended may take together; further ones are
+	// refused. 0 means no bound.
+	MaxJobBytes int64
 	// PlaceByEnd prefers targets on which a task is expected to end in time, by their usual speed.
 	PlaceByEnd bool
 	// CorrectAdmission corrects the forecasts by which jobs are accepted or refused.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -132,6 +132,8 @@
 	dirty []*target
 	// jobsByKey holds the jobs that have not ended, by Submission.key.
 	jobsByKey map[string]*job
+	// jobBytes is about how much memory these jobs take.
+	jobBytes int64
 	// openByID holds the jobs and parts of callers that have not ended, by job ID, oldest first.
 	openByID map[string][]*job
 	// stoppingRuns counts, by job ID, the runs and withdrawn parts of ended jobs that may still
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -148,7 +148,7 @@
 	j.stored = true
 	j.record(now, "resumed", "", "", fmt.Sprintf("%d tasks done, failures %v up to runs %v", len(progress.Done), progress.Fails, progress.LastFailed))
 	s.jobs[sub.Ref] = j
-	s.jobsByKey[sub.Job.ID] = j
+	s.hold(j)
 	s.startRecording()
 	s.restoreProgress(now, j, progress)
 	for _, t := range j.tasks {
