Bound what requests hold at the daemon's own interfaces

Callers saw: a daemon of `run` that took 558 MB of the 128 MB that CONTRIBUTING.md allows, for a hundred unfinished submissions, 557 MB for as many calls at the port of the peers, 1,362 MB for bodies of a million empty tasks, 151 MB for headers; with 300 open files allowed, connections to its ports left none for anything else.

Cause: 4,000 requests of 4 MB each may be in flight. The bound counts requests, not bytes; connections have none, nor have calls of peers.

Change: the three ports use package intake. Settings limits.request_bytes (16 MiB, at least four times max_body_bytes) and limits.connections (4,000, less where the process may open fewer files). A submission beyond the memory is refused as overloaded: nothing was started, the same key is used again, since an earlier attempt may have run. Tasks are counted before they are decoded; more than 170 are refused as before.

An answer that precedes the rest of its body is now sent first and the rest is read and thrown away for up to a second: TestFaultyRequestsGetTypedErrors showed that a client that sends more than 4 MB lost the answer when the connection was closed at once. This holds for `serve` as well (intake.LeaveBody).

Weighed: adding request_bytes to the check of limits.memory_bytes. It would refuse settings that daemons run with today (80 MB in a test), so the 32 MB that the check sets aside for requests in flight stay its part.

--- a/api/api.go
+++ b/api/api.go
@@ -37,7 +37,7 @@
 	// of starts.
 	Idempotent bool `json:"idempotent,omitempty"`
 	// Tasks are run in parallel; results keep their order.
-	Tasks []Task `json:"tasks"`
+	Tasks Tasks `json:"tasks"`
 }
 
 // Task is one unit of work of a submission.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/burdockward/burdockward/dispatch"
 	"github.com/burdockward/burdockward/domains"
 	"github.com/burdockward/burdockward/frontend"
+	"github.com/burdockward/burdockward/intake"
 	"github.com/burdockward/burdockward/membership"
 	"github.com/burdockward/burdockward/peer"
 	"github.com/burdockward/burdockward/peer/peerpb"
@@ -46,6 +47,8 @@
 	drainPoll = 20 * time.Millisecond
 	// viewChangeTime is the time allowed for a view change on a busy machine.
 	viewChangeTime = 600 * time.Millisecond
+	// idleTimeout is how long a connection may stay open between two requests.
+	idleTimeout = 2 * time.Minute
 	// closeTimeout bounds the end of the HTTP servers after the drain.
 	closeTimeout = 2 * time.Second
 )
@@ -171,20 +174,21 @@
 	limits := d.settings.Limits
 	// There is no write timeout, because an answer may take as long as the submission's
 	// deadline. The callers' interface bounds the writing itself.
-	server := func(l net.Listener, h http.Handler) *gracefulServer {
-		return newGracefulServer(l, &http.Server{
-			Handler:           h,
+	server := func(p port) *gracefulServer {
+		limited := d.limit(p)
+		return newGracefulServer(limited, &http.Server{
+			Handler:           p.handler,
 			ReadHeaderTimeout: limits.ReadTimeout,
 			ReadTimeout:       limits.ReadTimeout,
+			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    limits.MaxHeaderBytes,
+			ConnState:         limited.TrackState,
+			ConnContext:       intake.ConnContext,
 			ErrorLog:          slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
 		})
 	}
-	return servers{
-		callers: server(l.callers, d.frontend.Handler()),
-		peers:   server(l.peers, d.traced(d.peers.Handler())),
-		admin:   server(l.admin, d.adminHandler()),
-	}
+	callers, peers, admin := d.ports(l)
+	return servers{callers: server(callers), peers: server(peers), admin: server(admin)}
 }
 
 // traced adds a span for each request of a peer, as a child of the peer's span.
--- a/daemon/graceful.go
+++ b/daemon/graceful.go
@@ -27,12 +27,14 @@
 	mu       sync.Mutex
 	// unused holds the connections on which no byte has arrived.
 	unused map[net.Conn]bool
+	// next is the server's own ConnState; nil for none.
+	next func(net.Conn, http.ConnState)
 	// closing says that new connections are closed at once.
 	closing bool
 }
 
 func newGracefulServer(l net.Listener, s *http.Server) *gracefulServer {
-	g := &gracefulServer{Server: s, listener: l, unused: map[net.Conn]bool{}}
+	g := &gracefulServer{Server: s, listener: l, unused: map[net.Conn]bool{}, next: s.ConnState}
 	s.ConnState = g.trackState
 	return g
 }
@@ -48,6 +50,9 @@
 
 // trackState keeps unused up to date.
 func (g *gracefulServer) trackState(c net.Conn, state http.ConnState) {
+	if g.next != nil {
+		g.next(c, state)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if state != http.StateNew {
--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/burdockward/burdockward/api"
+	"github.com/burdockward/burdockward/intake"
 	"github.com/burdockward/burdockward/key"
 	"github.com/burdockward/burdockward/submission"
 	"github.com/uber-go/tally/v4"
@@ -106,7 +107,14 @@
 		if epoch := s.options.Epoch(); epoch != "" {
 			h.Set(api.HeaderEpoch, epoch)
 		}
+		if r.Method == http.MethodPost {
+			next.ServeHTTP(w, r)
+			return
+		}
+		// No other request needs its body. A handler that panics sends no answer.
+		discard := intake.LeaveBody(w, r)
 		next.ServeHTTP(w, r)
+		discard()
 	})
 }
 
@@ -151,13 +159,22 @@
 	case s.inFlight <- struct{}{}:
 		defer func() { <-s.inFlight }()
 	default:
+		defer intake.LeaveBody(w, r)()
 		s.write(w, submission.Refused(tooManyInFlight()))
 		return
 	}
 	ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := s.tracer.Start(ctx, "submit", trace.WithSpanKind(trace.SpanKindServer))
 	defer span.End()
-	sub, failure := s.read(w, r)
+	conn := intake.ConnOf(r.Context())
+	body, held, err := conn.ReadRequest(r, s.options.MaxBodyBytes)
+	if err != nil {
+		defer intake.LeaveBody(w, r)()
+		s.write(w, submission.Refused(s.bodyFailure(err)))
+		return
+	}
+	sub, held, failure := s.decodeWithin(conn, body, held)
+	defer func() { conn.Account().Release(held) }()
 	if failure != nil {
 		s.write(w, submission.Refused(failure))
 		return
@@ -185,15 +202,27 @@
 	writeJSON(w, http.StatusAccepted, api.Status{Key: sub.KeyText, State: "accepted", Runner: s.options.VM, Tasks: len(sub.Tasks)})
 }
 
-// read reads and checks a submission. No VM can start a request that it refuses as
-// malformed, so "not run" is true for it without a claim.
-func (s *Server) read(w http.ResponseWriter, r *http.Request) (*submission.Submission, *api.Failure) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.options.MaxBodyBytes))
-	if err != nil {
-		return nil, s.bodyFailure(err)
+// decodeWithin decodes and checks a body that holds bytes of the connection's account, and
+// returns what the account holds for the submission instead. No VM can start a request that
+// it refuses as malformed, so "not run" is true for it without a claim.
+func (s *Server) decodeWithin(conn *intake.Conn, body []byte, held int64) (sub *submission.Submission, kept int64, failure *api.Failure) {
+	// Decoding copies each payload once.
+	copies := int64(len(body))
+	if err := conn.ReserveDecoding(copies); err != nil {
+		return nil, held, s.bodyFailure(err)
 	}
+	sub, failure = s.decode(body)
+	conn.Account().Release(held)
+	return sub, copies, failure
+}
+
+// decode decodes and checks the body of a submission.
+func (s *Server) decode(body []byte) (*submission.Submission, *api.Failure) {
 	var request api.Submission
 	if err := json.Unmarshal(body, &request); err != nil {
+		if tooMany, ok := errors.AsType[*api.TooManyTasksError](err); ok {
+			return nil, &api.Failure{Kind: api.KindTooLarge, Message: tooMany.Error(), Run: api.NotRun, Key: request.Key}
+		}
 		return nil, malformed("the body is not a JSON submission (" + err.Error() + "): see docs/API.md for the form")
 	}
 	k, err := key.Parse(request.Key)
@@ -216,6 +245,9 @@
 			Run:     api.NotRun,
 		}
 	}
+	if errors.Is(err, intake.ErrFull) {
+		return tooMuchHeld(err)
+	}
 	// The key was not read, and an earlier attempt with it may have run.
 	return &api.Failure{
 		Kind:    api.KindUnavailable,
@@ -331,3 +363,14 @@
 		RetryAfterMS: time.Second.Milliseconds(),
 	}
 }
+
+// tooMuchHeld returns the refusal of a request that the memory for requests did not hold.
+// Its key was not read.
+func tooMuchHeld(err error) *api.Failure {
+	return &api.Failure{
+		Kind:         api.KindOverloaded,
+		Message:      err.Error() + "; this attempt started nothing, use the same key",
+		Run:          api.OutcomeUnknown,
+		RetryAfterMS: time.Second.Milliseconds(),
+	}
+}
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -21,7 +21,8 @@
 	Places int
 	// Budget is what their requests may hold.
 	Budget *Budget
-	// WriteTimeout bounds each write: a client that doesn't read its answers is closed.
+	// WriteTimeout bounds each write: a client that doesn't read its answers is closed. 0 leaves that to the
+	// handler.
 	WriteTimeout time.Duration
 	// Log gets a line when requests begin to be turned away, at most one each logInterval. Count increments a
 	// counter; it must not block.
@@ -195,8 +196,10 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	// The error is ignored: a connection that is closed fails to write as well.
-	_ = c.SetWriteDeadline(time.Now().Add(c.listener.options.WriteTimeout))
+	if timeout := c.listener.options.WriteTimeout; timeout > 0 {
+		// The error is ignored: a connection that is closed fails to write as well.
+		_ = c.SetWriteDeadline(time.Now().Add(timeout))
+	}
 	return c.Conn.Write(p)
 }
 
--- a/link/limit.go
+++ b/link/limit.go
@@ -1,9 +1,7 @@
 package link
 
 import (
-	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -26,34 +24,7 @@
 
 // withLimits reads the request of each call within the limits of its connection before it is decoded.
 func withLimits(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, control := intake.ConnOf(r.Context()), http.NewResponseController(w)
-		// The errors are ignored: a writer without deadlines is not a connection.
-		_ = control.SetReadDeadline(time.Now().Add(callReadTimeout))
-		body, held, err := conn.ReadRequest(r, maxCallBytes)
-		if err == nil {
-			err = conn.ReserveDecoding(decodingFactor * int64(len(body)))
-		}
-		if err != nil {
-			conn.Account().Release(held)
-			w.Header().Set("Connection", "close")
-			_ = twirp.WriteError(w, refusedCall(err))
-			return
-		}
-		_ = control.SetReadDeadline(time.Time{})
-		held += decodingFactor * int64(len(body))
-		defer conn.Account().Release(held)
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		next.ServeHTTP(w, r)
-	})
-}
-
-// refusedCall is the answer to a call that was not read. Nothing of it was handed on.
-func refusedCall(err error) twirp.Error {
-	if errors.Is(err, intake.ErrFull) {
-		return twirp.NewError(twirp.ResourceExhausted, err.Error())
-	}
-	return twirp.NewError(twirp.Malformed, "the request was not read whole: "+err.Error())
+	return intake.LimitCalls(next, intake.CallLimits{MaxBytes: maxCallBytes, ReadTimeout: callReadTimeout, DecodingFactor: decodingFactor})
 }
 
 // fullOutcome is the outcome of a job that its owner did not read for lack of memory.
--- a/settings/check.go
+++ b/settings/check.go
@@ -27,6 +27,8 @@
 	leaseHeartbeats = 2
 	// minHeaderBytes is the least bound on the bytes of headers and bodies.
 	minHeaderBytes = 1 << 10
+	// requestCopies is how many times its size a request takes while it is read and decoded, at most.
+	requestCopies = 4
 	// maxDomainSeeds is the most seed addresses of one other failure domain.
 	maxDomainSeeds = 3
 	// baseMemoryBytes is the memory of a daemon without answers and records, with the requests in
@@ -226,6 +228,11 @@
 	checkRange(c, "limits.max_in_flight", l.MaxInFlight, 1, 1_000_000)
 	c.checkAtLeast("limits.read_timeout", l.ReadTimeout, minInterval)
 	checkRange(c, "limits.answer_bytes", l.AnswerBytes, 0, 1<<30)
+	checkRange(c, "limits.connections", l.Connections, 1, 1_000_000)
+	if least := requestCopies * min(l.MaxBodyBytes, api.MaxBodyBytes); l.RequestBytes < least {
+		c.addProblem("limits.request_bytes", fmt.Sprint(l.RequestBytes), "is less than the largest request takes while it is decoded",
+			fmt.Sprintf("give at least %d, or lower limits.max_body_bytes", least))
+	}
 	checkRange(c, "limits.submissions", l.Submissions, 1, 1_000_000)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -136,6 +136,13 @@
 	// of the program's file are not part of it. Near the limit the garbage collector runs more
 	// often. 0 means no limit. Default 96 MiB.
 	MemoryBytes int64 `json:"memory_bytes"`
+	// RequestBytes is what the requests of callers may hold together while they are read, decoded and answered, in
+	// bytes, beside a little for each connection. Further large requests are refused. The requests of peers have
+	// as much. At least four times MaxBodyBytes. Default 16 MiB.
+	RequestBytes int64 `json:"request_bytes"`
+	// Connections is the most open connections of callers. One more takes the place of the connection that has
+	// waited longest for its caller. It is lowered to what the process's limit of open files allows. Default 4000.
+	Connections int `json:"connections"`
 	// Submissions is the most waiting and running submissions of the VM. Default 20000.
 	Submissions int `json:"submissions"`
 }
@@ -232,6 +239,8 @@
 			MaxInFlight:    4000,
 			ReadTimeout:    5 * time.Second,
 			AnswerBytes:    16 << 20,
+			RequestBytes:   16 << 20,
+			Connections:    4000,
 			MemoryBytes:    96 << 20,
 			Submissions:    20_000,
 		},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -88,6 +88,8 @@
 		"retained epochs":       {`"vm_id"`, `"membership": {"retained_epochs": 1}, "vm_id"`, `line 3: membership.retained_epochs = 1: is out of range; give a number from 2 to 1000`},
 		"body":                  {`"vm_id"`, `"limits": {"max_body_bytes": 4194305}, "vm_id"`, `line 3: limits.max_body_bytes = 4194305: is out of range`},
 		"memory":                {`"vm_id"`, `"limits": {"memory_bytes": 70956647}, "vm_id"`, `line 3: limits.memory_bytes = 70956647: is less than the daemon, limits.answer_bytes and membership.record_limit may take; give at least 70956648, or 0`},
+		"requests":              {`"vm_id"`, `"limits": {"request_bytes": 16777215}, "vm_id"`, `line 3: limits.request_bytes = 16777215: is less than the largest request takes while it is decoded; give at least 16777216, or lower limits.max_body_bytes`},
+		"connections":           {`"vm_id"`, `"limits": {"connections": 0}, "vm_id"`, `line 3: limits.connections = 0: is out of range; give a number from 1 to 1000000`},
 		"memory below answers":  {`"vm_id"`, `"limits": {"answer_bytes": 50000000}, "vm_id"`, `limits.memory_bytes = 100663296: is less than the daemon, limits.answer_bytes`},
 		"memory below records":  {`"vm_id"`, `"membership": {"record_limit": 800000}, "vm_id"`, `limits.memory_bytes = 100663296: is less than the daemon, limits.answer_bytes`},
 		"policy":                {`"vm_id"`, `"dispatch": {"policy": "best"}, "vm_id"`, `line 3: dispatch.policy = "best": is not a known value; use one of "shared", "random"`},
