Reserve what decoding a call takes, and take one encoding only

The RPC library decodes JSON as well, where the same holds.

Calls in JSON, which no VM sends, are refused.

Conclusion: what a call takes is in its bound before it is taken. Fields of deeper messages (a queue, a recurrence) are single ones, so they are not counted.

--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -26,8 +26,6 @@
 	writeTimeout = 30 * time.Second
 	// maxCallBytes bounds a call of a peer, which is a batch of messages or one submission.
 	maxCallBytes = 4 << 20
-	// callDecodingFactor is how many times its size a call takes once it is decoded.
-	callDecodingFactor = 2
 )
 
 // openFiles returns how many files the process may have open.
@@ -67,7 +65,7 @@
 		name: "callers", listener: l.callers, handler: d.frontend.Handler(),
 		places: min(limits.Connections, openFiles()/callerFileDivisor), requestBytes: limits.RequestBytes,
 	}
-	calls := intake.LimitCalls(d.traced(d.peers.Handler()), intake.CallLimits{MaxBytes: maxCallBytes, ReadTimeout: limits.ReadTimeout, DecodingFactor: callDecodingFactor})
+	calls := intake.LimitCalls(d.traced(d.peers.Handler()), intake.CallLimits{MaxBytes: maxCallBytes, ReadTimeout: limits.ReadTimeout, DecodingBytes: decodingBytes})
 	peers = port{
 		name: "peers", listener: l.peers, handler: calls,
 		places: min(maxPeerConnections, openFiles()/peerFileDivisor), requestBytes: limits.RequestBytes, writeTimeout: writeTimeout,
@@ -78,3 +76,8 @@
 	}
 	return callers, peers, admin
 }
+
+// decodingBytes returns a bound on the memory that decoding a call of a peer takes.
+func decodingBytes(call []byte) int64 {
+	return 2*int64(len(call)) + intake.FieldBytes*int64(intake.CountFields(call, 0))
+}
--- a/intake/calls.go
+++ b/intake/calls.go
@@ -42,28 +42,37 @@
 	// MaxBytes bounds the request of a call, ReadTimeout the time in which it is read.
 	MaxBytes    int64
 	ReadTimeout time.Duration
-	// DecodingFactor is how many times its size a request takes once it is decoded.
-	DecodingFactor int64
+	// DecodingBytes returns a bound on the memory that decoding a request takes.
+	DecodingBytes func(request []byte) int64
 }
 
+// protobufType is the only content type that is taken: what decoding JSON takes is not bounded by DecodingBytes.
+const protobufType = "application/protobuf"
+
 // LimitCalls returns a handler that reads the request of each call within the limits of its connection before the
 // RPC server decodes it. A call beyond the budget is answered as resource_exhausted; nothing of it is handed on.
 func LimitCalls(next http.Handler, limits CallLimits) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Content-Type") != protobufType {
+			defer LeaveBody(w, r)()
+			_ = twirp.WriteError(w, twirp.NewError(twirp.Malformed, "the content type must be "+protobufType))
+			return
+		}
 		conn, control := ConnOf(r.Context()), http.NewResponseController(w)
 		// The errors are ignored: a writer without deadlines is not a connection.
 		_ = control.SetReadDeadline(time.Now().Add(limits.ReadTimeout))
 		body, held, err := conn.ReadRequest(r, limits.MaxBytes)
-		decoding := limits.DecodingFactor * int64(len(body))
-		if err == nil {
-			err = conn.ReserveDecoding(decoding)
-		}
 		if err != nil {
-			conn.Account().Release(held)
 			defer LeaveBody(w, r)()
 			_ = twirp.WriteError(w, refusedCall(err))
 			return
 		}
+		decoding := limits.DecodingBytes(body)
+		if err := conn.ReserveDecoding(decoding); err != nil {
+			conn.Account().Release(held)
+			_ = twirp.WriteError(w, refusedCall(err))
+			return
+		}
 		_ = control.SetReadDeadline(time.Time{})
 		defer conn.Account().Release(held + decoding)
 		r.Body = io.NopCloser(bytes.NewReader(body))
--- a/link/limit_test.go
+++ b/link/limit_test.go
@@ -7,14 +7,17 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/burdockward/burdockward/heartbeat"
 	"github.com/burdockward/burdockward/intake"
+	"github.com/burdockward/burdockward/link/linkpb"
 	"github.com/burdockward/burdockward/work"
 )
 
@@ -82,3 +85,36 @@
 	must.StrHasPrefix(t, "HTTP/1.1 400", string(answer))
 	must.Eq(t, 0, h.runs)
 }
+
+// Decoding a request takes no more memory than was reserved for it, also if it has many empty parts.
+func TestDecodingStaysWithinItsReservation(t *testing.T) {
+	steps, names := &linkpb.Job{}, []string{}
+	for range 20_000 {
+		steps.Steps = append(steps.Steps, &linkpb.Step{})
+		names = append(names, "")
+	}
+	for _, request := range []*linkpb.RunRequest{
+		{Job: steps}, {Part: names}, {Job: &linkpb.Job{Id: "1", Payload: strings.Repeat("x", 100_000)}},
+		{Group: "g", Entry: "vm-1", Job: jobToWire(work.Job{ID: "1", Payload: "x", Steps: []work.Step{{Tasks: 2}, {Tasks: 3, DependsOn: []int{0}}}})},
+	} {
+		body, err := proto.Marshal(request)
+		must.NoError(t, err)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		var decoded linkpb.RunRequest
+		must.NoError(t, proto.Unmarshal(body, &decoded))
+		_ = jobFromWire(decoded.GetJob())
+		runtime.ReadMemStats(&after)
+		must.LessEq(t, uint64(decodingBytes(body)+4<<10), after.TotalAlloc-before.TotalAlloc)
+	}
+}
+
+func TestCallsInOtherEncodingsAreNotDecoded(t *testing.T) {
+	h := &countingHandler{}
+	address := startLimited(t, h, 1<<20)
+	response, err := http.Post("http://"+address+"/twirp/burdockward.link.Fleet/Run", "application/json", strings.NewReader("{}"))
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	must.Eq(t, http.StatusBadRequest, response.StatusCode)
+	must.Eq(t, 0, h.runs)
+}
