Test bodies that come again and again, and whole ones

Change: a crowd of 500 clients that send 256 KB without the last byte and come back as soon as they are closed, for five seconds; and 500 whole jobs of 256 KB at once.

--- a/lab/prepared/e2e/clients_test.go
+++ b/lab/prepared/e2e/clients_test.go
@@ -189,6 +189,27 @@
 	checkCrowd(t, crowdOptions(), frontend, crowdSize, crowd.Send(append(sizedHeader(maxBody), withoutLast(largeBody())...)))
 }
 
+// Clients send the largest bodies again and again, each without its end.
+func TestReturningUnfinishedBodiesStayWithinMemory(t *testing.T) {
+	o := crowdOptions()
+	d := startWith(t, o)
+	clients := newCrowd(t)
+	clients.AddReturning(d.VMs[0].Frontend(), crowdSize, crowd.Send(append(sizedHeader(maxBody), withoutLast(largeBody())...)))
+	for range 5 {
+		mustServe(t, d, 0)
+		wait(time.Second)
+		checkUsage(t, d, o)
+	}
+}
+
+// Whole jobs of the largest legal size come at once.
+func TestWholeLargeBodiesStayWithinMemory(t *testing.T) {
+	body, err := json.Marshal(wire.Job{Spec: "1", BestEffort: true, Steps: []wire.Step{{Count: 1, CPU: 1000, EstimateMS: 1}}})
+	must.NoError(t, err)
+	body = append(body, bytes.Repeat([]byte{' '}, maxBody-len(body))...)
+	checkCrowd(t, crowdOptions(), frontend, crowdSize, crowd.Send(submission(body)))
+}
+
 func TestUnfinishedBodiesInPiecesStayWithinMemory(t *testing.T) {
 	const pieces = 16
 	parts := append([][]byte{sizedHeader(maxBody)}, crowd.Split(withoutLast(largeBody()), maxBody/pieces)...)
