Let a test's frozen VM stop before the test goes on

Seen: TestKeyOfAnotherDomainIsBurnedAtItsHome failed once beside load, long ago. It freezes the VMs of another failure domain, sends a submission, and expects an unknown outcome, as they answer nothing.

Change: freeze waits until all threads of the daemon have stopped. No check changed.

Conclusion: the fault was the test's, not the product's.

--- a/lab/e2e/process_test.go
+++ b/lab/e2e/process_test.go
@@ -6,9 +6,11 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"runtime"
 	"sync"
 	"syscall"
@@ -97,6 +99,22 @@
 	must.NoError(t, p.cmd.Process.Signal(s))
 }
 
+// hasStopped reports whether a stop signal has taken hold of all threads of the process.
+func (p *process) hasStopped(t *testing.T) bool {
+	t.Helper()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, threads)
+	for _, path := range threads {
+		// The state follows the name, which is in parentheses.
+		stat, err := os.ReadFile(path)
+		if _, state, found := bytes.Cut(stat, []byte(") ")); err != nil || !found || state[0] != 'T' {
+			return false
+		}
+	}
+	return true
+}
+
 // kill ends the process at once, frozen or not, and waits for its end.
 func (p *process) kill() {
 	_ = p.cmd.Process.Kill()
--- a/lab/e2e/world_test.go
+++ b/lab/e2e/world_test.go
@@ -259,9 +259,16 @@
 }
 
 func (w *world) kill(vm int)   { w.vms[vm].process.kill() }
-func (w *world) freeze(vm int) { w.vms[vm].process.signal(w.t, syscall.SIGSTOP) }
 func (w *world) resume(vm int) { w.vms[vm].process.signal(w.t, syscall.SIGCONT) }
 
+// freeze stops the daemon of a VM. The signal takes hold some time after it was sent, on a busy machine tens of
+// milliseconds later, in which the daemon still answers.
+func (w *world) freeze(vm int) {
+	p := w.vms[vm].process
+	p.signal(w.t, syscall.SIGSTOP)
+	w.await(p.name+" has stopped", func() bool { return p.hasStopped(w.t) })
+}
+
 // restart starts the daemon of a killed VM again, on the same addresses.
 func (w *world) restart(vm int) { w.startVM(w.vms[vm]) }
 
