--- a/scheduler/memory_test.go
+++ b/scheduler/memory_test.go
@@ -84,3 +84,23 @@
 		}
 	})
 }
+
+// A job that repeats takes memory for the tasks of all its occurrences from the start, though none is due.
+func TestRepeatedJobsBeyondTheMemoryAreRefused(t *testing.T) {
+	repeated := wideJob("1", 1)
+	repeated.Durable = true
+	repeated.Recurrence = work.Recurrence{Count: 7200, FirstDue: time.Hour, Interval: 10 * time.Second}
+	must.Greater(t, 7200*taskStateBytes, memoryOf(repeated))
+	s := New(Options{MaxJobBytes: 3 * memoryOf(repeated)})
+	s.FinishResume(0)
+	for ref := range 5 {
+		job := repeated
+		job.ID = fmt.Sprint(ref)
+		s.Submit(0, Submission{Ref: Ref(ref + 1), Job: job, Queue: work.Queue{Service: "s", MaxAttempts: 1, Stretch: 3, Allowance: time.Second}})
+	}
+	refused := outcomesOf(s.Effects(0))
+	must.MapLen(t, 2, refused)
+	for ref := range refused {
+		must.Eq(t, work.Refused, refused[ref].Result)
+	}
+}
