Keep a world in which a durable job crashes one target too many

Seen: fresh seeds of the scheduler's fuzz tests, run since the job memory touches its admission, fail in one world: TestFuzzCrashingTasks, "kept1.0.0.0 crashes target 7, beyond 6".

Cause: not traced.

--- a/scheduler/failing_worlds_test.go
+++ b/scheduler/failing_worlds_test.go
@@ -93,3 +93,9 @@
 func TestDurableJobEndsBesideStuckRun(t *testing.T) {
 	replayWorld(t, "124032", func(rt *rapid.T) { playSuccessions(rt, nil) })
 }
+
+// No task of a durable job crashes more targets than allowed, where few others can run it and their crashes are
+// noticed late.
+func TestDurableJobCrashesOneTargetTooMany(t *testing.T) {
+	replayWorld(t, "670111", func(rt *rapid.T) { playCrashing(rt, true, nil) })
+}
