Bound the bytes of submissions that have no outcome yet

Callers saw: a daemon of `run` beyond its memory after a hundred whole submissions of 4 MB whose callers don't wait (wait=false): 326 MB of the 128 MB that CONTRIBUTING.md allows.

Cause: limits.submissions counts submissions, 20,000 of up to 4 MB each. What a request holds ends with it, but the submission stays until its tasks have run, also when its caller has left.

Change: the table of submissions counts the bytes of those without outcome, and refuses one beyond limits.submission_bytes (32 MiB, at least max_body_bytes) before its key is claimed: overloaded, nothing was started, the same key may come back. One is always taken while there is no other.

Conclusion: what a daemon holds for callers is bounded in bytes also after their requests.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -54,6 +54,7 @@
 		VM:              s.VMID,
 		CallersAddress:  s.Advertise.Callers.String(),
 		AnswerBytes:     s.Limits.AnswerBytes,
+		SubmissionBytes: s.Limits.SubmissionBytes,
 		ClaimTimeout:    claimTimeout,
 		DrainRetryAfter: drainRetryAfter,
 		Claims:          submissionClaims{d},
--- a/lab/e2e/clients_test.go
+++ b/lab/e2e/clients_test.go
@@ -3,8 +3,13 @@
 package e2e
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -96,6 +101,23 @@
 	checkCrowd(t, w, w.vms[0].callers, crowdSize, crowd.Send(request))
 }
 
+// Whole submissions whose callers don't wait come at once, more than run at a time.
+func TestAcceptedSubmissionsLeaveDaemonWithinMemory(t *testing.T) {
+	w := newCrowdWorld(t, 0)
+	tasks := sleepTasks(1, time.Second, strings.Repeat("x", api.MaxBodyBytes-1<<10))
+	var keys sync.Mutex
+	checkCrowd(t, w, w.vms[0].callers, crowdSize, func(conn net.Conn) {
+		keys.Lock()
+		body, err := json.Marshal(job(w.key(0), tasks))
+		keys.Unlock()
+		must.NoError(t, err)
+		header := bytes.Replace(submitHeader(fmt.Sprintf("Content-Length: %d", len(body))), []byte("submissions "), []byte("submissions?wait=false "), 1)
+		crowd.Send(header, body)(conn)
+		// The answer is read, so that the connection isn't closed under it.
+		_, _ = conn.Read(make([]byte, 1))
+	})
+}
+
 // The decoded form of a header is many times as large, as each six bytes are a field.
 func TestUnfinishedHeadersLeaveDaemonWithinMemory(t *testing.T) {
 	w := newCrowdWorld(t, 0)
--- a/settings/check.go
+++ b/settings/check.go
@@ -228,6 +228,7 @@
 	checkRange(c, "limits.max_in_flight", l.MaxInFlight, 1, 1_000_000)
 	c.checkAtLeast("limits.read_timeout", l.ReadTimeout, minInterval)
 	checkRange(c, "limits.answer_bytes", l.AnswerBytes, 0, 1<<30)
+	checkRange(c, "limits.submission_bytes", l.SubmissionBytes, min(l.MaxBodyBytes, api.MaxBodyBytes), 1<<30)
 	checkRange(c, "limits.connections", l.Connections, 1, 1_000_000)
 	if least := requestCopies * min(l.MaxBodyBytes, api.MaxBodyBytes); l.RequestBytes < least {
 		c.addProblem("limits.request_bytes", fmt.Sprint(l.RequestBytes), "is less than the largest request takes while it is decoded",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -140,6 +140,9 @@
 	// bytes, beside a little for each connection. Further large requests are refused. The requests of peers have
 	// as much. At least four times MaxBodyBytes. Default 16 MiB.
 	RequestBytes int64 `json:"request_bytes"`
+	// SubmissionBytes is the total size of the submissions without outcome, whether their callers wait or not, in
+	// bytes. Further ones are refused. At least MaxBodyBytes. Default 32 MiB.
+	SubmissionBytes int64 `json:"submission_bytes"`
 	// Connections is the most open connections of callers. One more takes the place of the connection that has
 	// waited longest for its caller. It is lowered to what the process's limit of open files allows. Default 4000.
 	Connections int `json:"connections"`
@@ -234,15 +237,16 @@
 		},
 		Leases: Leases{ReclaimAfter: 5 * time.Second},
 		Limits: Limits{
-			MaxBodyBytes:   api.MaxBodyBytes,
-			MaxHeaderBytes: 16 << 10,
-			MaxInFlight:    4000,
-			ReadTimeout:    5 * time.Second,
-			AnswerBytes:    16 << 20,
-			RequestBytes:   16 << 20,
-			Connections:    4000,
-			MemoryBytes:    96 << 20,
-			Submissions:    20_000,
+			MaxBodyBytes:    api.MaxBodyBytes,
+			MaxHeaderBytes:  16 << 10,
+			MaxInFlight:     4000,
+			ReadTimeout:     5 * time.Second,
+			AnswerBytes:     16 << 20,
+			RequestBytes:    16 << 20,
+			SubmissionBytes: 32 << 20,
+			Connections:     4000,
+			MemoryBytes:     96 << 20,
+			Submissions:     20_000,
 		},
 		Dispatch:     Dispatch{Order: OrderFair, Policy: PolicyShared},
 		DrainTimeout: 30 * time.Second,
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -89,6 +89,7 @@
 		"body":                  {`"vm_id"`, `"limits": {"max_body_bytes": 4194305}, "vm_id"`, `line 3: limits.max_body_bytes = 4194305: is out of range`},
 		"memory":                {`"vm_id"`, `"limits": {"memory_bytes": 70956647}, "vm_id"`, `line 3: limits.memory_bytes = 70956647: is less than the daemon, limits.answer_bytes and membership.record_limit may take; give at least 70956648, or 0`},
 		"requests":              {`"vm_id"`, `"limits": {"request_bytes": 16777215}, "vm_id"`, `line 3: limits.request_bytes = 16777215: is less than the largest request takes while it is decoded; give at least 16777216, or lower limits.max_body_bytes`},
+		"submission bytes":      {`"vm_id"`, `"limits": {"submission_bytes": 4194303}, "vm_id"`, `line 3: limits.submission_bytes = 4194303: is out of range; give a number from 4194304 to 1073741824`},
 		"connections":           {`"vm_id"`, `"limits": {"connections": 0}, "vm_id"`, `line 3: limits.connections = 0: is out of range; give a number from 1 to 1000000`},
 		"memory below answers":  {`"vm_id"`, `"limits": {"answer_bytes": 50000000}, "vm_id"`, `limits.memory_bytes = 100663296: is less than the daemon, limits.answer_bytes`},
 		"memory below records":  {`"vm_id"`, `"membership": {"record_limit": 800000}, "vm_id"`, `limits.memory_bytes = 100663296: is less than the daemon, limits.answer_bytes`},
--- a/submission/answers_test.go
+++ b/submission/answers_test.go
@@ -22,7 +22,7 @@
 // keepAnswers puts n answers into a table whose submissions ran here.
 func keepAnswers(t *testing.T, table *table, n, bytes int) {
 	for i := range n {
-		e, first := table.reserve(keyOf(strconv.Itoa(bytes)+"-"+strconv.Itoa(i)).String(), uint64(i))
+		e, first := table.reserve(keyOf(strconv.Itoa(bytes)+"-"+strconv.Itoa(i)).String(), uint64(i), 0)
 		must.True(t, first)
 		table.setLocal(e)
 		table.finish(e, &Outcome{Status: statusOK, Body: []byte(strings.Repeat("x", bytes))})
@@ -37,7 +37,7 @@
 		{5000, 40, 0}, {100_000, 40, 0}, {100_000, 90, 0}, {20_000, 1000, 0}, {0, 0, 400}, {100_000, 40, 40}, {100_000, 40, 60}, {100_000, 40, 200},
 	} {
 		before := liveHeap()
-		table := newTable(budget)
+		table := newTable(budget, 0)
 		keepAnswers(t, table, c.small, c.bytes)
 		keepAnswers(t, table, c.large, 100_000)
 		heap := liveHeap() - before
--- a/submission/service.go
+++ b/submission/service.go
@@ -84,6 +84,8 @@
 	CallersAddress string
 	// AnswerBytes bounds the answers that are kept.
 	AnswerBytes int64
+	// SubmissionBytes bounds the size of the submissions without outcome; 0 means no bound.
+	SubmissionBytes int64
 	// ClaimTimeout bounds a claim or lookup, which may have to wait for a view change.
 	ClaimTimeout time.Duration
 	// DrainRetryAfter is the time after which a caller that was refused because of a
@@ -114,7 +116,7 @@
 	}
 	return &Service{
 		options:      o,
-		table:        newTable(o.AnswerBytes),
+		table:        newTable(o.AnswerBytes, o.SubmissionBytes),
 		explanations: newExplanations(maxExplanations),
 		tracer:       otel.Tracer("burdockward/submission"),
 		claims:       o.Scope.Counter("claims"),
@@ -129,6 +131,9 @@
 func (s *Service) Submit(ctx context.Context, sub *Submission) *Outcome {
 	for {
 		e := s.reserve(sub)
+		if e == nil {
+			return Refused(tooMuchHeld(sub.KeyText))
+		}
 		same := e.fingerprint == sub.Fingerprint
 		if !same && s.runsHere(ctx, e) {
 			return Refused(conflictFailure(sub.KeyText))
@@ -145,12 +150,13 @@
 	}
 }
 
-// reserve returns the entry of a key. For a new entry it starts the claim.
+// reserve returns the entry of a key. For a new entry it starts the claim. It returns nil if
+// the submissions without outcome hold too much memory for another one.
 func (s *Service) reserve(sub *Submission) *entry {
-	e, first := s.table.reserve(sub.KeyText, sub.Fingerprint)
+	e, first := s.table.reserve(sub.KeyText, sub.Fingerprint, sub.bytes())
 	if first {
 		go s.runOrJoin(e, sub)
-	} else if e.fingerprint == sub.Fingerprint {
+	} else if e != nil && e.fingerprint == sub.Fingerprint {
 		s.joined.Inc(1)
 	}
 	return e
@@ -305,6 +311,9 @@
 // the key belongs to other content, else nil.
 func (s *Service) Start(sub *Submission) *Outcome {
 	e := s.reserve(sub)
+	if e == nil {
+		return Refused(tooMuchHeld(sub.KeyText))
+	}
 	if e.fingerprint == sub.Fingerprint {
 		return nil
 	}
@@ -314,3 +323,15 @@
 	go s.Submit(context.Background(), sub)
 	return nil
 }
+
+// tooMuchHeld returns the refusal of a submission that was not claimed, since those without
+// outcome hold too much memory. An earlier attempt with the key may have run.
+func tooMuchHeld(keyText string) *api.Failure {
+	return &api.Failure{
+		Kind:         api.KindOverloaded,
+		Message:      "this VM holds as many bytes of submissions as it can: this attempt started nothing; come back with the same key",
+		Run:          api.OutcomeUnknown,
+		RetryAfterMS: time.Second.Milliseconds(),
+		Key:          keyText,
+	}
+}
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -59,6 +59,18 @@
 	}
 }
 
+// submissionBytes is what a submission takes beside its payloads.
+const submissionBytes = 512
+
+// bytes returns about how much memory the submission takes.
+func (s *Submission) bytes() int64 {
+	bytes := submissionBytes
+	for _, task := range s.Tasks {
+		bytes += len(task.Payload)
+	}
+	return int64(bytes)
+}
+
 // fingerprint returns a hash of the profile and the payloads. It is never 0, which means
 // "not compared" between VMs.
 func fingerprint(request *api.Submission) uint64 {
--- a/submission/table.go
+++ b/submission/table.go
@@ -17,6 +17,8 @@
 	outcome *Outcome
 	// local says that this VM was granted the key and runs it.
 	local bool
+	// bytes is what the entry counts for in table.held.
+	bytes int64
 }
 
 // closedChannel is the channel of entries whose claim and run have ended.
@@ -32,21 +34,29 @@
 	mu      sync.Mutex
 	entries map[string]*entry
 	answers *answers
+	// held is the size of the submissions without outcome, at most limit; a limit of 0 is none.
+	held, limit int64
 }
 
-func newTable(budget int64) *table {
-	return &table{entries: map[string]*entry{}, answers: newAnswers(budget)}
+func newTable(budget, limit int64) *table {
+	return &table{entries: map[string]*entry{}, answers: newAnswers(budget), limit: limit}
 }
 
-// reserve returns the entry of a key and adds one if needed. It returns true for a new
-// entry, so that exactly one goroutine of this VM claims the key.
-func (t *table) reserve(keyText string, fingerprint uint64) (e *entry, first bool) {
+// reserve returns the entry of a key and adds one of a size if needed. It returns true for
+// a new entry, so that exactly one goroutine of this VM claims the key. It returns nil if a
+// new entry would exceed the limit; one is always taken while there is no other.
+func (t *table) reserve(keyText string, fingerprint uint64, bytes int64) (e *entry, first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.find(keyText); e != nil {
 		return e, false
 	}
+	if t.limit > 0 && t.held > 0 && t.held+bytes > t.limit {
+		return nil, false
+	}
+	t.held += bytes
 	e = &entry{
+		bytes:       bytes,
 		keyText:     keyText,
 		fingerprint: fingerprint,
 		decided:     make(chan struct{}),
@@ -123,7 +133,10 @@
 	e.outcome = o
 	e.markDecided()
 	close(e.done)
-	delete(t.entries, e.keyText)
+	if t.entries[e.keyText] == e {
+		delete(t.entries, e.keyText)
+		t.held -= e.bytes
+	}
 	if e.local {
 		t.answers.put(e.keyText, e.fingerprint, o)
 	}
