Say who calls what of the limited listener

Need: the comment asked for "its ConnState", which a reader can't find, and the relay's server, which isn't HTTP, uses other methods.

Change: comments only.

--- a/intake/listener.go
+++ b/intake/listener.go
@@ -44,8 +44,9 @@
 	countDecoding = "decoded body beyond memory"
 )
 
-// Listener accepts connections for an HTTP server within its places, and closes the one that has waited longest
-// when a new one needs its place. Its ConnState must be that of the server.
+// Listener accepts connections for a server within its places, and closes the one that has waited longest when a
+// new one needs its place. TrackState must be the ConnState of an HTTP server; the server of another protocol
+// calls EndHeader and SetServing itself.
 type Listener struct {
 	net.Listener
 	options Options
@@ -55,7 +56,7 @@
 	// changed tells Accept that a connection was closed or begins to wait.
 	changed *sync.Cond
 	closed  bool
-	// loggedAt is when the last line was written.
+	// loggedAt is when the last line was logged.
 	loggedAt time.Time
 }
 
@@ -129,7 +130,7 @@
 	}
 }
 
-// note counts a connection or request that is turned away, and logs the first one of a while.
+// note counts a connection or request that is turned away, and logs at most one each logInterval.
 func (l *Listener) note(why string) {
 	l.options.Count("intake_"+l.options.Name, why)
 	l.mu.Lock()
--- a/relay/server.go
+++ b/relay/server.go
@@ -116,6 +116,7 @@
 		if err != nil {
 			return err
 		}
+		// Once it has sent an order, an owner's connection keeps its place.
 		if limited, ok := conn.(*intake.Conn); ok {
 			limited.SetServing()
 		}
