Show that tasks which failed once wait for ever for a distrusted target

Cause: a target that two failed jobs made suspected is probed only with a task that hasn't failed yet, and is trusted again only after a success. Where all the tasks that could use it have failed once, they wait for good. The check of LOST counts capacity by the labels that a job requires, as a case with labels needs it.

--- a/review/world-3/cases.go
+++ b/review/world-3/cases.go
@@ -58,8 +58,9 @@
 	return len(done) == tasks
 }
 
-// use returns the capacity of the service that is up, what is in use of it, and what is free outside of a zone.
-func (w *world) use(without string) (capacity, used, free int64) {
+// use returns the capacity of the service that is up, what is in use of it, and what is free for a job on the
+// executors outside of a zone that have the labels which its steps require.
+func (w *world) use(without string, j *job) (capacity, used, free int64) {
 	for _, e := range w.executors {
 		e.mu.Lock()
 		if e.up {
@@ -69,7 +70,7 @@
 				busy += r.cpu
 			}
 			used += busy
-			if e.zone != without {
+			if e.zone != without && j.mayUse(e.labels) {
 				free += e.capacity - busy
 			}
 		}
@@ -78,14 +79,24 @@
 	return capacity, used, free
 }
 
+// mayUse reports whether an executor with these labels may run all of a job's tasks.
+func (j *job) mayUse(labels []string) bool {
+	for _, st := range j.steps {
+		if st.Requires != "" && !slices.Contains(labels, st.Requires) {
+			return false
+		}
+	}
+	return true
+}
+
 // lostAtEnd is the check of LOST at the end of the traffic: of the jobs that aren't done, which have nothing
 // running for 3 s although a task's turn has come, there is capacity for it twice over and under half of the
 // service's capacity is in use; and which are unknown or without answer.
 func (w *world) lostAtEnd(jobs []*job, at *machine, without string) string {
 	idle := map[*job]time.Time{}
 	for end := time.Now().Add(idleTime + 500*time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		capacity, used, free := w.use(without)
 		for _, j := range jobs {
+			capacity, used, free := w.use(without, j)
 			need := int64(0)
 			for _, st := range j.steps {
 				need = max(need, st.CPU*int64(st.Count))
@@ -108,12 +119,12 @@
 			lost = append(lost, fmt.Sprintf("%s (answer %q)", j.ID, state))
 		}
 	}
-	capacity, used, free := w.use(without)
 	if len(lost) == 0 {
 		return ""
 	}
-	return fmt.Sprintf("LOST: %d of %d accepted jobs have nothing running for 3 s, %v after the end of the traffic; capacity %d, in use %d, free outside %s: %d; %s",
-		len(lost), len(jobs), finishTime, capacity, used, without, free, strings.Join(lost[:min(4, len(lost))], ", "))
+	capacity, used, free := w.use(without, jobs[0])
+	return fmt.Sprintf("LOST: %d of %d accepted jobs have nothing running for 3 s, %v after the end of the traffic; capacity %d, in use %d, free for the first of them %d (without %q); %s",
+		len(lost), len(jobs), finishTime, capacity, used, free, without, strings.Join(lost[:min(4, len(lost))], ", "))
 }
 
 // threeZones adds the same executors in each zone.
@@ -190,6 +201,38 @@
 	return w.lostAtEnd(jobs, w.in("hall-a")[0], "hall-c"), nil
 }
 
+// distrusted: the one executor of a kind in a zone fails all that it starts for some seconds, and is sound again.
+func distrusted(r *record, seed uint64, trouble bool) (string, error) {
+	w, err := deploy(r, seed, 1, func(w *world) error {
+		w.addRoute("batch", 1, 60000, 3)
+		for _, zone := range w.zones {
+			if err := w.addExecutors(zone, 3, 8000, "a"); err != nil {
+				return err
+			}
+			if err := w.addExecutors(zone, 1, 8000, "b"); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return "", err
+	}
+	grey := w.executors[len(w.executors)-1]
+	if trouble {
+		grey.setFailing(true)
+		time.AfterFunc(6500*time.Millisecond, func() { grey.setFailing(false) })
+	}
+	jobs := w.acceptJobs(w.in("hall-c"), 4, 0, func(int) *job {
+		return w.newJob("batch", step{Count: 1, CPU: 2000, Estimate: 500, Requires: "b"})
+	})
+	if len(jobs) == 0 {
+		return "", fmt.Errorf("no job was accepted")
+	}
+	time.Sleep(6500*time.Millisecond + finishTime + 3*time.Second)
+	return w.lostAtEnd(jobs, w.in("hall-a")[0], ""), nil
+}
+
 // cancelWhileStored: answers of the store are lost, so that some clients get no 2xx; these cancel.
 func cancelWhileStored(r *record, seed uint64, trouble bool) (string, error) {
 	w, err := deploy(r, seed, 1, threeZones)
--- a/review/world-3/executor.go
+++ b/review/world-3/executor.go
@@ -85,6 +85,8 @@
 	lastEnd  int64
 	changed  chan struct{}
 	stopBeat chan struct{}
+	// failing says that it fails all that it starts, while its health is good.
+	failing bool
 }
 
 type activeRun struct {
@@ -160,6 +162,14 @@
 	e.world.record.add(e.id, "draining")
 }
 
+// setFailing sets whether the executor fails all that it starts.
+func (e *executor) setFailing(failing bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failing = failing
+	e.world.record.add(e.id, "fails all that it starts: %v", failing)
+}
+
 // leave ends the executor after its drain: its entry is removed, and what runs there ends.
 func (e *executor) leave() {
 	e.crash("left")
@@ -297,6 +307,9 @@
 		// A task that lasts, and fails by itself after a time.
 		ms, how = -ms, "failed"
 	}
+	if e.failing {
+		how = "failed"
+	}
 	r.timer = time.AfterFunc(time.Duration(ms)*time.Millisecond, func() { e.endLater(r, how) })
 	e.watchLease(r)
 	return e.answer("")
--- a/review/world-3/main.go
+++ b/review/world-3/main.go
@@ -23,6 +23,7 @@
 
 var cases = map[string]caseRun{
 	"zone-gone":  zoneGone,
+	"distrusted": distrusted,
 	"evacuated":  evacuated,
 	"cancel":     cancelWhileStored,
 	"counts":     hugeCounts,
