Show that one job that waits for memory keeps all others waiting

Cause: a step that finds no target closes the pool, until the next pass, to all steps behind it that need as much processor, whatever it lacked itself. The stand-ins' executors guard their memory for it.

--- a/review/world-3/cases.go
+++ b/review/world-3/cases.go
@@ -58,19 +58,20 @@
 	return len(done) == tasks
 }
 
-// use returns the capacity of the service that is up, what is in use of it, and what is free for a job on the
-// executors outside of a zone that have the labels which its steps require.
+// use returns the processor of the service that is up, what is in use of it, and what is free for a job on the
+// executors outside of a zone that have the labels which its steps require, and memory for one more of its tasks.
 func (w *world) use(without string, j *job) (capacity, used, free int64) {
 	for _, e := range w.executors {
 		e.mu.Lock()
 		if e.up {
 			capacity += e.capacity
-			busy := int64(0)
+			busy, memory := int64(0), int64(0)
 			for _, r := range e.running {
 				busy += r.cpu
+				memory += r.mem
 			}
 			used += busy
-			if e.zone != without && j.mayUse(e.labels) {
+			if e.zone != without && j.mayUse(e.labels) && memory+j.largest() <= executorMB {
 				free += e.capacity - busy
 			}
 		}
@@ -79,6 +80,15 @@
 	return capacity, used, free
 }
 
+// largest returns the memory of the job's largest task.
+func (j *job) largest() int64 {
+	most := int64(0)
+	for _, st := range j.steps {
+		most = max(most, st.MemMB)
+	}
+	return most
+}
+
 // mayUse reports whether an executor with these labels may run all of a job's tasks.
 func (j *job) mayUse(labels []string) bool {
 	for _, st := range j.steps {
@@ -233,6 +243,110 @@
 	return w.lostAtEnd(jobs, w.in("hall-a")[0], ""), nil
 }
 
+// Times of LOST for tasks that last: from lastingTime after its last run a task has to run again, if the idleTime and
+// the calmBefore before it are calm.
+const (
+	lastingTime = 6 * time.Second
+	calmBefore  = 4 * time.Second
+)
+
+// lastingAfterCrash: an executor crashes and is back some seconds later, while each executor of its zone runs a task
+// that lasts.
+func lastingAfterCrash(r *record, seed uint64, trouble bool) (string, error) {
+	w, err := deploy(r, seed, 1, threeZones)
+	if err != nil {
+		return "", err
+	}
+	jobs := w.acceptJobs(w.in("hall-c"), 4, 20*time.Millisecond, func(int) *job {
+		return w.newJob("batch", step{Count: 1, CPU: 5000, Estimate: 600_000, Lasting: true})
+	})
+	if len(jobs) == 0 {
+		return "", fmt.Errorf("no job was accepted")
+	}
+	time.Sleep(10 * time.Second)
+	calm := time.Now()
+	if trouble {
+		// The executor that runs the most tasks.
+		var most *executor
+		for _, e := range w.executors {
+			if e.up && (most == nil || len(e.running) > len(most.running)) {
+				most = e
+			}
+		}
+		w.record.add("judge", "%d tasks run at %s", len(most.running), most.id)
+		most.crash("crashed")
+		id := most.id
+		time.AfterFunc(4*time.Second, func() { w.store.remove("servers", id) })
+		time.Sleep(4500 * time.Millisecond)
+		if err := most.bootAs(fmt.Sprintf("i-%08x", w.random.Uint32())); err != nil {
+			return "", err
+		}
+		calm = time.Now()
+	}
+	// idle has the jobs whose task doesn't run, lost for how long it has been late.
+	idle, lost := map[*job]time.Time{}, map[*job]time.Duration{}
+	for end := time.Now().Add(50 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, j := range jobs {
+			capacity, used, free := w.use("", j)
+			starts := w.startsOf(j.ID)
+			last := calm
+			for _, s := range starts {
+				if s.ended.After(last) {
+					last = s.ended
+				}
+			}
+			if w.hasRunning(j.ID) || free < 10000 || 2*used >= capacity || time.Since(last) < lastingTime || time.Since(calm) < calmBefore {
+				delete(idle, j)
+				continue
+			}
+			if idle[j].IsZero() {
+				idle[j] = time.Now()
+			}
+			if late := time.Since(idle[j]); late >= idleTime {
+				lost[j] = late
+			}
+		}
+	}
+	if len(lost) == 0 {
+		return "", nil
+	}
+	longest := time.Duration(0)
+	for j, late := range lost {
+		longest = max(longest, late)
+		w.record.add("judge", "%s: its task didn't run for %v, from %v after its last run or the end of the disruption on", j.ID, late.Round(time.Millisecond), lastingTime)
+	}
+	capacity, used, free := w.use("", jobs[0])
+	return fmt.Sprintf("LOST: %d of %d tasks that last isn't started again for %v, counted from %v after the executor was back; capacity %d, in use %d, free %d",
+		len(lost), len(jobs), longest.Round(time.Second), lastingTime, capacity, used, free), nil
+}
+
+// behindLargeMemory: a job waits for memory that tasks which last hold; small jobs come after it.
+func behindLargeMemory(r *record, seed uint64, trouble bool) (string, error) {
+	w, err := deploy(r, seed, 1, threeZones)
+	if err != nil {
+		return "", err
+	}
+	at := w.in("hall-c")
+	held := w.acceptJobs(at, 4, 50*time.Millisecond, func(int) *job {
+		return w.newJob("batch", step{Count: 1, CPU: 500, MemMB: 40000, Estimate: 600_000, Lasting: true})
+	})
+	time.Sleep(time.Second)
+	if trouble {
+		w.acceptJobs(at, 1, 0, func(int) *job {
+			return w.newJob("batch", step{Count: 1, CPU: 500, MemMB: 40000, Estimate: 2000})
+		})
+	}
+	time.Sleep(time.Second)
+	jobs := w.acceptJobs(at, 8, 50*time.Millisecond, func(int) *job {
+		return w.newJob("batch", step{Count: 1, CPU: 1000, MemMB: 64, Estimate: 1000})
+	})
+	if len(held) < 4 || len(jobs) == 0 {
+		return "", fmt.Errorf("jobs were not accepted")
+	}
+	time.Sleep(finishTime + 3*time.Second)
+	return w.lostAtEnd(jobs, w.in("hall-a")[0], ""), nil
+}
+
 // cancelWhileStored: answers of the store are lost, so that some clients get no 2xx; these cancel.
 func cancelWhileStored(r *record, seed uint64, trouble bool) (string, error) {
 	w, err := deploy(r, seed, 1, threeZones)
--- a/review/world-3/client.go
+++ b/review/world-3/client.go
@@ -48,7 +48,7 @@
 		if s.Lasting {
 			ms = -ms
 		}
-		spec.MS, spec.CPU = append(spec.MS, ms), append(spec.CPU, s.CPU)
+		spec.MS, spec.CPU, spec.Mem = append(spec.MS, ms), append(spec.CPU, s.CPU), append(spec.Mem, s.MemMB)
 	}
 	text, _ := json.Marshal(spec)
 	return &job{ID: fmt.Sprintf("%016x", w.random.Uint64()), queue: queue, steps: steps, body: map[string]any{"spec": string(text), "steps": steps}}
--- a/review/world-3/executor.go
+++ b/review/world-3/executor.go
@@ -14,13 +14,25 @@
 // holdMax is bounds.hold_max_ms.
 const holdMax = 1000 * time.Millisecond
 
-// work says what the tasks of a job do: the milliseconds and the processor of the tasks of each step.
+// work says what the tasks of a job do: the milliseconds, the processor and the memory of the tasks of each step.
 // The clients write it into the job's spec.
 type work struct {
 	MS  []int64 `json:"ms"`
 	CPU []int64 `json:"cpu"`
+	Mem []int64 `json:"mem,omitempty"`
 }
 
+// memoryOf returns the memory of a task of a step.
+func (w work) memoryOf(step int) int64 {
+	if step < len(w.Mem) {
+		return w.Mem[step]
+	}
+	return 0
+}
+
+// executorMB is the memory of an executor of kasa-sofia.
+const executorMB = 65536
+
 // start is what the executors and the judge know of a start.
 type start struct {
 	task, job, executor, zone string
@@ -92,6 +104,7 @@
 type activeRun struct {
 	start *start
 	cpu   int64
+	mem   int64
 	timer *time.Timer
 }
 
@@ -121,6 +134,15 @@
 	return nil
 }
 
+// bootAs begins an incarnation of the same kind with a new ID, as after a crash.
+func (e *executor) bootAs(id string) error {
+	e.mu.Lock()
+	e.id = id
+	labels, capacity := e.labels, e.capacity
+	e.mu.Unlock()
+	return e.boot(labels, capacity)
+}
+
 // beat registers at once and then every heartbeat_ms.
 func (e *executor) beat(stop chan struct{}) {
 	ticker := time.NewTicker(1500 * time.Millisecond)
@@ -144,7 +166,7 @@
 	e.seq++
 	entry := map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": e.state, "cold_left_ms": 0,
-		"capacity": map[string]int64{"cpu": e.capacity, "mem_mb": 65536, "gpu": 0}, "labels": e.labels, "clock_ms": e.clock(), "seq_no": e.seq,
+		"capacity": map[string]int64{"cpu": e.capacity, "mem_mb": executorMB, "gpu": 0}, "labels": e.labels, "clock_ms": e.clock(), "seq_no": e.seq,
 	}
 	if e.born != 0 {
 		entry["born"] = e.born
@@ -276,9 +298,10 @@
 	if json.Unmarshal([]byte(in.Spec), &w) != nil || step >= len(w.MS) || step >= len(w.CPU) {
 		return http.StatusBadRequest, map[string]any{}
 	}
-	used := int64(0)
+	used, memory := int64(0), w.memoryOf(step)
 	for _, r := range e.running {
 		used += r.cpu
+		memory += r.mem
 	}
 	present := e.running[in.Task]
 	switch {
@@ -292,13 +315,13 @@
 		return e.answer("old")
 	case in.UntilMS <= e.clock():
 		return e.answer("late")
-	case present != nil || used+w.CPU[step] > e.capacity:
+	case present != nil || used+w.CPU[step] > e.capacity || memory > executorMB:
 		e.extend(in.UntilMS)
 		return e.answer("room")
 	}
 	e.extend(in.UntilMS)
 	s := &start{task: in.Task, job: job, step: step, run: in.Run, executor: e.id, zone: e.zone, at: time.Now(), labels: slices.Clone(e.labels)}
-	r := &activeRun{start: s, cpu: w.CPU[step]}
+	r := &activeRun{start: s, cpu: w.CPU[step], mem: w.memoryOf(step)}
 	e.running[in.Task] = r
 	e.world.runs.add(s)
 	e.world.record.add(e.id, "starts %s run %d, token %d", in.Task, in.Run, in.Token)
--- a/review/world-3/main.go
+++ b/review/world-3/main.go
@@ -24,6 +24,8 @@
 var cases = map[string]caseRun{
 	"zone-gone":  zoneGone,
 	"distrusted": distrusted,
+	"lasting":    lastingAfterCrash,
+	"memory":     behindLargeMemory,
 	"evacuated":  evacuated,
 	"cancel":     cancelWhileStored,
 	"counts":     hugeCounts,
