--- a/review/world-3/cases.go
+++ b/review/world-3/cases.go
@@ -551,7 +551,7 @@
 }
 
 // adoptedWhileTakenOver: the executors of a kind leave one zone, so that the jobs that wait for them move to
-// another zone, whose owner's processes are killed meanwhile.
+// another zone. Its owner's process is killed meanwhile, while the store is slow.
 func adoptedWhileTakenOver(r *record, seed uint64, trouble bool) (string, error) {
 	w, err := deploy(r, seed, 2, func(w *world) error {
 		w.addRoute("batch", 1, 600000, 3)
@@ -560,37 +560,55 @@
 				return err
 			}
 		}
-		// One executor of kind b in hall-a, which is to leave.
-		return w.addExecutors("hall-a", 1, 2000, "b")
+		if err := w.addExecutors("hall-a", 1, 2000, "b"); err != nil {
+			return err
+		}
+		if err := w.addExecutors("hall-a", 1, 2000, "c"); err != nil {
+			return err
+		}
+		if err := w.addExecutors("hall-b", 4, 32000, "b"); err != nil {
+			return err
+		}
+		return w.addExecutors("hall-c", 4, 32000, "c")
 	})
 	if err != nil {
 		return "", err
 	}
-	jobs := w.acceptJobs(w.in("hall-a"), 1500, 4*time.Millisecond, func(int) *job {
-		return w.newJob("batch", step{Count: 1, CPU: 2000, Estimate: 300, Requires: "b"})
+	// Jobs for later, which the owners keep beside the others.
+	w.acceptJobs(w.machines, 3600, 2*time.Millisecond, func(int) *job {
+		j := w.newJob("batch", step{Count: 1, CPU: 500, Estimate: 1000})
+		j.body["repeat_count"], j.body["first_run_ms"], j.body["interval_ms"] = 1, time.Now().Add(time.Hour).UnixMilli(), 1000
+		return j
 	})
-	if len(jobs) < 1000 {
+	jobs := w.acceptJobs(w.in("hall-a"), 600, 4*time.Millisecond, func(i int) *job {
+		return w.newJob("batch", step{Count: 1, CPU: 2000, Estimate: 300, Requires: []string{"b", "c"}[i%2]})
+	})
+	if len(jobs) < 500 {
 		return "", fmt.Errorf("only %d jobs accepted", len(jobs))
 	}
-	if err := w.addExecutors("hall-c", 4, 32000, "b"); err != nil {
-		return "", err
+	leaving := slices.Clone(w.executors[6:8])
+	time.Sleep(1500 * time.Millisecond)
+	for _, e := range leaving {
+		e.drain()
 	}
-	time.Sleep(time.Second)
-	leaving := w.executors[6]
-	leaving.drain()
-	time.Sleep(2500 * time.Millisecond)
-	leaving.leave()
+	time.AfterFunc(2500*time.Millisecond, func() {
+		for _, e := range leaving {
+			e.leave()
+		}
+	})
+	time.Sleep(1200 * time.Millisecond)
 	if trouble {
 		w.store.setSlow(60)
 		time.AfterFunc(4500*time.Millisecond, func() { w.store.setSlow(1) })
-		time.Sleep(500 * time.Millisecond)
-		if m := w.owner("hall-c"); m != nil {
-			m.kill("node_kill, first that which last wrote to the store under a condition")
-		}
+		time.Sleep(300 * time.Millisecond)
+		together(2, func(i int) {
+			if m := w.owner([]string{"hall-b", "hall-c"}[i]); m != nil {
+				m.kill("node_kill, first that which last wrote to the store under a condition")
+			}
+		})
 	}
-	end := time.Now().Add(7 * time.Second)
-	time.Sleep(time.Until(end.Add(finishTime + 24*time.Second)))
-	return w.lostAtEnd(jobs, w.in("hall-b")[0], ""), nil
+	time.Sleep(10*time.Second + finishTime + 12*time.Second)
+	return w.lostAtEnd(jobs, w.in("hall-a")[0], ""), nil
 }
 
 // otherKind: executors crash and start again under their ID as another kind.
