--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,7 +1,5 @@
-#!/bin/sh
-# Builds the stand-ins of the cases 9 to 13 into target/. It needs Go and no network: the stand-ins use the
-# standard library alone.
-set -eu
-cd "$(dirname "$0")/world-3"
-mkdir -p ../../target
-GOWORK=off GOTOOLCHAIN=local GOFLAGS=-mod=mod go build -o ../../target/review-world-3 .
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the third review start: one program, of this module.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -buildvcs=false -o target/review-world-3 ./review/world-3
--- a/review/world-3/cases.go
+++ b/review/world-3/cases.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/burdockward/burdockward/platform/wire"
 )
 
 // Bounds of the settings (kasa-sofia).
@@ -204,7 +207,7 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	if trouble {
-		w.store.put("op", "evacuate/hall-c", map[string]any{})
+		w.store.put(wire.OperatorTable, wire.CordonPrefix+"hall-c", struct{}{})
 		w.record.add("operator", "evacuates hall-c")
 	}
 	time.Sleep(finishTime + 3*time.Second)
@@ -276,7 +279,7 @@
 		w.record.add("judge", "%d tasks run at %s", len(most.running), most.id)
 		most.crash("crashed")
 		id := most.id
-		time.AfterFunc(4*time.Second, func() { w.store.remove("servers", id) })
+		time.AfterFunc(4*time.Second, func() { w.store.remove(wire.TargetsTable, id) })
 		time.Sleep(4500 * time.Millisecond)
 		if err := most.bootAs(fmt.Sprintf("i-%08x", w.random.Uint32())); err != nil {
 			return "", err
@@ -419,15 +422,16 @@
 	if err != nil {
 		return "", err
 	}
-	counts := []string{"4", "4"}
+	counts := []int{4, 4}
 	if trouble {
-		counts = []string{"9223372036854775807", "9223372036854775807", "10"}
+		counts = []int{math.MaxInt64, math.MaxInt64, 10}
 	}
-	var parts []string
+	var steps []step
 	for _, count := range counts {
-		parts = append(parts, fmt.Sprintf(`{"count":%s,"cpu":500,"est_duration_ms":100}`, count))
+		steps = append(steps, step{Count: count, CPU: 500, Estimate: 100})
 	}
-	body := []byte(fmt.Sprintf(`{"spec":"{\"ms\":[100,100,100],\"cpu\":[500,500,500]}","best_effort":true,"steps":[%s]}`, strings.Join(parts, ",")))
+	bad := w.newJob("batch", steps...)
+	bad.body.BestEffort = true
 	ordinary, answered := 0, 0
 	var mu sync.Mutex
 	stop := make(chan struct{})
@@ -441,7 +445,7 @@
 			m := w.machines[i%len(w.machines)]
 			go func() {
 				j := w.newJob("batch", step{Count: 2, CPU: 500, Estimate: 100})
-				j.body["best_effort"] = true
+				j.body.BestEffort = true
 				status := w.submit(m, j)
 				mu.Lock()
 				defer mu.Unlock()
@@ -452,13 +456,12 @@
 			}()
 		}
 	}()
-	id := fmt.Sprintf("%016x", w.random.Uint64())
 	for i := range 9 {
 		m := w.machines[i%len(w.machines)]
 		for end := time.Now().Add(8 * time.Second); !m.isReady() && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		}
-		status, answer, err := w.call(m, "POST", "/batch/"+id, body, clientDeadline)
-		w.record.add("client", "POST %s with counts %v at %s -> %d %v %s", id, counts, m.name, status, answer, errText(err))
+		status, answer, err := w.call(m, "POST", "/batch/"+bad.ID, bad.body, clientDeadline)
+		w.record.add("client", "POST %s with counts %v at %s -> %d %v %s", bad.ID, counts, m.name, status, answer, errText(err))
 		if status == 200 || status == 400 {
 			break
 		}
@@ -466,21 +469,21 @@
 	}
 	time.Sleep(2 * time.Second)
 	close(stop)
-	bad, total := 0, 0
+	over, total := 0, 0
 	for _, m := range w.machines {
 		m.mu.Lock()
 		w.record.add("platform", "%s: %d ends by itself, %d of them over its memory, peak %d MB", m.name, m.ends, m.killed, m.peakMB)
 		total += m.ends
 		if m.ends >= 3 {
-			bad++
+			over++
 		}
 		m.mu.Unlock()
 	}
 	mu.Lock()
 	defer mu.Unlock()
 	w.record.add("judge", "ordinary jobs: %d of %d answered with 200", answered, ordinary)
-	if bad >= 2 {
-		return fmt.Sprintf("Fault: the processes of %d of %d machines ended by themselves three times, %d ends in all, without a disruption; ordinary jobs answered: %d of %d", bad, len(w.machines), total, answered, ordinary), nil
+	if over >= 2 {
+		return fmt.Sprintf("Fault: the processes of %d of %d machines ended by themselves three times, %d ends in all, without a disruption; ordinary jobs answered: %d of %d", over, len(w.machines), total, answered, ordinary), nil
 	}
 	return "", nil
 }
@@ -577,7 +580,7 @@
 	// Jobs for later, which the owners keep beside the others.
 	w.acceptJobs(w.machines, 3600, 2*time.Millisecond, func(int) *job {
 		j := w.newJob("batch", step{Count: 1, CPU: 500, Estimate: 1000})
-		j.body["repeat_count"], j.body["first_run_ms"], j.body["interval_ms"] = 1, time.Now().Add(time.Hour).UnixMilli(), 1000
+		j.body.RepeatCount, j.body.FirstRunMS, j.body.IntervalMS = 1, float64(time.Now().Add(time.Hour).UnixMilli()), 1000
 		return j
 	})
 	jobs := w.acceptJobs(w.in("hall-a"), 600, 4*time.Millisecond, func(i int) *job {
@@ -687,7 +690,7 @@
 	}
 	jobs := w.acceptJobs(w.machines, 3, 0, func(int) *job {
 		j := w.newJob("batch", step{Count: 1, CPU: 500, Estimate: 500})
-		j.body["repeat_count"], j.body["first_run_ms"], j.body["interval_ms"] = 1, due, 1000
+		j.body.RepeatCount, j.body.FirstRunMS, j.body.IntervalMS = 1, float64(due), 1000
 		return j
 	})
 	time.Sleep(10 * time.Second)
--- a/review/world-3/client.go
+++ b/review/world-3/client.go
@@ -10,25 +10,33 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/burdockward/burdockward/platform/wire"
 )
 
-// step is a step of a job as clients send it.
+// step is a step of a job as the cases describe it.
 type step struct {
-	Count    int      `json:"count"`
-	CPU      int64    `json:"cpu"`
-	MemMB    int64    `json:"mem_mb,omitempty"`
-	Estimate int64    `json:"est_duration_ms"`
-	After    []int    `json:"after,omitempty"`
-	Requires string   `json:"requires,omitempty"`
-	Lasting  bool     `json:"long_running,omitempty"`
-	_        struct{} `json:"-"`
+	Count    int
+	CPU      int64
+	MemMB    int64
+	Estimate int64
+	After    []int
+	Requires string
+	Lasting  bool
+}
+
+// message returns the step as clients send it.
+func (s step) message() wire.Step {
+	return wire.Step{
+		Count: s.Count, CPU: s.CPU, MemoryMB: s.MemMB, EstimateMS: float64(s.Estimate), After: s.After, Requires: s.Requires, LongRunning: s.Lasting,
+	}
 }
 
 // job is a job that a client hands in, with what the client has learned of it.
 type job struct {
 	ID    string
 	queue string
-	body  map[string]any
+	body  wire.Job
 	steps []step
 
 	mu sync.Mutex
@@ -42,8 +50,9 @@
 
 // newJob makes a job whose tasks do what the steps say.
 func (w *world) newJob(queue string, steps ...step) *job {
-	spec := work{}
+	spec, body := work{}, wire.Job{}
 	for _, s := range steps {
+		body.Steps = append(body.Steps, s.message())
 		ms := s.Estimate
 		if s.Lasting {
 			ms = -ms
@@ -51,16 +60,15 @@
 		spec.MS, spec.CPU, spec.Mem = append(spec.MS, ms), append(spec.CPU, s.CPU), append(spec.Mem, s.MemMB)
 	}
 	text, _ := json.Marshal(spec)
-	return &job{ID: fmt.Sprintf("%016x", w.random.Uint64()), queue: queue, steps: steps, body: map[string]any{"spec": string(text), "steps": steps}}
+	body.Spec = string(text)
+	return &job{ID: fmt.Sprintf("%016x", w.random.Uint64()), queue: queue, steps: steps, body: body}
 }
 
 // call makes one request over a connection of its own, as a client that the platform forwards.
 func (w *world) call(m *machine, method, path string, body any, deadline time.Duration) (status int, answer map[string]any, err error) {
 	data := []byte{}
 	if body != nil {
-		if raw, ok := body.([]byte); ok {
-			data = raw
-		} else if data, err = json.Marshal(body); err != nil {
+		if data, err = json.Marshal(body); err != nil {
 			return 0, nil, err
 		}
 	}
@@ -70,10 +78,10 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	request.Host = "jobs.example"
+	request.Host = host
 	request.Close = true
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("X-Burdockward-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	request.Header.Set(wire.DeadlineHeader, strconv.FormatInt(deadline.Milliseconds(), 10))
 	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
 	if err != nil {
 		return 0, nil, err
--- a/review/world-3/executor.go
+++ b/review/world-3/executor.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/burdockward/burdockward/platform/wire"
 )
 
 // holdMax is bounds.hold_max_ms.
@@ -93,7 +95,7 @@
 	lease    int64
 	running  map[string]*activeRun
 	highest  map[string]int64
-	ended    [][]any
+	ended    []wire.Completion
 	lastEnd  int64
 	changed  chan struct{}
 	stopBeat chan struct{}
@@ -120,12 +122,12 @@
 	if err != nil {
 		return err
 	}
-	e.address, e.labels, e.capacity, e.state = listener.Addr().String(), labels, capacity, "ready"
+	e.address, e.labels, e.capacity, e.state = listener.Addr().String(), labels, capacity, wire.StateReady
 	e.seq, e.began, e.token, e.lease, e.lastEnd = 0, time.Now(), 0, 0, 0
 	if e.world.births {
 		e.born = time.Now().UnixMilli()
 	}
-	e.running, e.highest, e.ended, e.changed = map[string]*activeRun{}, map[string]int64{}, [][]any{}, make(chan struct{})
+	e.running, e.highest, e.ended, e.changed = map[string]*activeRun{}, map[string]int64{}, nil, make(chan struct{})
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: 3 * time.Second}
 	e.up, e.stopBeat = true, make(chan struct{})
 	go func(s *http.Server) { _ = s.Serve(listener) }(e.server)
@@ -157,6 +159,14 @@
 	}
 }
 
+// registryEntry is an executor's entry with what the daemon doesn't read.
+type registryEntry struct {
+	wire.Target
+	Version string `json:"version"`
+	Slots   int    `json:"slots"`
+	SeqNo   int64  `json:"seq_no"`
+}
+
 func (e *executor) register(stop chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -164,20 +174,20 @@
 		return
 	}
 	e.seq++
-	entry := map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": e.state, "cold_left_ms": 0,
-		"capacity": map[string]int64{"cpu": e.capacity, "mem_mb": executorMB, "gpu": 0}, "labels": e.labels, "clock_ms": e.clock(), "seq_no": e.seq,
-	}
-	if e.born != 0 {
-		entry["born"] = e.born
+	entry := registryEntry{
+		Target: wire.Target{
+			Service: e.service, Address: e.address, Zone: e.zone, State: e.state, Labels: e.labels, StartedMS: e.born,
+			Capacity: wire.Capacity{Resources: wire.Resources{CPU: e.capacity, MemoryMB: executorMB}},
+		},
+		Version: "v1", Slots: 8, SeqNo: e.seq,
 	}
-	e.world.store.put("servers", e.id, entry)
+	e.world.store.put(wire.TargetsTable, e.id, entry)
 }
 
 // drain reports that the executor is about to leave.
 func (e *executor) drain() {
 	e.mu.Lock()
-	e.state = "draining"
+	e.state = wire.StateDraining
 	stop := e.stopBeat
 	e.mu.Unlock()
 	e.register(stop)
@@ -195,7 +205,7 @@
 // leave ends the executor after its drain: its entry is removed, and what runs there ends.
 func (e *executor) leave() {
 	e.crash("left")
-	e.world.store.remove("servers", e.id)
+	e.world.store.remove(wire.TargetsTable, e.id)
 }
 
 // crash ends the incarnation and all that runs. Nothing answers at the address.
@@ -221,50 +231,42 @@
 
 // ServeHTTP implements http.Handler.
 func (e *executor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if expected := r.Header.Get("X-Burdockward-Expected-Instance"); expected != "" && expected != e.id {
+	if expected := r.Header.Get(wire.InstanceHeader); expected != "" && expected != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	var in order
+	switch r.URL.Path {
+	case wire.StartPath:
+		serveOrder(w, r, e.start)
+	case wire.StopPath:
+		serveOrder(w, r, e.stop)
+	case wire.HoldPath:
+		serveOrder(w, r, e.hold)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// serveOrder decodes an order, carries it out and encodes the answer.
+func serveOrder[In any](w http.ResponseWriter, r *http.Request, carryOut func(In) (int, any)) {
+	var in In
 	if r.Method != http.MethodPost || json.NewDecoder(r.Body).Decode(&in) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	status, out := http.StatusNotFound, map[string]any{}
-	switch r.URL.Path {
-	case "/v1/run-start":
-		status, out = e.start(in)
-	case "/v1/run-stop":
-		status, out = e.stop(in)
-	case "/v1/hold":
-		status, out = e.hold(in)
-	}
+	status, out := carryOut(in)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(out)
 }
 
-type order struct {
-	Task     string `json:"task"`
-	Run      int64  `json:"run"`
-	Spec     string `json:"spec"`
-	UntilMS  int64  `json:"until_ms"`
-	Token    int64  `json:"fencing_token"`
-	LastSeen int64  `json:"last_seen"`
-	WaitMS   int64  `json:"wait_ms"`
-}
-
 // answer returns an order's answer; a reason refuses it. The caller holds the lock.
-func (e *executor) answer(reason string) (int, map[string]any) {
-	out := map[string]any{"clock_ms": e.clock()}
-	if e.born != 0 {
-		out["born"] = e.born
-	}
-	if reason == "" {
-		return http.StatusOK, out
+func (e *executor) answer(reason string) (int, any) {
+	status := http.StatusOK
+	if reason != "" {
+		status = http.StatusConflict
 	}
-	out["reason"] = reason
-	return http.StatusConflict, out
+	return status, wire.OrderAnswer{ClockMS: e.clock(), Reason: reason}
 }
 
 // fences takes a token, and reports whether it is lower than one that was seen.
@@ -290,13 +292,13 @@
 	return parts[0], step
 }
 
-func (e *executor) start(in order) (int, map[string]any) {
+func (e *executor) start(in wire.Start) (int, any) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	job, step := jobAndStep(in.Task)
 	var w work
 	if json.Unmarshal([]byte(in.Spec), &w) != nil || step >= len(w.MS) || step >= len(w.CPU) {
-		return http.StatusBadRequest, map[string]any{}
+		return http.StatusBadRequest, struct{}{}
 	}
 	used, memory := int64(0), w.memoryOf(step)
 	for _, r := range e.running {
@@ -306,18 +308,18 @@
 	present := e.running[in.Task]
 	switch {
 	case e.fences(in.Token):
-		return e.answer("fence")
+		return e.answer(wire.ReasonFence)
 	case present != nil && present.start.run == in.Run:
 		e.extend(in.UntilMS)
 		return e.answer("")
 	case in.Run <= e.highest[in.Task]:
 		e.extend(in.UntilMS)
-		return e.answer("old")
+		return e.answer(wire.ReasonOld)
 	case in.UntilMS <= e.clock():
-		return e.answer("late")
+		return e.answer(wire.ReasonLate)
 	case present != nil || used+w.CPU[step] > e.capacity || memory > executorMB:
 		e.extend(in.UntilMS)
-		return e.answer("room")
+		return e.answer(wire.ReasonRoom)
 	}
 	e.extend(in.UntilMS)
 	s := &start{task: in.Task, job: job, step: step, run: in.Run, executor: e.id, zone: e.zone, at: time.Now(), labels: slices.Clone(e.labels)}
@@ -368,18 +370,18 @@
 	delete(e.running, r.start.task)
 	e.highest[r.start.task] = max(e.highest[r.start.task], r.start.run)
 	e.lastEnd++
-	e.ended = append(e.ended, []any{e.lastEnd, r.start.task, r.start.run, how, ""})
+	e.ended = append(e.ended, wire.Completion{Number: e.lastEnd, Task: r.start.task, Run: r.start.run, Outcome: how})
 	e.world.runs.end(r.start, how)
 	e.world.record.add(e.id, "%s run %d ends: %s", r.start.task, r.start.run, how)
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
 
-func (e *executor) stop(in order) (int, map[string]any) {
+func (e *executor) stop(in wire.Stop) (int, any) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.fences(in.Token) {
-		return e.answer("fence")
+		return e.answer(wire.ReasonFence)
 	}
 	e.highest[in.Task] = max(e.highest[in.Task], in.Run)
 	if r := e.running[in.Task]; r != nil && r.start.run == in.Run {
@@ -388,16 +390,16 @@
 	return e.answer("")
 }
 
-func (e *executor) hold(in order) (int, map[string]any) {
+func (e *executor) hold(in wire.Hold) (int, any) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.fences(in.Token) {
-		return e.answer("fence")
+		return e.answer(wire.ReasonFence)
 	}
 	if in.UntilMS > 0 {
 		e.extend(in.UntilMS)
 	}
-	e.ended = slices.DeleteFunc(e.ended, func(end []any) bool { return end[0].(int64) <= in.LastSeen })
+	e.ended = slices.DeleteFunc(e.ended, func(end wire.Completion) bool { return end.Number <= in.LastSeen })
 	deadline := time.After(time.Duration(min(in.WaitMS, 2000)) * time.Millisecond)
 	for waiting := in.WaitMS > 0; waiting && len(e.ended) == 0 && e.up; {
 		changed := e.changed
@@ -409,11 +411,10 @@
 		}
 		e.mu.Lock()
 	}
-	running := [][]any{}
+	out := wire.Held{ClockMS: e.clock(), StartedMS: e.born, Running: []wire.RunningTask{}, Ended: []wire.Completion{}}
 	for _, r := range e.running {
-		running = append(running, []any{r.start.task, r.start.run, "", 50, 0})
+		out.Running = append(out.Running, wire.RunningTask{Task: r.start.task, Run: r.start.run})
 	}
-	_, out := e.answer("")
-	out["running"], out["ended"] = running, slices.Clone(e.ended[:min(len(e.ended), 500)])
+	out.Ended = append(out.Ended, e.ended[:min(len(e.ended), 500)]...)
 	return http.StatusOK, out
 }
--- a/review/world-3/fleet.go
+++ b/review/world-3/fleet.go
@@ -14,8 +14,10 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/burdockward/burdockward/platform"
+	"github.com/burdockward/burdockward/platform/wire"
 )
 
 // Ports of a machine, the same on all; each machine has a loopback address of its own.
@@ -26,8 +28,11 @@
 	portRange    = "7720,7735"
 )
 
-// service is the name of the executors' service.
-const service = "ledger"
+// service is the name of the executors' service, host that of all queues.
+const (
+	service = "ledger"
+	host    = "jobs.example"
+)
 
 // world is a small deployment on loopback addresses: the platform's store, executors, and the daemons as
 // processes of their own.
@@ -47,7 +52,7 @@
 	// restart says that the platform starts a process again that has ended.
 	restart bool
 	random  *rand.Rand
-	routes  []map[string]any
+	routes  []wire.Route
 	servers []*http.Server
 }
 
@@ -125,19 +130,17 @@
 }
 
 // addRoute adds a queue of the service to the configuration.
-func (w *world) addRoute(name string, priority int, targetLatencyMS, attempts int) {
-	w.routes = append(w.routes, map[string]any{
-		"name": name, "host": "jobs.example", "path_prefix": "/" + name + "/", "kind": "non_idempotent", "timeout_ms": 1500,
-		"target_latency_ms": targetLatencyMS, "priority": priority, "service": service, "max_attempts": attempts, "stretch": 1.6,
+func (w *world) addRoute(name string, priority int, targetLatencyMS float64, attempts int) {
+	w.routes = append(w.routes, wire.Route{
+		Name: name, Host: host, PathPrefix: "/" + name + "/", Service: service, Priority: priority, Attempts: attempts, Stretch: 1.6,
+		TargetLatencyMS: targetLatencyMS, TimeoutMS: float64(clientDeadline.Milliseconds()),
 	})
 }
 
-func (w *world) configure(version int) {
-	w.store.put("op", "config", map[string]any{
-		"version": version, "routes": w.routes,
-		"services": []map[string]any{{"name": service, "health_path": "/healthz", "max_conns": 64, "protocol": "h1", "tls": false, "rejects_overload": true, "standby": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+func (w *world) configure(version int64) {
+	configuration := wire.Configuration{Version: version, Routes: w.routes}
+	configuration.Limits.MaxBodyBytes = 262144
+	w.store.put(wire.OperatorTable, wire.ConfigurationKey, configuration)
 }
 
 // addExecutors starts executors of a zone with these labels and a rack.
@@ -154,16 +157,15 @@
 
 // startFleet starts machines in each zone and waits until they are ready.
 func (w *world) startFleet(perZone int) error {
-	for z, zone := range w.zones {
+	for _, zone := range w.zones {
 		for i := range perZone {
-			host := len(w.machines) + 1
-			address, err := w.serve(fmt.Sprintf("%s%d:0", w.prefix, 100+host), w.store)
+			number := len(w.machines) + 1
+			address, err := w.serve(fmt.Sprintf("%s%d:0", w.prefix, 100+number), w.store)
 			if err != nil {
 				return err
 			}
-			_ = z
 			w.machines = append(w.machines, &machine{
-				world: w, name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("%s%d", w.prefix, host), storeAddress: address,
+				world: w, name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("%s%d", w.prefix, number), storeAddress: address,
 			})
 		}
 	}
@@ -268,7 +270,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	process := exec.Command(m.world.command[0], m.world.command[1:]...)
-	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BURDOCKWARD_NODE_FILE=" + settings}
+	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + settings}
 	process.Stdout, process.Stderr = log, log
 	if err := process.Start(); err != nil {
 		return err
@@ -359,19 +361,10 @@
 	m.kill("the machine is removed for good")
 }
 
-// signal sends a signal to the process.
-func (m *machine) signal(s syscall.Signal) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.ordered = m.ordered || s == syscall.SIGTERM
-	m.world.record.add(m.name, "%v", s)
-	_ = m.process.Process.Signal(s)
-}
-
 func (m *machine) isReady() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
-	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/v1/readiness", m.ip, readyPort), nil)
+	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d%s", m.ip, readyPort, wire.ReadinessPath), nil)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return false
--- a/review/world-3/store.go
+++ b/review/world-3/store.go
@@ -11,21 +11,14 @@
 	"strings"
 	"sync"
 	"time"
-)
 
-// row is a row of a table, as PROTOCOL.md spells it.
-type row struct {
-	Table   string `json:"table"`
-	Part    string `json:"part"`
-	Key     string `json:"key"`
-	Value   string `json:"value,omitempty"`
-	Ver     int64  `json:"ver"`
-	Deleted bool   `json:"deleted,omitempty"`
-}
+	"github.com/burdockward/burdockward/platform/wire"
+)
 
+// rowID identifies a row.
 type rowID struct{ table, part, key string }
 
-func (r row) id() rowID { return rowID{r.Table, r.Part, r.Key} }
+func idOf(r wire.Row) rowID { return rowID{r.Table, r.Partition, r.Key} }
 
 // store is the platform's metadata store: versioned rows, transactions under conditions and a feed.
 // Each part handles its transactions one after another.
@@ -34,9 +27,9 @@
 	began  time.Time
 
 	mu      sync.Mutex
-	rows    map[rowID]row
+	rows    map[rowID]wire.Row
 	version int64
-	history []row
+	history []wire.Row
 	changed chan struct{}
 	parts   map[string]*sync.Mutex
 	// slow is by how much longer than usual each answer takes.
@@ -56,7 +49,7 @@
 
 func newStore(r *record, seed uint64) *store {
 	return &store{
-		record: r, began: time.Now(), rows: map[rowID]row{}, changed: make(chan struct{}), parts: map[string]*sync.Mutex{}, slow: 1,
+		record: r, began: time.Now(), rows: map[rowID]wire.Row{}, changed: make(chan struct{}), parts: map[string]*sync.Mutex{}, slow: 1,
 		random: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
@@ -95,7 +88,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.set(row{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString(data)})
+	s.set(wire.Row{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString(data)})
 }
 
 // remove removes a row as the operator and the executors do.
@@ -103,16 +96,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.set(row{Table: table, Key: key, Deleted: true})
+	s.set(wire.Row{Table: table, Key: key, Deleted: true})
 }
 
 // set applies a row at the present version. The caller holds the lock.
-func (s *store) set(r row) {
-	r.Ver = s.version
+func (s *store) set(r wire.Row) {
+	r.Version = s.version
 	if r.Deleted {
-		delete(s.rows, r.id())
+		delete(s.rows, idOf(r))
 	} else {
-		s.rows[r.id()] = r
+		s.rows[idOf(r)] = r
 	}
 	s.history = append(s.history, r)
 	close(s.changed)
@@ -134,19 +127,19 @@
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
-	case "/v1/rows-get":
+	case wire.ReadPath:
 		s.get(w, r)
-	case "/v1/rows-feed":
+	case wire.FeedPath:
 		s.feed(w, r)
-	case "/v1/rows-tx":
+	case wire.WritePath:
 		s.tx(w, r)
 	default:
 		http.NotFound(w, r)
 	}
 }
 
-func (s *store) answer(w http.ResponseWriter, status int, body map[string]any) {
-	body["now_ms"] = s.nowMS()
+func (s *store) answer(w http.ResponseWriter, status int, body wire.Rows) {
+	body.NowMS = s.nowMS()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
@@ -155,53 +148,53 @@
 // get answers as of the moment at which the call arrives.
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	limit, err := strconv.Atoi(q.Get("limit"))
+	limit, err := strconv.Atoi(q.Get(wire.LimitParameter))
 	if err != nil || limit > pageRows {
 		limit = pageRows
 	}
 	s.mu.Lock()
 	version := s.version
-	rows := []row{}
+	rows := []wire.Row{}
 	for id, one := range s.rows {
-		if id.table == q.Get("table") && id.part == q.Get("part") && id.key >= q.Get("from") && (q.Get("to") == "" || id.key < q.Get("to")) {
+		if id.table == q.Get(wire.TableParameter) && id.part == q.Get(wire.PartitionParameter) && id.key >= q.Get(wire.FromParameter) && (q.Get("to") == "" || id.key < q.Get("to")) {
 			rows = append(rows, one)
 		}
 	}
 	s.mu.Unlock()
-	slices.SortFunc(rows, func(a, b row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b wire.Row) int { return strings.Compare(a.Key, b.Key) })
 	s.wait(answerTime)
-	s.answer(w, http.StatusOK, map[string]any{"rows": rows[:min(limit, len(rows))], "truncated": limit < len(rows), "ver": version})
+	s.answer(w, http.StatusOK, wire.Rows{Rows: rows[:min(limit, len(rows))], Truncated: limit < len(rows), Version: version})
 }
 
 func (s *store) feed(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
-	wait, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	after, _ := strconv.ParseInt(q.Get(wire.AfterParameter), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get(wire.WaitParameter), 10, 64)
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
 		changed, version := s.changed, s.version
-		rows := []row{}
-		from, _ := slices.BinarySearchFunc(s.history, after+1, func(one row, ver int64) int { return int(one.Ver - ver) })
+		rows := []wire.Row{}
+		from, _ := slices.BinarySearchFunc(s.history, after+1, func(one wire.Row, ver int64) int { return int(one.Version - ver) })
 		for _, one := range s.history[from:] {
-			if one.Table == q.Get("table") {
+			if one.Table == q.Get(wire.TableParameter) {
 				rows = append(rows, one)
 			}
 		}
 		s.mu.Unlock()
 		if len(rows) > pageRows {
 			rows = rows[:pageRows]
-			version = rows[pageRows-1].Ver
+			version = rows[pageRows-1].Version
 		}
 		if len(rows) > 0 {
 			s.wait(answerTime)
-			s.answer(w, http.StatusOK, map[string]any{"rows": rows, "ver": version})
+			s.answer(w, http.StatusOK, wire.Rows{Rows: rows, Version: version})
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			s.answer(w, http.StatusOK, map[string]any{"rows": rows, "ver": version})
+			s.answer(w, http.StatusOK, wire.Rows{Rows: rows, Version: version})
 			return
 		case <-r.Context().Done():
 			return
@@ -209,18 +202,15 @@
 	}
 }
 
-type transaction struct {
-	Expected []row `json:"expected"`
-	Put      []row `json:"put"`
-	Remove   []row `json:"remove"`
-}
-
-// part returns the part that all entries share.
-func (t transaction) part() string {
-	for _, list := range [][]row{t.Expected, t.Put, t.Remove} {
-		if len(list) > 0 {
-			return list[0].Part
-		}
+// partOf returns the part that all entries of a transaction share.
+func partOf(t wire.Transaction) string {
+	switch {
+	case len(t.Expected) > 0:
+		return t.Expected[0].Partition
+	case len(t.Put) > 0:
+		return t.Put[0].Partition
+	case len(t.Remove) > 0:
+		return t.Remove[0].Partition
 	}
 	return ""
 }
@@ -237,13 +227,13 @@
 
 func (s *store) tx(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
-	var t transaction
+	var t wire.Transaction
 	if err != nil || json.Unmarshal(body, &t) != nil || len(body) > 1<<20 || len(t.Expected)+len(t.Put)+len(t.Remove) > 100 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	for _, one := range t.Put {
-		if len(one.Value) > (65536+2)/3*4 || one.Table == "op" || one.Table == "servers" {
+		if len(one.Value) > (65536+2)/3*4 || one.Table == wire.OperatorTable || one.Table == wire.TargetsTable {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
@@ -255,32 +245,32 @@
 	if late {
 		time.AfterFunc(delay, func() {
 			_, done, _ := s.apply(t)
-			s.record.add("store", "a write to part %q that was not answered is carried out %v later: applied %v", t.part(), delay.Round(time.Millisecond), done)
+			s.record.add("store", "a write to part %q that was not answered is carried out %v later: applied %v", partOf(t), delay.Round(time.Millisecond), done)
 		})
-		s.record.add("store", "a write to part %q gets no answer", t.part())
+		s.record.add("store", "a write to part %q gets no answer", partOf(t))
 		<-r.Context().Done()
 		return
 	}
-	lock := s.queue(t.part())
+	lock := s.queue(partOf(t))
 	lock.Lock()
 	s.wait(txTime)
 	current, done, version := s.apply(t)
 	lock.Unlock()
 	if done {
-		s.answer(w, http.StatusOK, map[string]any{"ver": version})
+		s.answer(w, http.StatusOK, wire.Rows{Version: version})
 	} else {
-		s.answer(w, http.StatusPreconditionFailed, map[string]any{"rows": current, "ver": version})
+		s.answer(w, http.StatusPreconditionFailed, wire.Rows{Rows: current, Version: version})
 	}
 }
 
 // apply makes all changes of a transaction or, if a row isn't at its expected version, none.
-func (s *store) apply(t transaction) (current []row, done bool, version int64) {
+func (s *store) apply(t wire.Transaction) (current []wire.Row, done bool, version int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conflict := false
 	for _, expected := range t.Expected {
-		present, ok := s.rows[expected.id()]
-		conflict = conflict || present.Ver != expected.Ver
+		present, ok := s.rows[rowID{expected.Table, expected.Partition, expected.Key}]
+		conflict = conflict || present.Version != expected.Version
 		if ok {
 			current = append(current, present)
 		}
