Restart kept background runs that never end

Cause: checkRuns passed over every background run, as its time says little, so none was ever taken for stuck, and a kept job has no caller that gives it up.

A background run of a kept job now counts as stuck after 30 times its expected time, at least 12 s, twice as long each time it is stopped. Weighed: the processor that targets report for a run, which is zero for a hung run and for one that gets nothing as well. TestHungBackgroundRunIsRestarted was red and passes; the check that a background run isn't stopped within 10 s beside a plain one still holds.

A run that gets next to no processor for that long is restarted from its saved state, which costs what it did since.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -170,10 +170,13 @@
 func (s *State) checkRuns(now time.Duration, t *target) {
 	runningUntil := s.lastKnownRunning(now, t)
 	for _, r := range t.sortedRuns() {
-		if r.state != running || r.stop != nil || r.task.job.dropped || !r.isOverdue(now) {
+		if r.state != running || r.stop != nil || r.task.job.dropped {
 			continue
 		}
-		if !r.isOverdue(runningUntil) {
+		if r.task.step.Background && r.isStuck(runningUntil) {
+			s.stopStuck(now, r)
+		}
+		if !r.isOverdue(now) || !r.isOverdue(runningUntil) {
 			continue
 		}
 		s.recordFailure(now, t, r.task.job)
@@ -183,9 +186,7 @@
 			s.markChanged(t)
 		}
 		if r.isStuck(runningUntil) {
-			s.emit(LogEvent{Message: "run takes too long", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered})
-			r.task.stuckRuns++
-			s.stop(now, r)
+			s.stopStuck(now, r)
 		}
 	}
 	if !t.health.suspected {
@@ -199,6 +200,13 @@
 	}
 }
 
+// stopStuck stops a run that has taken too long, so that its task is placed again.
+func (s *State) stopStuck(now time.Duration, r *run) {
+	s.emit(LogEvent{Message: "run takes too long", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: r.target.ID, Age: now - r.ordered})
+	r.task.stuckRuns++
+	s.stop(now, r)
+}
+
 // lastKnownRunning returns until when a target's listed runs are known to be running. A polled
 // target reports completions at once. While answers get lost its silence proves nothing: good
 // targets would be suspected for completions that were reported and lost.
@@ -235,17 +243,28 @@
 	return now-r.ordered > hungFactor*r.allowedTime()+overdueSlack
 }
 
-// minStuckTime is the least time after which a durable job's run counts as stuck. By then the other
-// runs of its target have shown whether the target is at fault.
-const minStuckTime = 2 * time.Second
+// Parameters of stuck runs.
+const (
+	// minStuckTime is the least time after which a durable job's run counts as stuck. By then the other
+	// runs of its target have shown whether the target is at fault.
+	minStuckTime = 2 * time.Second
+	// backgroundStuckFactor and minBackgroundStuckTime are in place of hungFactor and minStuckTime for
+	// background runs, which may get little processor for a while.
+	backgroundStuckFactor  = 30
+	minBackgroundStuckTime = 12 * time.Second
+)
 
 // isStuck reports whether a durable job's run should be stopped and placed again on any target: no
 // caller gives the job up. The limit doubles each time, as the run may just be long.
 func (r *run) isStuck(now time.Duration) bool {
-	if !r.task.job.isDurable() {
+	if !r.task.job.isDurable() || r.task.step.Lasting {
 		return false
 	}
-	return now-r.ordered > max(hungFactor*r.expected, minStuckTime)<<min(r.task.stuckRuns, maxDoublings)
+	limit := max(hungFactor*r.expected, minStuckTime)
+	if r.task.step.Background {
+		limit = max(backgroundStuckFactor*r.expected, minBackgroundStuckTime)
+	}
+	return now-r.ordered > limit<<min(r.task.stuckRuns, maxDoublings)
 }
 
 // maxDoublings bounds the limit for a stuck run at minutes.
