Move runs only where their task fits

A kept job whose only target was suspected never ended if its task ran longer than declared. Cause: a run on a suspected target is stopped once it is overdue if another target has capacity, and hasCapacityElsewhere looked at resources alone. Here the others lacked the label that the task requires, so the run was stopped after 2.5 times its expected time, started again on the same target and stopped again.

The search now takes a target only if it could run a task of the step: label, spread and advice count as well. TestLongRunIsNotMovedToUnfitTarget fails before (the run is replaced within 4 s) and passes. Steps without such needs are decided as before.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -277,7 +277,7 @@
 		return false
 	}
 	elsewhere := now + s.options.StopTimeout + r.expected
-	if elsewhere > r.task.job.usefulUntil && !r.task.job.isDurable() || !s.hasCapacityElsewhere(t, r.task.step.PerTask) {
+	if elsewhere > r.task.job.usefulUntil && !r.task.job.isDurable() || !s.hasCapacityElsewhere(now, t, r.task.step) {
 		return false
 	}
 	if r.ordered > t.health.suspectedSince {
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/burdockward/burdockward/work"
 )
 
 // pool holds the targets of a service. Open targets, those that take new tasks, are indexed by
@@ -246,11 +244,11 @@
 	return free, max(p.releaseRate, 0)
 }
 
-// hasCapacityElsewhere reports whether another open target has enough free capacity.
-func (s *State) hasCapacityElsewhere(t *target, need work.Resources) bool {
-	for bucket := bucketOf(need.CPU); bucket < bucketCount; bucket++ {
+// hasCapacityElsewhere reports whether another open target could run a task of a step now.
+func (s *State) hasCapacityElsewhere(now time.Duration, t *target, st *step) bool {
+	for bucket := bucketOf(st.PerTask.CPU); bucket < bucketCount; bucket++ {
 		for _, other := range t.pool.buckets[bucket] {
-			if other != t && need.FitsIn(other.free) {
+			if other != t && st.fitsBeside(other, other.free, 0) && st.fitsEmpty(other) && st.advice.allows(now, other.ID) {
 				return true
 			}
 		}
--- /dev/null
+++ b/scheduler/suspicion_test.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/burdockward/burdockward/work"
+)
+
+// rareLabel is the label of one target alone.
+const rareLabel = "rare"
+
+// newRareHarness returns a harness with three usable targets, of which "a" alone has the rare label.
+func newRareHarness(t *testing.T) *harness {
+	b := newHarness(t, Options{})
+	b.s.FinishResume(b.now)
+	for _, id := range []string{"a", "b", "c"} {
+		entry := work.Target{ID: id, Capacity: work.Resources{CPU: 4}}
+		if id == "a" {
+			entry.Labels = []string{rareLabel, "r1"}
+		}
+		b.listTarget(entry)
+		b.effects()
+		b.answerPoll(id, work.PollAnswer{ClockMS: 5000})
+	}
+	return b
+}
+
+// startRare has a stored job of one task run on the target with the rare label.
+func (b *harness) startRare(id string, st work.Step) []StartRun {
+	st.Tasks, st.RequiredLabel, st.PerTask = 1, rareLabel, work.Resources{CPU: 1}
+	starts := pickEffects[StartRun](b.acceptAndStore(b.jobOfSteps(id, st)))
+	b.confirmStarts(starts)
+	return starts
+}
+
+// awaitStart moves the time forward until a task of a job starts, and returns how long that took, or the
+// limit. Polls list the runs that are given.
+func (b *harness) awaitStart(job string, limit time.Duration, running ...work.RunID) time.Duration {
+	began := b.now
+	for b.now-began < limit {
+		effects := b.advance(20 * ms)
+		for _, poll := range pickEffects[Poll](effects) {
+			answer := work.PollAnswer{ClockMS: 5000 + (b.now - 10*time.Second).Milliseconds()}
+			if poll.To.ID == "a" {
+				answer.Running = listing(running...)
+			}
+			b.answerPoll(poll.To.ID, answer)
+		}
+		started := func(start StartRun) bool { return start.Run.Task == job+".0.0.0" }
+		if slices.ContainsFunc(pickEffects[StartRun](effects), started) {
+			break
+		}
+	}
+	return b.now - began
+}
+
+// A run on a suspected target goes on where the free targets can't hold its task: stopped again and again, it
+// would never end.
+func TestLongRunIsNotMovedToUnfitTarget(t *testing.T) {
+	b := newRareHarness(t)
+	long := b.startRare("long", work.Step{DeclaredRunTime: time.Second})
+	must.SliceLen(t, 1, long)
+	b.s.targets["a"].health.markSuspected(b.now)
+	b.s.markChanged(b.s.targets["a"])
+	b.awaitStart("none", 4*time.Second, long[0].Run)
+	run := b.s.targets["a"].runs[long[0].Run.Task]
+	must.Eq(t, long[0].Run, run.RunID)
+	must.Nil(t, run.stop)
+}
