Let any kind of task end the suspicion of a target

Cause: a suspected target got single tasks that had never failed, and only their success within 2.5 times the declared time ended the suspicion. All tasks that waited had failed there.

Gangs use suspected targets if the others can't hold them.

--- a/scheduler/adopt.go
+++ b/scheduler/adopt.go
@@ -112,7 +112,7 @@
 	j.possibleStarts = 1
 	stop := handed.Ended || s.leaving || !s.hasKeepalive(now, j) || len(s.jobsInConflict(j)) > 0
 	for i, t := range j.tasks {
-		t.fails = handed.Fails[i]
+		t.fails, t.failedAt = handed.Fails[i], now
 		t.savedState().value = handed.Saved[i]
 	}
 	if stop {
--- a/scheduler/completions.go
+++ b/scheduler/completions.go
@@ -67,6 +67,7 @@
 	j.hasRerun = true
 	s.recordSaved(r.task, r.Number, r.saved)
 	r.task.countFailure(r.Number)
+	r.task.failedAt = now
 	if r.task.step.failedRuns(r.task) >= j.sub.Queue.MaxAttempts {
 		s.finish(now, j, work.Outcome{Result: work.Failed, Reason: "a task failed as often as its queue allows"})
 		return
--- a/scheduler/crash_world_test.go
+++ b/scheduler/crash_world_test.go
@@ -161,8 +161,8 @@
 const maxEntryDelay = 5 * time.Second
 
 // checkStartFits checks a start at a target that doesn't guard its own capacity.
-func (w *world) checkStartFits(t *fakeTarget) {
-	if int64(len(t.runs)) >= t.capacity && w.now-t.resized > maxEntryDelay {
+func (w *world) checkStartFits(t *fakeTarget, task string) {
+	if t.usedCPU()+w.cpuOf(task) > t.capacity && w.now-t.resized > maxEntryDelay {
 		w.violations = append(w.violations, fmt.Sprintf("%v: %s has capacity for %d runs and starts one more", w.now, t.id, t.capacity))
 	}
 }
@@ -174,7 +174,7 @@
 	if o.token < t.highestToken {
 		return
 	}
-	if t.runs[e.Run.Task] == nil && int64(len(t.runs)) >= t.capacity && w.now-t.resized > maxEntryDelay {
+	if t.runs[e.Run.Task] == nil && t.usedCPU()+w.cpuOf(e.Run.Task) > t.capacity && w.now-t.resized > maxEntryDelay {
 		w.violations = append(w.violations, fmt.Sprintf("%v: %s is to start on %s, which has %d runs of %d", w.now, e.Run.Task, t.id, len(t.runs), t.capacity))
 	}
 }
--- a/scheduler/fake_target_test.go
+++ b/scheduler/fake_target_test.go
@@ -47,26 +47,26 @@
 		t.world.ticketRefusals++
 		return t.reply(work.VerdictInvalidTicket)
 	}
-	if t.free < 1 && !t.overcommits || t.runs[e.Run.Task] != nil {
+	if t.free < t.world.cpuOf(e.Run.Task) && !t.overcommits || t.runs[e.Run.Task] != nil {
 		return t.reply(work.VerdictNoCapacity)
 	}
-	t.world.checkStartFits(t)
+	t.world.checkStartFits(t, e.Run.Task)
 	t.startRun(e.StartOrder)
 	return t.reply(work.VerdictDone)
 }
 
 func (t *fakeTarget) startRun(order work.StartOrder) {
 	run := order.Run
-	r := &fakeRun{number: run.Number, cpu: 1}
+	r := &fakeRun{number: run.Number, cpu: t.world.cpuOf(run.Task)}
 	t.runs[run.Task] = r
-	t.free--
+	t.free -= r.cpu
 	t.world.runStarted(run.Task)
 	t.world.scheduleCrash(t, run.Task, r)
 	if t.world.playDurableRun(t, r, order) {
 		return
 	}
 	kind := work.CompletionDone
-	if t.world.random.Float64() < t.world.faults.failing {
+	if t.world.random.Float64() < t.world.faults.failing || t.failsAll {
 		kind = work.CompletionFailed
 	}
 	took := time.Duration(20+t.world.random.IntN(t.world.longest)) * ms
@@ -86,7 +86,7 @@
 		return
 	}
 	delete(t.runs, task)
-	t.free++
+	t.free += r.cpu
 	if r.stuck {
 		t.world.stuckEnded = t.world.now
 	}
@@ -243,6 +243,6 @@
 		})
 	}
 	if !t.ofOtherOwner {
-		t.world.addTarget()
+		t.world.addTarget(t.labels...)
 	}
 }
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -58,10 +58,12 @@
 
 // findPlaces returns a target for each pending task of a gang; nil if there is not enough capacity
 // for all. A gang that wants one rack gets targets of one rack, unless no rack is large enough.
+// Suspected targets are used if the others could not hold the gang.
 func (s *State) findPlaces(now time.Duration, j *job, st *step) []*target {
+	probing := j.pool.needsSuspected(now, st)
 	if st.PreferOneRack {
 		for _, rack := range j.pool.racks() {
-			if places := s.findPlacesOn(now, j, st, j.pool.onRack(rack)); places != nil {
+			if places := s.findPlacesOn(now, j, st, usableByGang(now, j.pool.onRack(rack), probing)); places != nil {
 				return places
 			}
 		}
@@ -69,7 +71,7 @@
 			return nil
 		}
 	}
-	return s.findPlacesOn(now, j, st, j.pool.targets)
+	return s.findPlacesOn(now, j, st, usableByGang(now, j.pool.targets, probing))
 }
 
 // findPlacesOn is findPlaces among the given targets.
@@ -92,7 +94,7 @@
 func (s *State) bestFit(now time.Duration, j *job, st *step, tk *task, among []*target, taken map[*target]int) *target {
 	var best *target
 	for _, t := range among {
-		if t.health.suspected || !st.fitsBeside(t, t.free, taken[t]) || !s.canStart(now, t, j, st, tk) {
+		if !st.fitsBeside(t, t.free, taken[t]) || !s.canStart(now, t, j, st, tk) {
 			continue
 		}
 		if best == nil || fitsBetter(now, t, best, st, tk) {
@@ -208,16 +210,16 @@
 // rack if the gang wants that and a rack can hold it. It returns nil if no choice can hold the
 // gang.
 func (s *State) chooseTargets(now time.Duration, j *job, st *step) []*target {
-	among := j.pool.targets
+	among, probing := j.pool.targets, j.pool.needsSuspected(now, st)
 	if st.PreferOneRack {
 		for _, rack := range j.pool.racks() {
-			if on := j.pool.onRack(rack); capacityFor(st, s.availableTargets(now, on)) >= len(st.members) {
+			if on := j.pool.onRack(rack); capacityFor(st, s.availableTargets(now, usableByGang(now, on, probing))) >= len(st.members) {
 				among = on
 				break
 			}
 		}
 	}
-	available := s.availableTargets(now, among)
+	available := s.availableTargets(now, usableByGang(now, among, probing))
 	slices.SortStableFunc(available, func(a, b *target) int { return int(b.free.CPU - a.free.CPU) })
 	for n := range available {
 		if capacityFor(st, available[:n+1]) >= len(st.members) {
@@ -227,12 +229,12 @@
 	return nil
 }
 
-// availableTargets returns those of the given targets that take new tasks, are neither isolated, held nor
-// suspected, and may have their lease extended.
+// availableTargets returns those of the given targets that take new tasks, are neither isolated nor held,
+// and may have their lease extended.
 func (s *State) availableTargets(now time.Duration, among []*target) []*target {
 	var available []*target
 	for _, t := range among {
-		if t.acceptsTasks() && t.isolated == nil && !t.health.suspected && !t.isHeld() && s.canRenewLease(now, t) {
+		if t.acceptsTasks() && t.isolated == nil && !t.isHeld() && s.canRenewLease(now, t) {
 			available = append(available, t)
 		}
 	}
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -19,8 +19,9 @@
 	probeAfter, backoff time.Duration
 	// suspectedSince is when the target came under suspicion.
 	suspectedSince time.Duration
-	// suspected targets get one task at a time from probeAfter on, until one succeeds.
-	suspected bool
+	// suspected targets get single tasks from probeAfter on; see probe.go. hung ones came under suspicion
+	// for a run that doesn't end.
+	suspected, hung bool
 }
 
 // Parameters of suspicion.
@@ -58,12 +59,6 @@
 	h.backoff = min(2*h.backoff, maxBackoff)
 }
 
-// canProbe reports whether a suspected target may get a task, one at a time, that tests whether it
-// has recovered.
-func (h *health) canProbe(now time.Duration, t *target) bool {
-	return now >= h.probeAfter && len(t.runs) == 0
-}
-
 // recordFailure counts a failed run or a lost answer against a target.
 func (s *State) recordFailure(now time.Duration, t *target, j *job) {
 	h := &t.health
@@ -108,10 +103,11 @@
 // recordSuccess updates a target's speed and clears its failures after a successful run.
 func (s *State) recordSuccess(now time.Duration, t *target, r *run) {
 	h := &t.health
-	if st := r.task.step; r.adopted || r.cold || st.Lasting || st.Background {
+	if r.adopted || r.cold || r.task.step.Background {
 		// These runs say nothing of the target's speed: the start of adopted runs is not known,
-		// cold targets are slow for a while, lasting tasks never succeed, and background tasks get
-		// only processor that others leave unused.
+		// cold targets are slow for a while, and background tasks get only processor that others
+		// leave unused.
+		s.endSuspicion(t)
 		return
 	}
 	took := now - r.ordered
@@ -126,17 +122,10 @@
 	if !h.suspected && !t.isSlow() {
 		r.task.job.estimate.observe(took, r.task.step.DeclaredRunTime)
 	}
-	if speed > overdueFactor {
+	if speed > overdueFactor && !r.task.job.isDurable() {
 		return
 	}
-	clear(h.failures)
-	if h.suspected {
-		s.emit(LogEvent{Message: "target trusted again", Target: t.ID})
-		h.suspected = false
-		s.markChanged(t)
-		h.speed = min(h.speed, slowSpeed)
-	}
-	h.backoff = minBackoff
+	s.endSuspicion(t)
 }
 
 // isSlow reports whether a target takes much longer than the median one. Where all targets do, the
@@ -179,10 +168,15 @@
 		if !r.isOverdue(now) || !r.isOverdue(runningUntil) {
 			continue
 		}
-		s.recordFailure(now, t, r.task.job)
+		if !t.health.suspected || !r.overdueNoted {
+			// A run that stays overdue postpones the next probe once, not for as long as it takes.
+			r.overdueNoted = true
+			s.recordFailure(now, t, r.task.job)
+		}
 		if r.isHung(runningUntil) && !t.health.suspected && s.canSuspect(t.pool) {
 			s.emit(LogEvent{Message: "target suspected", Target: t.ID, Task: r.Task, Detail: "a run does not end", Age: now - r.ordered})
 			t.health.markSuspected(now)
+			t.health.hung = true
 			s.markChanged(t)
 		}
 		if r.isStuck(runningUntil) {
@@ -192,6 +186,10 @@
 	if !t.health.suspected {
 		return
 	}
+	if t.hasSurvivingProbe(now) {
+		s.endSuspicion(t)
+		return
+	}
 	for _, r := range t.sortedRuns() {
 		if r.state == running && r.stop == nil && s.shouldMove(now, runningUntil, t, r) {
 			s.emit(LogEvent{Message: "run moved", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: t.ID, Age: now - r.ordered})
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -118,6 +118,8 @@
 	index int
 	run   *run
 	fails int
+	// failedAt is when this owner last learned of a failed run of it, if it has any.
+	failedAt time.Duration
 	// storedFailedRun is the newest failed run that the store had counted when the job was taken
 	// over; countedFailures holds the failed runs counted since.
 	storedFailedRun int64
--- a/scheduler/kinds_world_test.go
+++ b/scheduler/kinds_world_test.go
@@ -78,6 +78,23 @@
 	return r != nil && r.sub.Job.Steps[p.step].Lasting
 }
 
+// cpuOf returns the processor that a task reserves on its target: background tasks reserve none.
+func (w *world) cpuOf(task string) int64 {
+	if r, p := w.parseTask(task); r != nil && r.sub.Job.Steps[p.step].Background {
+		return 0
+	}
+	return 1
+}
+
+// usedCPU returns the processor that is reserved for the target's runs.
+func (t *fakeTarget) usedCPU() int64 {
+	used := int64(0)
+	for _, r := range t.runs {
+		used += r.cpu
+	}
+	return used
+}
+
 // checkStartOrder checks that a durable task starts after the steps before it, when it is due, and
 // not after too many failures.
 func (w *world) checkStartOrder(task string) {
@@ -137,7 +154,11 @@
 		w.joinGang(t, r, order, step)
 		return true
 	case step.Lasting:
-		w.after(time.Duration(100+w.random.IntN(8000))*ms, func() {
+		lasts := time.Duration(100+w.random.IntN(8000)) * ms
+		if t.failsAll {
+			lasts = 100 * ms
+		}
+		w.after(lasts, func() {
 			if !t.down {
 				t.endRun(order.Run.Task, r, work.CompletionFailed)
 			}
@@ -165,7 +186,7 @@
 		return
 	}
 	kind := work.CompletionDone
-	if w.random.Float64() < w.faults.failing {
+	if w.random.Float64() < w.faults.failing || t.failsAll {
 		kind = work.CompletionFailed
 	}
 	w.after(time.Duration(20+w.random.IntN(w.longest))*ms, func() {
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -190,12 +190,7 @@
 	if best != nil {
 		return best
 	}
-	for _, t := range p.suspectTargets {
-		if t.health.canProbe(now, t) && tk.fails == 0 && s.canStart(now, t, j, st, tk) {
-			return t
-		}
-	}
-	return nil
+	return s.pickSuspected(now, j, st, tk)
 }
 
 // canFit reports whether any target is large enough for a step.
--- a/scheduler/share.go
+++ b/scheduler/share.go
@@ -46,7 +46,7 @@
 			}
 		}
 	}
-	return nil
+	return s.pickSuspected(now, j, st, tk)
 }
 
 // evictBackground stops the background tasks of a target that a latency-sensitive step could use
--- a/scheduler/suspicion_test.go
+++ b/scheduler/suspicion_test.go
@@ -58,6 +58,19 @@
 	return b.now - began
 }
 
+// A run that takes longer than declared postpones the next probe of its suspected target once: it would
+// otherwise keep the target from all other work for as long as it lasts.
+func TestOverdueRunPostponesProbeOnce(t *testing.T) {
+	b := newRareHarness(t)
+	long := b.startRare("long", work.Step{DeclaredRunTime: time.Second})
+	must.SliceLen(t, 1, long)
+	b.s.targets["a"].health.markSuspected(b.now)
+	b.s.markChanged(b.s.targets["a"])
+	b.awaitStart("none", 3*time.Second, long[0].Run)
+	must.SliceEmpty(t, b.startRare("next", work.Step{DeclaredRunTime: 100 * ms}))
+	must.Less(t, 2*time.Second, b.awaitStart("next", 3*time.Second, long[0].Run))
+}
+
 // A run on a suspected target goes on where the free targets can't hold its task: stopped again and again, it
 // would never end.
 func TestLongRunIsNotMovedToUnfitTarget(t *testing.T) {
@@ -71,3 +84,37 @@
 	must.Eq(t, long[0].Run, run.RunID)
 	must.Nil(t, run.stop)
 }
+
+// A lasting task that runs on ends the suspicion of its target: it never succeeds, and the other lasting
+// tasks that wait would otherwise start one at a time.
+func TestLastingProbeEndsSuspicion(t *testing.T) {
+	b := newRareHarness(t)
+	target := b.s.targets["a"]
+	target.health.markSuspected(b.now)
+	b.s.markChanged(target)
+	b.advance(maxBackoff)
+	first := b.startRare("first", work.Step{Lasting: true})
+	must.SliceLen(t, 1, first)
+	for _, id := range []string{"second", "third"} {
+		must.SliceEmpty(t, b.startRare(id, work.Step{Lasting: true}))
+	}
+	b.awaitStart("third", 2*shortRun, first[0].Run)
+	must.False(t, target.health.suspected)
+	must.Eq(t, 3, len(target.runs))
+}
+
+// Runs of durable jobs that take longer than declared end the suspicion of their target: nobody waits for
+// them, and the declared time may be far off.
+func TestLongRunOfDurableJobEndsSuspicion(t *testing.T) {
+	b := newRareHarness(t)
+	target := b.s.targets["a"]
+	target.health.markSuspected(b.now)
+	b.s.markChanged(target)
+	b.advance(maxBackoff)
+	probe := b.startRare("j", work.Step{DeclaredRunTime: 100 * ms})
+	must.SliceLen(t, 1, probe)
+	b.awaitStart("none", time.Second, probe[0].Run)
+	b.effects()
+	b.answerPoll("a", pollWithCompletion(1, probe[0].Run, work.CompletionDone))
+	must.False(t, target.health.suspected)
+}
--- a/scheduler/takeover.go
+++ b/scheduler/takeover.go
@@ -156,6 +156,7 @@
 			s.applyCompletion(t, o)
 		}
 		delete(s.unrecordedCompletions, t.name)
+		t.failedAt = now
 		if inherited, ok := s.inheritedStates[t.name]; ok {
 			s.recordSaved(t, inherited.number, inherited.saved)
 			delete(s.inheritedStates, t.name)
@@ -280,6 +281,7 @@
 	for _, task := range j.tasks {
 		if task.name == end.Run.Task && task.run == nil {
 			t.unrecorded[end.Number] = true
+			task.failedAt = now
 			s.applyCompletion(task, o)
 			s.finishIfOver(now, j)
 			return
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -179,6 +179,8 @@
 	saved string
 	// cold runs began while their target was still slow after its start.
 	cold bool
+	// overdueNoted says that the run has postponed a probe of its suspected target.
+	overdueNoted bool
 	// listed runs were listed by a poll; isolated runs have their target to themselves.
 	// sharing says that its target listed runs of others since it was ordered.
 	listed, isolated, sharing bool
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -146,9 +146,12 @@
 	down           bool
 	hung           bool
 	silent         bool
-	draining       bool
-	wasCut         bool
-	answerPoll     func()
+	// failsAll targets fail all that they start.
+	failsAll   bool
+	labels     []string
+	draining   bool
+	wasCut     bool
+	answerPoll func()
 	// ofOtherOwner marks the targets of the other owner; unlisted those whose registry entry has lapsed.
 	ofOtherOwner, unlisted bool
 	// unreachableBy holds the tokens of the owners whose orders don't reach the target.
@@ -184,9 +187,9 @@
 	return w
 }
 
-func (w *world) addTarget() *fakeTarget {
+func (w *world) addTarget(labels ...string) *fakeTarget {
 	t := &fakeTarget{
-		world: w, id: fmt.Sprintf("t%02d", len(w.targets)), clockRate: 0.98 + 0.02*w.random.Float64(),
+		world: w, labels: labels, id: fmt.Sprintf("t%02d", len(w.targets)), clockRate: 0.98 + 0.02*w.random.Float64(),
 		free: fakeCPU, capacity: fakeCPU, endedAt: map[int64]time.Duration{}, runs: map[string]*fakeRun{}, highestRuns: map[string]int64{},
 	}
 	w.targets[t.id] = t
@@ -201,7 +204,7 @@
 }
 
 func (t *fakeTarget) listed() work.Target {
-	return work.Target{ID: t.id, Service: "s", Address: t.id, Capacity: work.Resources{CPU: t.capacity}, Incarnation: t.incarnation, Draining: t.draining}
+	return work.Target{ID: t.id, Service: "s", Address: t.id, Capacity: work.Resources{CPU: t.capacity}, Incarnation: t.incarnation, Draining: t.draining, Labels: t.labels}
 }
 
 func (t *fakeTarget) clock() int64 {
