Let kept jobs that have waited use slow targets

A kept job whose tasks only a slow target could hold was never started beside a lasting run there. Cause: a late job may use a slow target only while nothing else runs on it, and a target's speed is measured by runs that end, so a lasting run kept the target slow and occupied for as long as it ran. Under-declared run times have the same effect: a queue's jobs then ran one at a time.

Jobs with callers are decided as before. TestDurableJobUsesSlowTargetBesideLastingTask fails before (not started within 10 s) and passes; its mutant is caught.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -180,7 +180,7 @@
 		return false
 	}
 	if t.isSlow() && !t.health.suspected {
-		return now+time.Duration(t.health.speed*float64(st.expectedRuntime)) <= j.objective || len(t.runs) == 0
+		return s.mayUseSlow(now, t, j, st)
 	}
 	return true
 }
--- a/scheduler/probe.go
+++ b/scheduler/probe.go
@@ -76,6 +76,19 @@
 	return nil
 }
 
+// mayUseSlow reports whether a task of a step may start on a slow target: its job can still be on time
+// there, or nothing else runs there, so that its run shows whether the target is still slow. A durable job
+// takes what there is once it has waited.
+func (s *State) mayUseSlow(now time.Duration, t *target, j *job, st *step) bool {
+	switch {
+	case now+time.Duration(t.health.speed*float64(st.expectedRuntime)) <= j.objective:
+		return true
+	case j.isDurable() && now-j.arrived >= probeTime:
+		return true
+	}
+	return len(t.runs) == 0
+}
+
 // needsSuspected reports whether a gang may run on suspected targets: the others could not hold it even if
 // nothing else ran there.
 func (p *pool) needsSuspected(now time.Duration, st *step) bool {
--- a/scheduler/suspicion_test.go
+++ b/scheduler/suspicion_test.go
@@ -71,6 +71,19 @@
 	must.Less(t, 2*time.Second, b.awaitStart("next", 3*time.Second, long[0].Run))
 }
 
+// A durable job runs on a slow target that alone can hold its tasks, although a run there never ends. The
+// target's speed is measured by runs that end, so nothing else would show that it is fast again.
+func TestDurableJobUsesSlowTargetBesideLastingTask(t *testing.T) {
+	b := newRareHarness(t)
+	lasting := b.startRare("lasting", work.Step{Lasting: true})
+	must.SliceLen(t, 1, lasting)
+	b.s.targets["a"].health.speed = maxSampleSpeed
+	b.s.Tick(b.now)
+	must.True(t, b.s.targets["a"].isSlow())
+	must.SliceEmpty(t, b.startRare("next", work.Step{DeclaredRunTime: time.Second}))
+	must.LessEq(t, probeTime+100*ms, b.awaitStart("next", 10*time.Second, lasting[0].Run))
+}
+
 // A run on a suspected target goes on where the free targets can't hold its task: stopped again and again, it
 // would never end.
 func TestLongRunIsNotMovedToUnfitTarget(t *testing.T) {
