Adopt jobs that move while their new owner reads

The job was tracked, but returned to nobody; adopt then found it tracked, took it for known and removed the row that says it is to be adopted.

Such jobs are forgotten after the reads, so that they are adopted like any other that moves.

--- a/jobstore/move_test.go
+++ b/jobstore/move_test.go
@@ -81,6 +81,24 @@
 	must.Eq(t, 0, len(adopted))
 }
 
+// A job that moves to a group while a new owner of the group reads its jobs is run there: the owner finds
+// its progress row, not its jobs row, and would otherwise take it for known when it adopts moved jobs.
+func TestJobThatMovesWhileItsNewOwnerReadsIsAdopted(t *testing.T) {
+	store := newFakeStore()
+	a := startWriter(t, store, "a", 1, 1)
+	must.Eq(t, Stored, acceptJob(a, testJob))
+	store.beforeRead = func(table platform.Table, partition string) {
+		if table == progressTable && partition == PartitionOf(testJob) {
+			moved := make(chan bool, 1)
+			a.Move(t.Context(), testJob, "b", func(ok bool) { moved <- ok })
+			must.True(t, <-moved)
+		}
+	}
+	b, unfinished := openWriter(t, store, "b", 2, 2)
+	must.SliceEmpty(t, unfinished)
+	must.Eq(t, testJob, (<-follow(t, b)).Job.ID)
+}
+
 // A previous owner that doesn't know of its successor can't give a job away.
 func TestPreviousOwnerCannotMoveJobs(t *testing.T) {
 	store := newFakeStore()
--- a/jobstore/open.go
+++ b/jobstore/open.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -87,10 +88,17 @@
 	s.fenceVersion = fenceVersion
 	w.loadProgress(s, progress.Rows)
 	unfinished := w.loadJobs(s, jobs.Rows)
+	s.forgetMoving()
 	w.shards[partition] = s
 	return unfinished, nil
 }
 
+// forgetMoving forgets the jobs of which only the progress row was read as this group's: they moved here
+// after their jobs rows were read, and FollowMoves adopts them.
+func (s *shard) forgetMoving() {
+	maps.DeleteFunc(s.jobs, func(_ string, e *trackedJob) bool { return e.jobVersion == 0 && !e.progress.State.IsFinal() })
+}
+
 // loadProgress adds the jobs of the group's progress rows to a shard.
 func (w *Writer) loadProgress(s *shard, rows []platform.Row) {
 	now := bootclock.Now()
--- a/jobstore/world_test.go
+++ b/jobstore/world_test.go
@@ -43,6 +43,8 @@
 	rowBytes, refused int
 	// everStored has each job that was ever stored, removed ones included.
 	everStored map[string]bool
+	// beforeRead is called before a partition of a table is read; nil for nothing.
+	beforeRead func(table platform.Table, partition string)
 }
 
 type delayedWrite struct {
@@ -150,6 +152,9 @@
 }
 
 func (f *fakeStore) ReadPartition(_ context.Context, table platform.Table, partition string) (platform.Rows, error) {
+	if f.beforeRead != nil {
+		f.beforeRead(table, partition)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	rows := platform.Rows{Version: f.version}
@@ -205,6 +210,8 @@
 	writer      *Writer
 	shards      [Partitions]*shard
 	incarnation uint64
+	// given holds the jobs that the owner was told to run.
+	given map[string]bool
 }
 
 // world runs the changing owners of two groups against one store. It compares the results that
@@ -247,10 +254,22 @@
 	writer := New(Options{
 		Group: group, Incarnation: w.lastIncarnation, Retention: time.Minute, RowBytes: worldRowBytes, Log: slog.New(slog.DiscardHandler), Clock: func() time.Duration { return w.now }, Count: func(string, string) {},
 	}, w.store)
-	unfinished, err := writer.Open(context.Background(), int64(w.lastIncarnation))
-	must.NoError(w.t, err)
-	w.owners[group] = &fakeOwner{writer: writer, shards: writer.shards, incarnation: w.lastIncarnation}
+	w.store.beforeRead = func(table platform.Table, partition string) {
+		if table == progressTable && rapid.IntRange(0, 2).Draw(w.t, "move between the reads") == 0 {
+			w.moveBetweenReads(group, partition)
+		}
+	}
+	// One partition after the other: the draws of concurrent ones would have no order.
+	var unfinished []DurableJob
+	for i := range Partitions {
+		jobs, err := writer.openPartition(context.Background(), i, int64(w.lastIncarnation))
+		must.NoError(w.t, err)
+		unfinished = append(unfinished, jobs...)
+	}
+	w.store.beforeRead = nil
+	w.owners[group] = &fakeOwner{writer: writer, shards: writer.shards, incarnation: w.lastIncarnation, given: map[string]bool{}}
 	for _, job := range unfinished {
+		w.owners[group].given[job.Job.ID] = true
 		for task := range w.done[job.Job.ID] {
 			must.SliceContains(w.t, job.Progress.Done, task)
 		}
@@ -259,6 +278,28 @@
 	}
 }
 
+// moveBetweenReads has the owner of the other group give its jobs of a partition to a group whose new owner
+// is reading its jobs.
+func (w *world) moveBetweenReads(group, partition string) {
+	other := w.owners[map[string]string{"a": "b", "b": "a"}[group]]
+	if other == nil {
+		return
+	}
+	for i, s := range other.shards {
+		if partitionName(i) != partition || len(s.inFlight) > 0 {
+			continue
+		}
+		for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+			w.startMove(other, s, id)
+		}
+		if changes := s.nextBatch(w.now); changes != nil {
+			written, err := w.store.Write(context.Background(), partition, changes)
+			s.handleResult(w.now, written, err)
+			w.runCallbacks(s)
+		}
+	}
+}
+
 // pickOwner draws an owner, now and then a previous one.
 func (w *world) pickOwner(name string) *fakeOwner {
 	if len(w.previous) > 0 && rapid.IntRange(0, 4).Draw(w.t, name+" previous") == 0 {
@@ -294,10 +335,12 @@
 	if slices.Contains(w.results[id], Stored) && rapid.IntRange(0, 3).Draw(w.t, "again") > 0 {
 		return
 	}
-	s := w.pickOwner("accept").shardOf(id)
+	o := w.pickOwner("accept")
+	s := o.shardOf(id)
 	value, _ := json.Marshal(AcceptedJob{Job: work.Job{ID: id}, Group: s.group, Incarnation: s.incarnation, Writer: s.writer})
 	s.accept(id, value, func(r AcceptResult) {
 		w.results[id] = append(w.results[id], r)
+		o.given[id] = o.given[id] || r == Stored
 		switch r {
 		case Stored, AlreadyStored:
 			must.True(w.t, w.store.everStored[id], must.Sprintf("%s was accepted but is not stored", id))
@@ -370,18 +413,29 @@
 	at := rapid.IntRange(0, len(ids)-1).Draw(w.t, "moving job")
 	s, id := shards[at], ids[at]
 	for _, o := range w.allOwners() {
-		if o.shardOf(id) != s || s.jobs[id].move != nil {
-			continue
+		if o.shardOf(id) == s {
+			w.startMove(o, s, id)
 		}
-		to := map[string]string{"a": "b", "b": "a"}[s.group]
-		m, err := o.writer.prepareMove(context.Background(), id, to)
-		if err != nil {
-			return
+	}
+}
+
+// startMove has an owner give a job to the other group, unless the job can't move.
+func (w *world) startMove(o *fakeOwner, s *shard, id string) {
+	if e := s.jobs[id]; e.move != nil || !e.isStored || e.progress.State.IsFinal() {
+		return
+	}
+	to := map[string]string{"a": "b", "b": "a"}[s.group]
+	m, err := o.writer.prepareMove(context.Background(), id, to)
+	if err != nil {
+		return
+	}
+	m.onResult = func(moved bool) {
+		if moved {
+			delete(o.given, id)
 		}
-		m.onResult = func(bool) {}
-		s.move(id, m)
-		w.runCallbacks(s)
 	}
+	s.move(id, m)
+	w.runCallbacks(s)
 }
 
 // adoptJobs has an owner adopt the jobs that were given to its group.
@@ -390,6 +444,7 @@
 	must.NoError(w.t, err)
 	for _, row := range rows {
 		_ = o.writer.adoptRow(context.Background(), row, func(job DurableJob) {
+			o.given[job.Job.ID] = true
 			for task := range w.done[job.Job.ID] {
 				must.SliceContains(w.t, job.Progress.Done, task)
 			}
@@ -409,6 +464,7 @@
 		for _, o := range w.owners {
 			if o.shardOf(id).jobs[id] != nil {
 				owners++
+				must.True(w.t, o.given[id], must.Sprintf("%s is tracked but was given to no owner to run", id))
 			}
 		}
 		must.Eq(w.t, 1, owners, must.Sprintf("%s has %d owners", id, owners))
