Move kept jobs out of a cordoned failure domain

Cause: a job moved only if no target of its own domain could hold its task by size and label; whether anything may start there was not asked.

A job with a task to start now moves when its domain is cordoned, to one that isn't and whose owner is alive. Weighed: lending tasks of kept jobs, by which two owners record one job.

Best-effort jobs are decided as before.

No job moves while a target of its domain is silent, as before.

--- a/link/convert.go
+++ b/link/convert.go
@@ -49,17 +49,18 @@
 
 func stepToWire(step work.Step) *linkpb.Step {
 	wire := &linkpb.Step{
-		Tasks:      int32(step.Tasks),
-		Each:       resourcesToWire(step.PerTask),
-		EstimateUs: micros(step.DeclaredRunTime),
-		Label:      step.RequiredLabel,
-		Rack:       step.PreferredRack,
-		Spread:     int32(step.MaxPerTarget),
-		Gang:       step.Gang,
-		OneRack:    step.PreferOneRack,
-		Lasting:    step.Lasting,
-		Fills:      step.Background,
-		Serves:     step.LatencySensitive,
+		Tasks:         int32(step.Tasks),
+		Each:          resourcesToWire(step.PerTask),
+		EstimateUs:    micros(step.DeclaredRunTime),
+		Label:         step.RequiredLabel,
+		Rack:          step.PreferredRack,
+		Spread:        int32(step.MaxPerTarget),
+		Gang:          step.Gang,
+		OneRack:       step.PreferOneRack,
+		Lasting:       step.Lasting,
+		Fills:         step.Background,
+		Serves:        step.LatencySensitive,
+		KeepAvailable: step.KeepAvailable,
 	}
 	for _, before := range step.DependsOn {
 		wire.After = append(wire.After, int32(before))
@@ -91,6 +92,7 @@
 		Lasting:          wire.GetLasting(),
 		Background:       wire.GetFills(),
 		LatencySensitive: wire.GetServes(),
+		KeepAvailable:    wire.GetKeepAvailable(),
 	}
 	for _, before := range wire.GetAfter() {
 		step.DependsOn = append(step.DependsOn, int(before))
--- a/node/node.go
+++ b/node/node.go
@@ -277,7 +277,7 @@
 		return true
 	}
 	for _, held := range n.keeper.Claims() {
-		if view, ok := n.heartbeats.View(held.Claim.GetLife()); ok && view.Timestamp > 0 && view.Alive.Err() == nil {
+		if n.isOwnerAlive(held) {
 			return true
 		}
 	}
--- a/node/owners.go
+++ b/node/owners.go
@@ -97,7 +97,8 @@
 		Log: n.log, Count: n.options.Count, Observe: n.options.Observe, Gauge: n.options.Gauge, StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.registry),
 		HandOverJobs: n.options.HandOverJobs,
 		Delegate:     n.delegateOrHandOver, NeedsCapacity: n.heartbeats.RequestLoads, StoreClock: n.storeClock.nowIfKnown,
-		HasEnded: n.newEndedCheck(), Cordons: n.cordons.board.View, ConfirmCordons: n.confirmCordons, Profiles: n.profilesInForce, ConfirmClaim: n.keeper.ConfirmOwnership,
+		OwnedDomains: n.ownedDomains,
+		HasEnded:     n.newEndedCheck(), Cordons: n.cordons.board.View, ConfirmCordons: n.confirmCordons, Profiles: n.profilesInForce, ConfirmClaim: n.keeper.ConfirmOwnership,
 		Jobs: jobstore.New(jobstore.Options{
 			Group: held.Group, VM: n.self.VM, Incarnation: n.self.Incarnation, Retention: n.options.Settings.JobRetention,
 			RowBytes: n.options.Settings.RowBytes, Log: n.log, Count: n.options.Count, Clock: n.storeClock.now,
@@ -125,6 +126,23 @@
 	return &ownedGroup{Owner: o, claim: held, cancel: cancel, targets: targets}
 }
 
+// ownedDomains returns the failure domains whose owner is alive.
+func (n *Node) ownedDomains() []string {
+	owned := []string{}
+	for _, held := range n.keeper.Claims() {
+		if n.isOwnerAlive(held) {
+			owned = append(owned, held.Group)
+		}
+	}
+	return owned
+}
+
+// isOwnerAlive reports whether the owner under a claim is another process that answers heartbeats.
+func (n *Node) isOwnerAlive(held ownership.GroupClaim) bool {
+	view, ok := n.heartbeats.View(held.Claim.GetLife())
+	return ok && view.Timestamp > 0 && view.Alive.Err() == nil
+}
+
 // probeOwner checks in the background whether an owner's process has ended, and reports that to
 // the claim keeper if so. Only one owner is checked at a time.
 func (n *Node) probeOwner(suspect heartbeat.Owner) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -98,6 +98,9 @@
 	// ConfirmCordons reads them from the store. Both are nil if there are no cordons.
 	Cordons        func() cordon.View
 	ConfirmCordons func(ctx context.Context) (cordon.View, error)
+	// OwnedDomains returns the failure domains whose owner is alive, to which jobs may move; nil if any may
+	// be.
+	OwnedDomains func() []string
 	// Profiles returns the operator's profiles as far as this VM knows them; nil before the first. It
 	// may be nil.
 	Profiles func() *shares.Profiles
@@ -294,6 +297,9 @@
 	o.lag.recordTick(now)
 	o.readClocks(now)
 	o.checkPredecessor(now)
+	if o.options.OwnedDomains != nil && o.state.HasMisplacedJobs() {
+		o.state.SetOwnedDomains(o.options.OwnedDomains())
+	}
 	o.state.Tick(now)
 	o.logStatus()
 }
--- a/scheduler/cordon.go
+++ b/scheduler/cordon.go
@@ -9,7 +9,7 @@
 // Nothing is started while the failure domain of the targets is cordoned: no new work, no task that
 // has to run again and no second copy of an unanswered order. Runs go on until they end. Jobs with
 // nothing started go back to their entry VMs, which turn to other owners at once; the remaining
-// tasks of started jobs are delegated.
+// tasks of started jobs are delegated. Durable jobs move, see move.go.
 
 // cordon is what is known of the operator's setting for the failure domain.
 type cordon struct {
@@ -90,8 +90,8 @@
 	}
 }
 
-// releaseWaitingJobs lets go of everything that waits for a target of a cordoned domain. Durable
-// jobs keep waiting: only this owner may write their progress.
+// releaseWaitingJobs lets go of everything that waits for a target of a cordoned domain. Durable jobs move
+// as a whole: only the owner of their group may write their progress.
 func (s *State) releaseWaitingJobs(now time.Duration) {
 	for _, p := range s.pools {
 		if p.reservedFor != nil {
--- a/scheduler/cordon_world_test.go
+++ b/scheduler/cordon_world_test.go
@@ -39,6 +39,7 @@
 		w.deliver(o, func() {
 			o.cordon = knownCordon{known: true, cordoned: w.cordons.cordoned}
 			o.state.CordonReported(w.now, w.cordons.cordoned)
+			w.fleet.reportCordons(o)
 		})
 	})
 }
--- a/scheduler/durable_world_test.go
+++ b/scheduler/durable_world_test.go
@@ -38,6 +38,8 @@
 	state      work.JobState
 	// cancelRequested is set once a caller has cancelled the job.
 	cancelRequested bool
+	// group is the failure domain that runs the job in a fleet.
+	group string
 }
 
 // maxStoreDelay bounds the time in ms until the store has a record.
@@ -58,6 +60,17 @@
 	})
 }
 
+// writeOfJobLater is writeLater for a record of a job, which is dropped if the job has moved.
+func (w *world) writeOfJobLater(o *fakeOwner, id string, write func(*jobRecord), confirm func()) {
+	o.unwritten[id]++
+	w.writeLater(o, func() {
+		o.unwritten[id]--
+		if r := w.durableStore.jobs[id]; r.group == w.group {
+			write(r)
+		}
+	}, confirm)
+}
+
 // takeOverJobs has an owner take the store's fence and the jobs, once it has fenced other owners
 // off the targets or has waited for 2.5 s.
 func (w *world) takeOverJobs(o *fakeOwner, began time.Duration) {
@@ -70,20 +83,24 @@
 	}
 	w.durableStore.holder = o
 	for _, id := range slices.Sorted(maps.Keys(w.durableStore.jobs)) {
-		r := w.durableStore.jobs[id]
-		if r.state.IsFinal() {
-			continue
+		if r := w.durableStore.jobs[id]; !r.state.IsFinal() && r.group == w.group {
+			w.resumeJob(o, r)
 		}
-		w.refs++
-		sub := r.sub
-		sub.Ref = w.refs
-		o.state.ResumeJob(w.now, sub, Progress{Done: slices.Sorted(maps.Keys(r.done)), Fails: maps.Clone(r.fails), LastFailed: maps.Clone(r.lastFailed), Saved: maps.Clone(r.saved), Crashed: maps.Clone(r.crashed)})
 	}
 	o.state.FinishResume(w.now)
 	o.accepting = true
 	w.applyEffects(o)
 }
 
+// resumeJob has an owner continue a stored job.
+func (w *world) resumeJob(o *fakeOwner, r *jobRecord) {
+	w.refs++
+	sub := r.sub
+	sub.Ref = w.refs
+	delete(o.fails, sub.Job.ID)
+	o.state.ResumeJob(w.now, sub, Progress{Done: slices.Sorted(maps.Keys(r.done)), Fails: maps.Clone(r.fails), LastFailed: maps.Clone(r.lastFailed), Saved: maps.Clone(r.saved), Crashed: maps.Clone(r.crashed)})
+}
+
 // carryOutStoreEffect carries out the effects of an owner that write to the store or ask the
 // adviser.
 func (w *world) carryOutStoreEffect(o *fakeOwner, effect Effect) {
@@ -92,11 +109,11 @@
 		id := e.Submission.Job.ID
 		w.writeLater(o, func() {
 			if w.durableStore.jobs[id] == nil {
-				w.durableStore.jobs[id] = &jobRecord{sub: e.Submission, done: map[int]bool{}, fails: map[int]int{}, saved: map[int]string{}, lastFailed: map[int]int64{}, crashed: map[int][]Crash{}, state: work.StateQueued}
+				w.durableStore.jobs[id] = &jobRecord{sub: e.Submission, done: map[int]bool{}, fails: map[int]int{}, saved: map[int]string{}, lastFailed: map[int]int64{}, crashed: map[int][]Crash{}, state: work.StateQueued, group: w.group}
 			}
 		}, func() { o.state.HandleJobStored(w.now, id, work.Outcome{Result: work.Accepted}, true) })
 	case TaskDone:
-		w.writeLater(o, func() { w.durableStore.jobs[e.Job].done[e.Task] = true }, func() { o.state.HandleCompletionStored(e.Completion) })
+		w.writeOfJobLater(o, e.Job, func(r *jobRecord) { r.done[e.Task] = true }, func() { o.state.HandleCompletionStored(e.Completion) })
 	case TaskFailed:
 		// An owner writes all that it knows of a job. So a write that is stored before an older one
 		// includes that one, and an older write never hides a newer one.
@@ -105,28 +122,26 @@
 		}
 		o.fails[e.Job][e.Task]++
 		count := o.fails[e.Job][e.Task]
-		w.writeLater(o, func() {
-			stored := w.durableStore.jobs[e.Job]
+		w.writeOfJobLater(o, e.Job, func(stored *jobRecord) {
 			stored.fails[e.Task] = max(stored.fails[e.Task], count)
 			stored.lastFailed[e.Task] = max(stored.lastFailed[e.Task], e.Run)
 		}, func() { o.state.HandleCompletionStored(e.Completion) })
 	case AskAdviser:
 		w.advise(o, e)
 	case TaskSaved:
-		w.writeLater(o, func() { w.durableStore.jobs[e.Job].saved[e.Task] = e.Saved }, func() {})
+		w.writeOfJobLater(o, e.Job, func(r *jobRecord) { r.saved[e.Task] = e.Saved }, func() {})
 	case TaskCrashed:
-		w.writeLater(o, func() {
-			r := w.durableStore.jobs[e.Job]
+		w.writeOfJobLater(o, e.Job, func(r *jobRecord) {
 			r.crashed[e.Task] = append(slices.DeleteFunc(r.crashed[e.Task], e.isSame), e.Crash)
 		}, func() {})
 	case TaskCleared:
-		w.writeLater(o, func() {
-			r := w.durableStore.jobs[e.Job]
+		w.writeOfJobLater(o, e.Job, func(r *jobRecord) {
 			r.crashed[e.Task] = slices.DeleteFunc(r.crashed[e.Task], e.isSame)
 		}, func() {})
+	case MoveJob:
+		w.fleet.move(w, o, e)
 	case JobEnded:
-		w.writeLater(o, func() {
-			r := w.durableStore.jobs[e.Job]
+		w.writeOfJobLater(o, e.Job, func(r *jobRecord) {
 			if e.State == work.StateCancelled && !r.cancelRequested {
 				w.violations = append(w.violations, e.Job+" was cancelled but no caller asked for it")
 			}
--- a/scheduler/fake_target_test.go
+++ b/scheduler/fake_target_test.go
@@ -242,6 +242,7 @@
 			}
 		})
 	}
+	t.world.fleet.unlistForeign(t)
 	if !t.ofOtherOwner {
 		t.world.addTarget(t.labels...)
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -49,9 +49,10 @@
 	stored, cancelled, dropped bool
 	// moving is set while the store gives the job to another group. misplacedSince is since when a task
 	// whose turn has come finds no target here that can hold it; 0 while there is none.
-	moving         bool
-	misplacedSince time.Duration
-	queued         bool
+	// emptying is set while its lasting runs are stopped so that it can move.
+	moving, emptying bool
+	misplacedSince   time.Duration
+	queued           bool
 	// steps lists the steps of all occurrences in order. The first stepsDone of them are over.
 	// Those from index stepsDue on belong to occurrences that aren't due yet.
 	steps               []*step
--- a/scheduler/move_test.go
+++ b/scheduler/move_test.go
@@ -113,3 +113,66 @@
 		})
 	}
 }
+
+// No job moves to a failure domain without an owner that could adopt it: nothing would run it there.
+func TestJobMovesOnlyWhereAnOwnerIsAlive(t *testing.T) {
+	b := newLabelledHarness(t)
+	b.startLabelled("b")
+	b.removeLabelled()
+	b.s.SetOwnedDomains([]string{"hall-a"})
+	must.SliceEmpty(t, pickEffects[MoveJob](b.tick(2*moveDelay)))
+	must.True(t, b.s.HasMisplacedJobs())
+	b.s.SetOwnedDomains([]string{"hall-a", "hall-b"})
+	must.SliceLen(t, 1, pickEffects[MoveJob](b.tick(2*moveCheckInterval)))
+}
+
+// A gang moves where all of it fits at once, although its own domain could hold one of its tasks.
+func TestGangMovesWhereAllOfItFits(t *testing.T) {
+	b := newLabelledHarness(t)
+	first := work.Step{Tasks: 1, RequiredLabel: "a", PerTask: work.Resources{CPU: 1}, DeclaredRunTime: 100 * ms}
+	gang := work.Step{Tasks: 2, Gang: true, DependsOn: []int{0}, PerTask: work.Resources{CPU: 3}, DeclaredRunTime: 100 * ms}
+	b.s.ForeignTargetListed(work.Target{ID: "y", Service: "s", FailureDomain: "hall-c", Capacity: work.Resources{CPU: 6}})
+	starts := pickEffects[StartRun](b.acceptAndStore(b.jobOfSteps("j", first, gang)))
+	must.SliceLen(t, 1, starts)
+	b.confirmStarts(starts)
+	b.removeLabelled()
+	b.answerPoll(starts[0].To.ID, pollWithCompletion(1, starts[0].Run, work.CompletionDone))
+	must.Eq(t, []MoveJob{{Job: "j", Group: "hall-c"}}, pickEffects[MoveJob](b.tick(moveDelay+2*moveCheckInterval)))
+}
+
+// Lasting tasks are stopped for the sake of one of them that can't run here any more, unless the caller
+// said that they must not all be down at one time.
+func TestLastingTasksAreStoppedToMoveUnlessTheyMustStayUp(t *testing.T) {
+	for _, keep := range []bool{false, true} {
+		b := newLabelledHarness(t)
+		b.s.ForeignTargetListed(work.Target{ID: "x", Service: "s", FailureDomain: "hall-b", Capacity: work.Resources{CPU: 4}})
+		b.s.SetCordonedDomains(nil)
+		starts := pickEffects[StartRun](b.acceptAndStore(b.jobOfSteps("j", work.Step{Tasks: 2, Lasting: true, KeepAvailable: keep, PerTask: work.Resources{CPU: 3}})))
+		must.SliceLen(t, 2, starts)
+		b.confirmStarts(starts)
+		b.s.CordonReported(b.now, true)
+		failed, other := starts[0], starts[1]
+		b.answerPoll(failed.To.ID, pollWithCompletion(1, failed.Run, work.CompletionFailed))
+		stops := func() (stops []StopRun, moves []MoveJob) {
+			for range 25 {
+				effects := b.advance(100 * ms)
+				stops, moves = append(stops, pickEffects[StopRun](effects)...), append(moves, pickEffects[MoveJob](effects)...)
+				b.answerPoll(failed.To.ID, work.PollAnswer{ClockMS: 5000 + (b.now - 10*time.Second).Milliseconds()})
+				answer := work.PollAnswer{ClockMS: 5000 + (b.now - 10*time.Second).Milliseconds(), Running: listing(other.Run)}
+				if len(stops) > 0 {
+					answer.Running, answer.Completions = nil, []work.Completion{{Number: 1, Run: other.Run, Kind: work.CompletionStopped}}
+				}
+				b.answerPoll(other.To.ID, answer)
+			}
+			return stops, moves
+		}
+		stopped, moves := stops()
+		if keep {
+			must.SliceEmpty(t, stopped)
+			must.SliceEmpty(t, moves)
+			continue
+		}
+		must.Eq(t, other.Run, stopped[0].Run)
+		must.Eq(t, []MoveJob{{Job: "j", Group: "hall-b"}}, moves)
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -81,11 +81,11 @@
 
 // placeJob starts the tasks of a job's ready steps that fit. For the others it asks the adviser and
 // other owners. Nothing starts while runs of an ended job with the same ID may still execute, while an
-// earlier request for the job is open, while the caller is not presumed to wait, or while the job moves to another group. Nothing of a job
-// that was taken over starts while a target may have more completions of previous owners than it has
-// listed, or a run of a previous owner.
+// earlier request for the job is open, while the caller is not presumed to wait, or while the job moves to
+// another group or is stopped for that. Nothing of a job that was taken over starts while a target may have
+// more completions of previous owners than it has listed, or a run of a previous owner.
 func (s *State) placeJob(now time.Duration, j *job, failed *failedPlacements) {
-	if j.moving {
+	if j.moving || j.emptying {
 		return
 	}
 	if s.stoppingRuns[j.sub.Job.ID] > 0 || s.hasEarlierRequest(j) || !s.hasKeepalive(now, j) || !s.mayStartNow(now, j) {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -83,6 +83,10 @@
 	restarts bool
 	// trace records the world's events and effects; nil if nobody compares them.
 	trace *worldTrace
+	// group is the failure domain of a fleet that the world stands for; empty, and fleet nil, without a
+	// fleet.
+	group string
+	fleet *fleet
 }
 
 // worldFaults holds the shares, from 0 to 1, of orders that meet each fault, and of runs that fail.
@@ -108,8 +112,10 @@
 	delegated   map[Part]*sentPart
 	// accepting is set once the owner has taken over the durable jobs.
 	accepting bool
-	// fails is what it knows of the failed runs of durable jobs, by job and task.
-	fails map[string]map[int]int
+	// fails is what it knows of the failed runs of durable jobs, by job and task. unwritten counts its
+	// writes about each job that are on their way.
+	fails     map[string]map[int]int
+	unwritten map[string]int
 	// cordon is what was last reported to it of the cordon.
 	cordon knownCordon
 }
@@ -189,7 +195,7 @@
 
 func (w *world) addTarget(labels ...string) *fakeTarget {
 	t := &fakeTarget{
-		world: w, labels: labels, id: fmt.Sprintf("t%02d", len(w.targets)), clockRate: 0.98 + 0.02*w.random.Float64(),
+		world: w, labels: labels, id: fmt.Sprintf("%st%02d", w.group, len(w.targets)), clockRate: 0.98 + 0.02*w.random.Float64(),
 		free: fakeCPU, capacity: fakeCPU, endedAt: map[int64]time.Duration{}, runs: map[string]*fakeRun{}, highestRuns: map[string]int64{},
 	}
 	w.targets[t.id] = t
@@ -199,12 +205,13 @@
 	for _, o := range w.owners {
 		o.state.TargetListed(w.now, t.listed())
 	}
+	w.fleet.listForeign(t)
 	w.after(ms, t.expireLease)
 	return t
 }
 
 func (t *fakeTarget) listed() work.Target {
-	return work.Target{ID: t.id, Service: "s", Address: t.id, Capacity: work.Resources{CPU: t.capacity}, Incarnation: t.incarnation, Draining: t.draining, Labels: t.labels}
+	return work.Target{ID: t.id, Service: "s", Address: t.id, Capacity: work.Resources{CPU: t.capacity}, Incarnation: t.incarnation, Draining: t.draining, Labels: t.labels, FailureDomain: t.world.group}
 }
 
 func (t *fakeTarget) clock() int64 {
@@ -242,7 +249,7 @@
 func (w *world) takeOver() *fakeOwner {
 	w.token++
 	o := &fakeOwner{
-		fails: map[string]map[int]int{},
+		fails: map[string]map[int]int{}, unwritten: map[string]int{},
 		state: New(w.ownerOptions()), token: w.token, refs: map[Ref]*caller{},
 		name: fmt.Sprintf("o%d", w.token), delegated: map[Part]*sentPart{},
 	}
@@ -256,6 +263,7 @@
 		}
 	}
 	o.state.RegistryRead()
+	w.fleet.listTo(w, o)
 	w.owners = append(w.owners, o)
 	if w.singleOwner {
 		w.endPredecessors()
@@ -292,6 +300,7 @@
 	}
 	if !o.frozen {
 		o.state.SetWallClock(w.now, w.now+wallBase)
+		w.fleet.reportOwners(o)
 		o.state.Tick(w.now)
 		w.applyEffects(o)
 	}
--- a/work/work.go
+++ b/work/work.go
@@ -61,6 +61,9 @@
 	LatencySensitive bool `json:"Serves"`
 	// Lasting tasks run until their job is cancelled, and are restarted however they end.
 	Lasting bool
+	// KeepAvailable is set if not all lasting tasks of the step may be down at a time by decisions of this
+	// system.
+	KeepAvailable bool `json:",omitempty"`
 }
 
 // Job is what a caller submits.
