Probe with callers' tasks as before

Cause: a target with hung runs got a further caller's task after 2.5 s, and its overdue runs no longer postponed the next one at each tick, so more tasks hung.

The new rules now hold for tasks of durable jobs alone, which have a time of their own from which they may probe; callers' tasks probe an empty target, and successes of callers' runs count, as before.

--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -14,9 +14,9 @@
 	usualSpeed float64
 	// failures holds, by job, the last failure here since the last successful run.
 	failures map[string]time.Duration
-	// probeAfter is when the target may be probed; backoff is how long it gets no task after the
-	// next suspicion.
-	probeAfter, backoff time.Duration
+	// probeAfter is when the target may be probed by tasks of callers, durableProbeAfter when by those of
+	// durable jobs; backoff is how long it gets no task after the next suspicion.
+	probeAfter, durableProbeAfter, backoff time.Duration
 	// suspectedSince is when the target came under suspicion.
 	suspectedSince time.Duration
 	// suspected targets get single tasks from probeAfter on; see probe.go. hung ones came under suspicion
@@ -55,7 +55,7 @@
 	if !h.suspected {
 		h.suspected, h.suspectedSince = true, now
 	}
-	h.probeAfter = now + h.backoff
+	h.probeAfter, h.durableProbeAfter = now+h.backoff, now+h.backoff
 	h.backoff = min(2*h.backoff, maxBackoff)
 }
 
@@ -107,7 +107,9 @@
 		// These runs say nothing of the target's speed: the start of adopted runs is not known,
 		// cold targets are slow for a while, and background tasks get only processor that others
 		// leave unused.
-		s.endSuspicion(t)
+		if r.task.job.isDurable() {
+			s.endSuspicion(t)
+		}
 		return
 	}
 	took := now - r.ordered
@@ -168,11 +170,7 @@
 		if !r.isOverdue(now) || !r.isOverdue(runningUntil) {
 			continue
 		}
-		if !t.health.suspected || !r.overdueNoted {
-			// A run that stays overdue postpones the next probe once, not for as long as it takes.
-			r.overdueNoted = true
-			s.recordFailure(now, t, r.task.job)
-		}
+		s.recordOverdue(now, t, r)
 		if r.isHung(runningUntil) && !t.health.suspected && s.canSuspect(t.pool) {
 			s.emit(LogEvent{Message: "target suspected", Target: t.ID, Task: r.Task, Detail: "a run does not end", Age: now - r.ordered})
 			t.health.markSuspected(now)
@@ -198,6 +196,17 @@
 	}
 }
 
+// recordOverdue counts an overdue run against its target. While it stays overdue it keeps tasks of callers
+// away, which might hang as well. It postpones a probe by a durable job once: the run may just be long.
+func (s *State) recordOverdue(now time.Duration, t *target, r *run) {
+	probeAfter := t.health.durableProbeAfter
+	s.recordFailure(now, t, r.task.job)
+	if r.overdueNoted {
+		t.health.durableProbeAfter = probeAfter
+	}
+	r.overdueNoted = true
+}
+
 // stopStuck stops a run that has taken too long, so that its task is placed again.
 func (s *State) stopStuck(now time.Duration, r *run) {
 	s.emit(LogEvent{Message: "run takes too long", Job: r.task.job.sub.Job.ID, Task: r.Task, Target: r.target.ID, Age: now - r.ordered})
--- a/scheduler/probe.go
+++ b/scheduler/probe.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// A suspected target gets single tasks that show whether it has recovered. Each kind of task can be such
-// a probe, and each kind can end the suspicion: the tasks that wait may all be of one kind, or may all
-// have failed there.
+// A suspected target gets single tasks that show whether it has recovered. Each kind of task of a durable job
+// can be such a probe, and each kind can end the suspicion: the tasks that wait may all be of one kind, or may
+// all have failed there.
 
 // Parameters of probes.
 const (
@@ -21,9 +21,15 @@
 	laterProbeDelay = 8 * time.Second
 )
 
-// canProbe reports whether a suspected target may get a task.
+// canProbe reports whether a suspected target may get a task of a caller, whose time would be lost: only
+// if nothing else runs there.
 func (h *health) canProbe(now time.Duration, t *target) bool {
-	if now < h.probeAfter {
+	return now >= h.probeAfter && len(t.runs) == 0
+}
+
+// canDurableProbe reports whether a suspected target may get a task of a durable job.
+func (h *health) canDurableProbe(now time.Duration, t *target) bool {
+	if now < h.durableProbeAfter {
 		return false
 	}
 	for _, r := range t.runs {
@@ -69,7 +75,8 @@
 // pickSuspected chooses a suspected target that may get a task; nil if there is none.
 func (s *State) pickSuspected(now time.Duration, j *job, st *step, tk *task) *target {
 	for _, t := range j.pool.suspectTargets {
-		if t.health.canProbe(now, t) && tk.mayProbe(now) && s.canStart(now, t, j, st, tk) {
+		may := t.health.canProbe(now, t) || j.isDurable() && t.health.canDurableProbe(now, t)
+		if may && tk.mayProbe(now) && s.canStart(now, t, j, st, tk) {
 			return t
 		}
 	}
@@ -89,10 +96,10 @@
 	return len(t.runs) == 0
 }
 
-// needsSuspected reports whether a gang may run on suspected targets: the others could not hold it even if
-// nothing else ran there.
+// needsSuspected reports whether a gang may run on suspected targets: its job is durable, and the other
+// targets could not hold it even if nothing else ran there.
 func (p *pool) needsSuspected(now time.Duration, st *step) bool {
-	if len(p.suspectTargets) == 0 || len(st.pending) == 0 || !st.pending[0].mayProbe(now) {
+	if !st.job.isDurable() || len(p.suspectTargets) == 0 || len(st.pending) == 0 || !st.pending[0].mayProbe(now) {
 		return false
 	}
 	trusted := slices.DeleteFunc(usableByGang(now, p.targets, false), func(t *target) bool { return !t.acceptsTasks() })
@@ -104,7 +111,7 @@
 func usableByGang(now time.Duration, among []*target, probing bool) []*target {
 	var usable []*target
 	for _, t := range among {
-		if !t.health.suspected || probing && t.health.canProbe(now, t) {
+		if !t.health.suspected || probing && t.health.canDurableProbe(now, t) {
 			usable = append(usable, t)
 		}
 	}
