--- a/entry/durable.go
+++ b/entry/durable.go
@@ -1,10 +1,14 @@
 package entry
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/zeebo/errs/v2"
 
@@ -33,27 +37,115 @@
 	return e.options.FindJob(ctx, id)
 }
 
-// Cancel cancels a durable job for good and returns its state after that. The error is
-// ErrOwnerUnavailable if no owner knows the job and the store has it as unfinished.
+// Times of cancellations.
+const (
+	// cancelWait is how long a cancellation waits for a job that is between two owners or being stored.
+	cancelWait = 1500 * time.Millisecond
+	// cancelRetryInterval is the pause before the owners are asked again meanwhile.
+	cancelRetryInterval = 100 * time.Millisecond
+	// localCancelTimeout is how long the owner in this process may take for a cancellation, as long as
+	// others may.
+	localCancelTimeout = 2 * time.Second
+)
+
+// Cancel cancels a job for good and returns its state after that: final, and work.StateWithdrawn for a job
+// that is nowhere and will never be stored. The error is ErrOwnerUnavailable if that isn't certain: the
+// caller has to cancel the job again.
 func (e *Entry) Cancel(ctx context.Context, id string) (work.JobState, error) {
-	state := e.askAll(ctx, func(ctx context.Context, held ownership.GroupClaim) work.JobState {
-		if local, ok := e.localOwner(held); ok {
-			state, _ := local.CancelJob(ctx, id)
-			return state
+	last := time.NewTimer(cancelWait)
+	defer last.Stop()
+	for {
+		state, err := e.cancelOnce(ctx, id)
+		retry := errors.Is(err, ErrOwnerUnavailable)
+		select {
+		case <-last.C:
+			retry = false
+		case <-ctx.Done():
+			retry = false
+		default:
 		}
-		state, err := e.remote.Cancel(ctx, held.Claim.GetControl(), id)
-		e.logUnanswered(ctx, held, id, err)
-		return state
+		if !retry {
+			e.options.Count("cancels", state.String())
+			return state, err
+		}
+		select {
+		case <-time.After(cancelRetryInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// cancelOnce asks the owners to cancel a job. If none of them knows it and the store hasn't got it, a request
+// for the job or a write of it may still be on its way, and an owner withdraws it.
+func (e *Entry) cancelOnce(ctx context.Context, id string) (work.JobState, error) {
+	state := e.askAll(ctx, func(ctx context.Context, held ownership.GroupClaim) work.JobState {
+		return e.cancelAt(ctx, held, id, false)
 	})
-	e.options.Count("cancels", state.String())
 	if state.IsFinal() {
 		return state, nil
 	}
 	state, err := e.options.FindJob(ctx, id)
-	if err == nil && state != work.StateAbsent && !state.IsFinal() {
-		return state, ErrOwnerUnavailable.Errorf("job %s is %s and can't be cancelled now", id, state)
+	if err != nil || state.IsFinal() {
+		return state, err
+	}
+	if state == work.StateAbsent {
+		state = e.withdraw(ctx, id)
+	}
+	if state.IsFinal() {
+		return state, nil
+	}
+	return state, ErrOwnerUnavailable.Errorf("job %s can't be cancelled now: cancel it again", id)
+}
+
+// withdraw has one of the owners keep a job from being stored, the one in this process first, and returns
+// the job's state.
+func (e *Entry) withdraw(ctx context.Context, id string) work.JobState {
+	claims := slices.Clone(e.options.Claims())
+	slices.SortStableFunc(claims, func(a, b ownership.GroupClaim) int { return cmp.Compare(e.distance(a), e.distance(b)) })
+	for _, held := range claims {
+		if e.distance(held) == unreachable {
+			break
+		}
+		if state := e.cancelAt(ctx, held, id, true); state != work.StateAbsent {
+			return state
+		}
+	}
+	return work.StateAbsent
+}
+
+// Distances to an owner.
+const (
+	inProcess = iota
+	near
+	far
+	unreachable
+)
+
+// distance returns how far away the owner under a claim is.
+func (e *Entry) distance(held ownership.GroupClaim) int {
+	if _, ok := e.localOwner(held); ok {
+		return inProcess
+	}
+	switch {
+	case !e.isAlive(held):
+		return unreachable
+	case e.options.DomainOf(held.Group) == e.options.FailureDomain:
+		return near
+	}
+	return far
+}
+
+// cancelAt has one owner cancel a job, or withdraw one that it doesn't know.
+func (e *Entry) cancelAt(ctx context.Context, held ownership.GroupClaim, id string, withdraw bool) work.JobState {
+	if local, ok := e.localOwner(held); ok {
+		ctx, cancel := context.WithTimeout(ctx, localCancelTimeout)
+		defer cancel()
+		state, _ := local.CancelJob(ctx, id, withdraw)
+		return state
 	}
-	return state, err
+	state, err := e.remote.Cancel(ctx, held.Claim.GetControl(), id, withdraw)
+	e.logUnanswered(ctx, held, id, err)
+	return state
 }
 
 // PendingJobs counts the durable jobs of a queue of which nothing has started. A silent owner
--- a/entry/durable_test.go
+++ b/entry/durable_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 
 	"github.com/shoenig/test/must"
 
@@ -14,7 +15,17 @@
 	return f.states[address], f.fault
 }
 
-func (f *fakePeers) Cancel(_ context.Context, address, _ string) (work.JobState, error) {
+func (f *fakePeers) Cancel(_ context.Context, address, _ string, withdraw bool) (work.JobState, error) {
+	if withdraw {
+		f.withdrawnAt = append(f.withdrawnAt, address)
+		return f.withdrawn[address], f.fault
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancels++
+	if f.onCancel != nil {
+		f.onCancel()
+	}
 	return f.states[address], f.fault
 }
 
@@ -42,26 +53,62 @@
 
 func TestCancel(t *testing.T) {
 	for name, test := range map[string]struct {
-		owner, store work.JobState
-		want         work.JobState
-		fails        bool
+		owner, store, withdrawn work.JobState
+		want                    work.JobState
+		fails                   bool
 	}{
-		"at its owner":        {work.StateCancelled, work.StateAbsent, work.StateCancelled, false},
-		"ended before":        {work.StateAbsent, work.StateCompleted, work.StateCompleted, false},
-		"no such job":         {work.StateAbsent, work.StateAbsent, work.StateAbsent, false},
-		"its owner is silent": {work.StateAbsent, work.StateQueued, work.StateQueued, true},
+		"at its owner":               {owner: work.StateCancelled, want: work.StateCancelled},
+		"ended before":               {store: work.StateCompleted, want: work.StateCompleted},
+		"no such job":                {withdrawn: work.StateWithdrawn, want: work.StateWithdrawn},
+		"withdrawn before":           {store: work.StateWithdrawn, want: work.StateWithdrawn},
+		"stored meanwhile":           {withdrawn: work.StateQueued, want: work.StateQueued, fails: true},
+		"its owner is silent":        {store: work.StateQueued, want: work.StateQueued, fails: true},
+		"no owner reaches the store": {want: work.StateAbsent, fails: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFakePeers(nil, nil)
-			f.states = map[string]work.JobState{"near": test.owner}
-			f.inStore = test.store
-			state, err := newEntry(f).Cancel(t.Context(), "j")
-			must.Eq(t, test.want, state)
-			must.Eq(t, test.fails, errors.Is(err, ErrOwnerUnavailable))
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakePeers(nil, nil)
+				f.states = map[string]work.JobState{"near": test.owner}
+				f.withdrawn = map[string]work.JobState{"near": test.withdrawn}
+				f.inStore = test.store
+				state, err := newEntry(f).Cancel(t.Context(), "j")
+				must.Eq(t, test.want, state)
+				must.Eq(t, test.fails, errors.Is(err, ErrOwnerUnavailable))
+			})
 		})
 	}
 }
 
+// A cancellation is acknowledged for a job that nobody knows only once an owner has withdrawn it: a request for
+// it, or a write of it, may still be on its way.
+func TestUnknownJobIsWithdrawnBeforeItsCancelIsAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakePeers(nil, nil)
+		f.withdrawn = map[string]work.JobState{"far": work.StateWithdrawn}
+		state, err := newEntry(f).Cancel(t.Context(), "j")
+		must.NoError(t, err)
+		must.Eq(t, work.StateWithdrawn, state)
+		must.Eq(t, []string{"near", "far"}, f.withdrawnAt)
+	})
+}
+
+// A job that is between two owners when it is cancelled is cancelled once one of them has it.
+func TestCancelWaitsForJobBetweenOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakePeers(nil, nil)
+		f.inStore = work.StateQueued
+		f.states = map[string]work.JobState{}
+		f.onCancel = func() {
+			if f.cancels == 6 {
+				f.states["far"] = work.StateCancelled
+			}
+		}
+		state, err := newEntry(f).Cancel(t.Context(), "j")
+		must.NoError(t, err)
+		must.Eq(t, work.StateCancelled, state)
+	})
+}
+
 // Silent owners count with the pending jobs that they last reported.
 func TestPendingJobsSumsAllOwners(t *testing.T) {
 	f := newFakePeers(nil, nil)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,9 +39,10 @@
 	// RunWhileAlive runs a job; it returns early when the caller leaves (ctx) or the owner is
 	// considered lost (alive).
 	RunWhileAlive(ctx, alive context.Context, to heartbeat.Owner, order link.Order) work.Outcome
-	// State and Cancel ask an owner about a durable job.
+	// State asks an owner about a durable job. Cancel has it cancel a job or, with withdraw, keep one that
+	// it doesn't know from being stored.
 	State(ctx context.Context, address, id string) (work.JobState, error)
-	Cancel(ctx context.Context, address, id string) (work.JobState, error)
+	Cancel(ctx context.Context, address, id string, withdraw bool) (work.JobState, error)
 }
 
 // Local is the owner in this process.
@@ -50,7 +51,7 @@
 	Loads() map[string]scheduler.Load
 	// JobState and CancelJob report false when the owner doesn't know the job.
 	JobState(ctx context.Context, id string) (work.JobState, bool)
-	CancelJob(ctx context.Context, id string) (work.JobState, bool)
+	CancelJob(ctx context.Context, id string, withdraw bool) (work.JobState, bool)
 	PendingJobs() map[string]int32
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -61,6 +62,13 @@
 	states            map[string]work.JobState
 	inStore           work.JobState
 	fault, storeFault error
+	// withdrawn are the owners' answers to withdrawals, withdrawnAt those that were asked. cancels counts the
+	// other cancellations, before each of which onCancel is called.
+	withdrawn   map[string]work.JobState
+	withdrawnAt []string
+	mu          sync.Mutex
+	cancels     int
+	onCancel    func()
 }
 
 func (f *fakePeers) View(incarnation uint64) (heartbeat.View, bool) {
--- a/jobstore/shard.go
+++ b/jobstore/shard.go
@@ -27,10 +27,13 @@
 	Superseded
 	// TooLarge means that the job is not in the store, as it doesn't fit a row.
 	TooLarge
+	// Withdrawn means that the job was cancelled before it was stored: it is not in the store and will not
+	// be.
+	Withdrawn
 )
 
 var resultNames = map[AcceptResult]string{
-	Stored: "stored", AlreadyStored: "known", NotStored: "not stored", Unconfirmed: "doubtful", Superseded: "uncertain", TooLarge: "too large",
+	Stored: "stored", AlreadyStored: "known", NotStored: "not stored", Unconfirmed: "doubtful", Superseded: "uncertain", TooLarge: "too large", Withdrawn: "withdrawn",
 }
 
 // String returns the result's label in metrics.
@@ -55,6 +58,11 @@
 	inFlight int
 	// endInFlight reports that the write in flight holds the job's end.
 	endInFlight bool
+	// withdrawing is set while the row that keeps the job from being stored is to be written in place of
+	// the job. withdrawInFlight reports that the write in flight holds it, and onWithdrawn are called with
+	// the state of the job once that is over.
+	withdrawing, withdrawInFlight bool
+	onWithdrawn                   []func(work.JobState)
 	// move is set while the job is being given to another group.
 	move     *outgoingMove
 	waiters  []waiter
@@ -98,6 +106,8 @@
 	superseded bool
 	// storeFailing reports that the last write got no answer or was rejected.
 	storeFailing bool
+	// retention is how long the row of an ended job stays.
+	retention time.Duration
 	// rowBytes bounds the value of a row. reportRow is called for a job whose row the store does
 	// not take, or that doesn't hold all that is known.
 	rowBytes  int
@@ -151,8 +161,12 @@
 		e = &trackedJob{id: id, encodedJob: job, progress: Progress{Group: s.group, State: work.StateQueued}, onResult: onResult}
 		s.jobs[id] = e
 		s.enqueue(e)
+	case e.isStored && e.progress.State == work.StateWithdrawn:
+		s.addCallback(func() { onResult(Withdrawn) })
 	case e.isStored:
 		s.addCallback(func() { onResult(AlreadyStored) })
+	case e.withdrawing && e.onResult == nil:
+		s.addCallback(func() { onResult(NotStored) })
 	default:
 		earlier := e.onResult
 		e.onResult = func(r AcceptResult) {
@@ -252,7 +266,11 @@
 // nextChanges returns the changes of the next write of a job: first its jobs row, later its
 // progress, at last the removal of the progress row. A value has at most rowBytes bytes.
 func (e *trackedJob) nextChanges(now time.Duration, rowBytes int) ([]platform.Change, error) {
+	if !e.isStored && e.withdrawing {
+		return e.withdrawChanges(rowBytes)
+	}
 	if !e.isStored {
+		e.withdrawInFlight = false
 		return []platform.Change{
 			{Action: platform.ActionPut, Table: jobsTable, Key: e.id, Value: e.encodedJob},
 			{Action: platform.ActionCheck, Table: progressTable, Key: e.id},
@@ -311,8 +329,7 @@
 func (s *shard) retryUnconfirmed(e *trackedJob) {
 	e.unconfirmedWrites++
 	if !e.isStored && e.unconfirmedWrites == maxUnconfirmedWrites {
-		onResult := e.onResult
-		s.addCallback(func() { onResult(Unconfirmed) })
+		s.reportResult(e.onResult, Unconfirmed)
 	}
 	s.enqueue(e)
 }
@@ -325,14 +342,23 @@
 		return
 	}
 	delete(s.jobs, e.id)
-	onResult := e.onResult
-	s.addCallback(func() { onResult(NotStored) })
+	s.reportResult(e.onResult, NotStored)
+	s.reportWithdrawn(e, work.StateAbsent)
+}
+
+// reportResult calls the callback of a new job; nil is ignored.
+func (s *shard) reportResult(onResult func(AcceptResult), r AcceptResult) {
+	if onResult != nil {
+		s.addCallback(func() { onResult(r) })
+	}
 }
 
 // handleWritten updates a job whose write was applied at a version.
 func (s *shard) handleWritten(now time.Duration, e *trackedJob, version int64) {
 	e.unconfirmedWrites, e.alone = 0, false
 	switch {
+	case !e.isStored && e.withdrawInFlight:
+		s.markWithdrawn(now, e, version)
 	case !e.isStored:
 		s.markStored(e, version)
 	case e.move != nil && e.move.inFlight:
@@ -348,9 +374,12 @@
 // markStored reports a new job as stored and queues what was recorded meanwhile.
 func (s *shard) markStored(e *trackedJob, version int64) {
 	e.isStored, e.encodedJob, e.jobVersion, e.unconfirmedWrites = true, nil, version, 0
-	onResult := e.onResult
+	s.reportResult(e.onResult, Stored)
 	e.onResult = nil
-	s.addCallback(func() { onResult(Stored) })
+	if e.withdrawing {
+		e.withdrawing, e.progress = false, Progress{Group: s.group, State: work.StateQueued}
+		s.reportWithdrawn(e, work.StateQueued)
+	}
 	if e.written < e.recorded {
 		s.enqueue(e)
 	}
@@ -411,10 +440,12 @@
 func (s *shard) reconcile(now time.Duration, e *trackedJob, job, progress platform.Row) {
 	if !e.isStored {
 		switch {
+		case progress.Version > 0 && s.isWithdrawnRow(progress):
+			s.markWithdrawn(now, e, progress.Version)
 		case progress.Version > 0 || job.Version > 0 && !s.isOwnJobRow(job):
 			delete(s.jobs, e.id)
-			onResult := e.onResult
-			s.addCallback(func() { onResult(AlreadyStored) })
+			s.reportResult(e.onResult, AlreadyStored)
+			s.reportWithdrawn(e, work.StateQueued)
 		case job.Version > 0:
 			// An earlier write whose answer was lost has been applied.
 			s.markStored(e, job.Version)
@@ -453,8 +484,8 @@
 	}
 	for _, e := range append(sent, s.queue...) {
 		if !e.isStored {
-			onResult := e.onResult
-			s.addCallback(func() { onResult(Superseded) })
+			s.reportResult(e.onResult, Superseded)
+			s.reportWithdrawn(e, work.StateAbsent)
 		}
 	}
 	s.queue = nil
--- a/jobstore/world_test.go
+++ b/jobstore/world_test.go
@@ -226,6 +226,8 @@
 	previous []*fakeOwner
 	// results has the results of each job's acceptances.
 	results map[string][]AcceptResult
+	// withdrawn has the jobs that were confirmed to be nowhere and never to be stored.
+	withdrawn map[string]bool
 	// done and ended have the finished tasks and the ends whose writing was confirmed.
 	done  map[string]map[int]bool
 	ended map[string]work.JobState
@@ -234,7 +236,7 @@
 func newWorld(t *rapid.T) *world {
 	w := &world{
 		t: t, store: newFakeStore(), now: time.Second, owners: map[string]*fakeOwner{},
-		results: map[string][]AcceptResult{}, done: map[string]map[int]bool{}, ended: map[string]work.JobState{},
+		results: map[string][]AcceptResult{}, withdrawn: map[string]bool{}, done: map[string]map[int]bool{}, ended: map[string]work.JobState{},
 	}
 	w.store.rowBytes = worldRowBytes
 	for _, group := range []string{"a", "b"} {
@@ -349,6 +351,29 @@
 	w.runCallbacks(s)
 }
 
+// withdraw has a caller cancel a job at an owner, and checks that a withdrawn one is not stored. An owner
+// withdraws a job that isn't stored only if it has seen no row of it.
+func (w *world) withdraw(id string) {
+	s := w.pickOwner("withdraw").shardOf(id)
+	s.withdraw(id, w.now, func(state work.JobState) {
+		if state == work.StateWithdrawn {
+			w.withdrawn[id] = true
+		}
+	})
+	w.runCallbacks(s)
+}
+
+// checkWithdrawn checks that nothing of a withdrawn job is stored or given to an owner to run.
+func (w *world) checkWithdrawn() {
+	for id := range w.withdrawn {
+		must.MapNotContainsKey(w.t, w.store.table(PartitionOf(id), jobsTable), id, must.Sprintf("%s was withdrawn but is stored", id))
+		must.SliceNotContains(w.t, w.results[id], Stored, must.Sprintf("%s was withdrawn but is accepted", id))
+		for _, o := range w.allOwners() {
+			must.False(w.t, o.given[id], must.Sprintf("%s was withdrawn but was given to an owner to run", id))
+		}
+	}
+}
+
 // runningJobs lists the stored jobs that have not ended, as each owner knows them.
 func (w *world) runningJobs() (shards []*shard, ids []string) {
 	for _, o := range w.allOwners() {
@@ -589,7 +614,7 @@
 		w := newWorld(rt)
 		for range rapid.IntRange(10, 120).Draw(rt, "steps") {
 			id := fmt.Sprintf("job%d", rapid.IntRange(0, 9).Draw(rt, "job"))
-			switch rapid.SampledFrom([]string{"accept", "accept", "note", "note", "write", "write", "write", "write", "late", "take over", "grow", "grow", "move", "adopt"}).Draw(rt, "action") {
+			switch rapid.SampledFrom([]string{"accept", "accept", "note", "note", "write", "write", "write", "write", "late", "take over", "grow", "grow", "move", "adopt", "withdraw"}).Draw(rt, "action") {
 			case "move":
 				w.moveJob()
 			case "adopt":
@@ -597,6 +622,8 @@
 				w.adoptJobs(w.pickOwner("adopt"))
 			case "grow":
 				w.growProgress()
+			case "withdraw":
+				w.withdraw(id)
 			case "accept":
 				w.accept(id)
 			case "note":
@@ -609,6 +636,7 @@
 				w.takeOver(rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "group"))
 			}
 			w.checkInvariants()
+			w.checkWithdrawn()
 		}
 		w.store.failures = nil
 		w.checkAllWritten()
@@ -618,6 +646,7 @@
 		w.adoptJobs(w.owners["a"])
 		w.adoptJobs(w.owners["b"])
 		w.checkAllWritten()
+		w.checkWithdrawn()
 		w.checkEachJobHasOneOwner()
 	})
 }
--- a/jobstore/writer.go
+++ b/jobstore/writer.go
@@ -91,7 +91,9 @@
 
 // newShard returns a shard without jobs and without a fence.
 func (w *Writer) newShard() *shard {
-	return newShard(w.options.Group, w.options.Incarnation, w.number, w.options.rowBytes(), w.reportRow)
+	s := newShard(w.options.Group, w.options.Incarnation, w.number, w.options.rowBytes(), w.reportRow)
+	s.retention = w.retention()
+	return s
 }
 
 // rowBytes is the most bytes of a row's value that a write can hold.
--- a/lab/prepared/e2e/durable_test.go
+++ b/lab/prepared/e2e/durable_test.go
@@ -127,6 +127,25 @@
 	})
 }
 
+// A job that is cancelled while the store answers none of its writes is not run, whichever VM takes the
+// cancellation: its caller was told that there is no such job, or that it is cancelled.
+func TestJobCancelledWhileItIsStoredDoesNotRun(t *testing.T) {
+	d := start(t, 2, 2)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	tally := make(chan *prepared.CancelTally, 1)
+	go func() { tally <- d.LoadCancelled(ctx, 20) }()
+	d.Store.SetLateWrites(0.35)
+	wait(4 * time.Second)
+	d.Store.SetLateWrites(0)
+	stop()
+	result := <-tally
+	t.Log(result)
+	must.SliceEmpty(t, result.Violations, must.Sprint(result.Violations))
+	must.Positive(t, result.Unanswered)
+	must.Eq(t, 0, result.Unacknowledged)
+}
+
 func TestDurableJobsSurviveLateAndLostOrders(t *testing.T) {
 	d := start(t, 1, 2)
 	withDurableLoad(t, d, func() {
--- a/lab/prepared/e2e/e2e_test.go
+++ b/lab/prepared/e2e/e2e_test.go
@@ -264,13 +264,19 @@
 // Kills, freezes, planned stops, cordons, outages of the store and changes of the configuration overlap, in a
 // seeded series. They must not lose, double or falsely refuse jobs, nor delay a configuration beyond its bound.
 func TestOverlappingFaultsBreakNoPromise(t *testing.T) {
-	must.NoError(t, prepared.Soak(t.Context(), binary, 25*time.Second, 109, 0))
+	must.NoError(t, prepared.Soak(t.Context(), prepared.SoakOptions{Binary: binary, Length: 25 * time.Second, Seed: 109}))
 }
 
 // The same, with faults that take many of the VMs that callers ask again: nearly all callers must still get an
 // answer.
 func TestFewCallersHaveNoAnswerBesideManyLostVMs(t *testing.T) {
-	must.NoError(t, prepared.Soak(t.Context(), binary, 12*time.Second, 6729, 0))
+	must.NoError(t, prepared.Soak(t.Context(), prepared.SoakOptions{Binary: binary, Length: 12 * time.Second, Seed: 6729}))
+}
+
+// The same, beside callers that cancel jobs which were accepted or not answered, and a store that applies writes
+// late: no task may start once its job's cancellation is acknowledged.
+func TestCancelledJobsStayCancelledBesideFaults(t *testing.T) {
+	must.NoError(t, prepared.Soak(t.Context(), prepared.SoakOptions{Binary: binary, Length: 15 * time.Second, Seed: 76, Cancels: true}))
 }
 
 // restOfLine returns the first occurrence of a text in a log and what follows it in its line.
--- a/lab/prepared/recorder.go
+++ b/lab/prepared/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -104,6 +105,19 @@
 	return slices.Clone(r.doubled)
 }
 
+// StartedAfter lists the tasks of a job that were started after a time.
+func (r *Recorder) StartedAfter(job string, at time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var tasks []string
+	for task, started := range r.startedAt {
+		if strings.HasPrefix(task, job+".") && started.After(at) {
+			tasks = append(tasks, task)
+		}
+	}
+	return tasks
+}
+
 // HasStarted reports whether any task of a job was started.
 func (r *Recorder) HasStarted(job string) bool {
 	r.mu.Lock()
--- a/lab/prepared/soak.go
+++ b/lab/prepared/soak.go
@@ -22,6 +22,8 @@
 	// soakJobsPerSecond is the rate of best-effort jobs, soakDurablePerSecond that of durable
 	// ones.
 	soakJobsPerSecond, soakDurablePerSecond = 60, 15
+	// soakCancelsPerSecond is the rate of durable jobs whose callers cancel them.
+	soakCancelsPerSecond = 4
 	// soakMaxPause is the longest time between the starts of two faults, soakMaxFault the longest
 	// fault. Faults often overlap, since a fault may last longer than a pause.
 	soakMaxPause = 3 * time.Second
@@ -40,19 +42,41 @@
 			&cli.StringFlag{Name: "binary", Usage: "`PATH` of the daemon's binary", Value: "bin/burdockward"},
 			&cli.DurationFlag{Name: "for", Usage: "time during which faults begin", Value: 2 * time.Minute},
 			&cli.FloatFlag{Name: "cpu-share", Usage: "share of a core of each VM; with 0.01 owners need relays", Value: defaultCPUShare},
+			&cli.BoolFlag{Name: "cancels", Usage: "have callers cancel jobs, and the store apply writes late"},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the faults; equal seeds draw equal faults", Value: 1},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			return Soak(ctx, cmd.String("binary"), cmd.Duration("for"), cmd.Uint64("seed"), cmd.Float("cpu-share"))
+			return Soak(ctx, SoakOptions{
+				Binary: cmd.String("binary"), Length: cmd.Duration("for"), Seed: cmd.Uint64("seed"), CPUShare: cmd.Float("cpu-share"), Cancels: cmd.Bool("cancels"),
+			})
 		},
 	}
 }
 
-// Soak starts a deployment of a binary, runs load and random faults on it and checks the result. Faults begin
-// during length. Each VM has cpuShare of a core; 0 stands for the usual share. The logs are kept if a check
-// fails.
-func Soak(ctx context.Context, binary string, length time.Duration, seed uint64, cpuShare float64) error {
-	binary, err := filepath.Abs(binary)
+// SoakOptions configures a soak test.
+type SoakOptions struct {
+	Binary string
+	// Length is the time during which faults begin. Equal seeds draw equal faults.
+	Length time.Duration
+	Seed   uint64
+	// CPUShare is the share of a core of each VM; 0 stands for the usual one.
+	CPUShare float64
+	// Cancels adds callers that cancel their jobs, and writes of the store that are applied late.
+	Cancels bool
+}
+
+// faults returns the faults to draw from.
+func (o SoakOptions) faults() []fault {
+	if o.Cancels {
+		return append(slices.Clone(soakFaults), lateWrites)
+	}
+	return soakFaults
+}
+
+// Soak starts a deployment of a binary, runs load and random faults on it and checks the result. The logs are
+// kept if a check fails.
+func Soak(ctx context.Context, o SoakOptions) error {
+	binary, err := filepath.Abs(o.Binary)
 	if err != nil {
 		return err
 	}
@@ -60,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := Start(Options{Binary: binary, Dir: dir, Domains: demoDomains, VMs: demoVMs, Targets: demoTargets, CPUShare: cpuShare})
+	d, err := Start(Options{Binary: binary, Dir: dir, Domains: demoDomains, VMs: demoVMs, Targets: demoTargets, CPUShare: o.CPUShare})
 	if err != nil {
 		return err
 	}
@@ -73,18 +97,26 @@
 	tally, durable := make(chan *Tally, 1), make(chan *DurableTally, 1)
 	go func() { tally <- d.Load(load, soakJobsPerSecond) }()
 	go func() { durable <- d.LoadDurable(load, soakDurablePerSecond) }()
-	s := &soaker{Deployment: d, random: rand.New(rand.NewPCG(seed, 0)), faulty: map[*VM]bool{}, released: map[*VM]time.Time{}}
-	go d.changeConfiguration(load, rand.New(rand.NewPCG(seed, 1)))
+	cancels := make(chan *CancelTally, 1)
+	go func() {
+		if !o.Cancels {
+			cancels <- &CancelTally{}
+			return
+		}
+		cancels <- d.LoadCancelled(load, soakCancelsPerSecond)
+	}()
+	s := &soaker{Deployment: d, kinds: o.faults(), random: rand.New(rand.NewPCG(o.Seed, 0)), faulty: map[*VM]bool{}, released: map[*VM]time.Time{}}
+	go d.changeConfiguration(load, rand.New(rand.NewPCG(o.Seed, 1)))
 	for _, vm := range d.VMs {
 		go d.checkConfiguration(load, vm, func() time.Time { return s.lastFaulty(vm) })
 	}
-	counts := s.injectRandomFaults(ctx, length)
+	counts := s.injectRandomFaults(ctx, o.Length)
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
 		fmt.Printf("%4d %s\n", counts[name], name)
 	}
 	pause(ctx, demoStepTime)
 	stop()
-	if err := d.checkSoak(<-tally, <-durable); err != nil {
+	if err := d.checkSoak(<-tally, <-durable, <-cancels); err != nil {
 		return fmt.Errorf("%w; logs are in %s", err, dir)
 	}
 	return os.RemoveAll(dir)
@@ -94,6 +126,8 @@
 type soaker struct {
 	*Deployment
 	random *rand.Rand
+	// kinds are the faults to draw from.
+	kinds []fault
 
 	mu sync.Mutex
 	// faulty has the VMs whose process has a fault, released when the last fault of each ended.
@@ -234,14 +268,20 @@
 	}},
 }
 
+// lateWrites is the fault of a store that applies a share of the writes late and answers none of these.
+var lateWrites = fault{"writes of the store late", func(s *soaker) func() {
+	s.Store.SetLateWrites(0.35)
+	return func() { s.Store.SetLateWrites(0) }
+}}
+
 // injectRandomFaults injects random faults for a time, several at once, waits until all have ended,
 // and counts them by name.
 func (s *soaker) injectRandomFaults(ctx context.Context, length time.Duration) map[string]int {
 	counts := map[string]int{}
-	ended := make(chan struct{}, len(soakFaults))
+	ended := make(chan struct{}, len(s.kinds))
 	open := 0
 	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; {
-		f := soakFaults[s.random.IntN(len(soakFaults))]
+		f := s.kinds[s.random.IntN(len(s.kinds))]
 		duration := time.Duration(s.random.Int64N(int64(soakMaxFault)))
 		next := time.Duration(s.random.Int64N(int64(soakMaxPause)))
 		counts[f.name]++
@@ -264,9 +304,10 @@
 }
 
 // checkSoak prints the counts and returns an error for the first outcome that must not occur.
-func (d *Deployment) checkSoak(tally *Tally, durable *DurableTally) error {
+func (d *Deployment) checkSoak(tally *Tally, durable *DurableTally, cancels *CancelTally) error {
 	fmt.Println("best effort:", tally)
 	fmt.Println("durable:", durable)
+	fmt.Println("cancelled:", cancels)
 	jobs := tally.Completed + tally.Failed + tally.Refused + tally.Lost
 	switch doubled, repeated := d.Recorder.Doubled(), d.Recorder.Repeated(); {
 	case len(doubled) > 0:
@@ -275,6 +316,8 @@
 		return fmt.Errorf("jobs were refused although they had started: %v", tally.FalseRefusals)
 	case len(d.Recorder.Violations()) > 0:
 		return fmt.Errorf("starts broke rules: %v", d.Recorder.Violations())
+	case len(cancels.Violations) > 0:
+		return fmt.Errorf("cancelled jobs were started: %v", cancels.Violations)
 	case len(durable.Violations) > 0:
 		return fmt.Errorf("durable jobs had wrong outcomes: %v", durable.Violations)
 	case len(tasksOfDurable(repeated)) > 0:
--- a/lab/prepared/store.go
+++ b/lab/prepared/store.go
@@ -13,6 +13,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -49,8 +50,14 @@
 	silent bool
 	// lostAnswers is the number of further writes that are applied and not answered.
 	lostAnswers int
+	// lateShare is the share of writes that get no answer and are applied up to lateWriteTime later, if they
+	// still can be.
+	lateShare float64
 }
 
+// lateWriteTime is the longest time after which a late write is applied.
+const lateWriteTime = 3 * time.Second
+
 // clockBase is the store's clock at its start. It is far from the clock of any VM, so that a
 // confusion of the two shows.
 const clockBase = 100_000 * time.Hour
@@ -128,6 +135,20 @@
 	s.lostAnswers = count
 }
 
+// SetLateWrites sets the share of writes that get no answer and are applied late.
+func (s *Store) SetLateWrites(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateShare = share
+}
+
+// drawLateWrite draws whether a write is late.
+func (s *Store) drawLateWrite() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lateShare > 0 && rand.Float64() < s.lateShare
+}
+
 // Compact discards the history, so that feeds from an older version are answered with 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -339,6 +360,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.drawLateWrite() {
+		time.AfterFunc(rand.N(lateWriteTime), func() { s.apply(tx) })
+		panic(http.ErrAbortHandler)
+	}
 	current, applied, lost := s.apply(tx)
 	switch {
 	case lost:
--- a/link/link.go
+++ b/link/link.go
@@ -83,7 +83,7 @@
 	// State returns the state of a durable job, Cancel cancels it and returns its state; absent
 	// if no owner in this VM knows the job.
 	State(ctx context.Context, id string) work.JobState
-	Cancel(ctx context.Context, id string) work.JobState
+	Cancel(ctx context.Context, id string, withdraw bool) work.JobState
 	Tables() Tables
 	// HandOverClaim makes this VM the owner of a group, by a claim that the present owner hands over.
 	HandOverClaim(held ownership.GroupClaim)
@@ -135,7 +135,7 @@
 
 // Cancel implements linkpb.Fleet.
 func (s server) Cancel(ctx context.Context, r *linkpb.JobRequest) (*linkpb.StateReply, error) {
-	return &linkpb.StateReply{State: int32(s.handler.Cancel(ctx, r.GetId()))}, nil
+	return &linkpb.StateReply{State: int32(s.handler.Cancel(ctx, r.GetId(), r.GetWithdraw()))}, nil
 }
 
 // Tables implements linkpb.Fleet.
@@ -303,11 +303,12 @@
 	return work.JobState(reply.GetState()), err
 }
 
-// Cancel has an owner cancel a durable job and returns its state.
-func (c *Client) Cancel(ctx context.Context, address, id string) (work.JobState, error) {
+// Cancel has an owner cancel a job, or with withdraw keep one that it doesn't know from being stored, and
+// returns the job's state.
+func (c *Client) Cancel(ctx context.Context, address, id string, withdraw bool) (work.JobState, error) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	reply, err := c.fleet(address).Cancel(ctx, &linkpb.JobRequest{Id: id})
+	reply, err := c.fleet(address).Cancel(ctx, &linkpb.JobRequest{Id: id, Withdraw: withdraw})
 	return work.JobState(reply.GetState()), err
 }
 
--- a/node/calls.go
+++ b/node/calls.go
@@ -133,8 +133,8 @@
 }
 
 // Cancel implements link.Handler.
-func (p peerCalls) Cancel(ctx context.Context, id string) work.JobState {
-	return p.node.askOwners(func(o *owner.Owner) (work.JobState, bool) { return o.CancelJob(ctx, id) })
+func (p peerCalls) Cancel(ctx context.Context, id string, withdraw bool) work.JobState {
+	return p.node.askOwners(func(o *owner.Owner) (work.JobState, bool) { return o.CancelJob(ctx, id, withdraw) })
 }
 
 // Tables implements link.Handler.
--- a/owner/durable.go
+++ b/owner/durable.go
@@ -123,7 +123,12 @@
 func (o *Owner) moveJob(ctx context.Context, e scheduler.MoveJob) {
 	o.options.Jobs.Move(ctx, e.Job, e.Group, func(moved bool) {
 		o.options.Count("job_moves", strconv.FormatBool(moved))
-		o.post(ctx, func(time.Duration) { o.state.HandleJobMoved(e.Job, moved) })
+		o.post(ctx, func(now time.Duration) {
+			o.state.HandleJobMoved(now, e.Job, moved)
+			if moved {
+				o.releaseEndWaiters(e.Job)
+			}
+		})
 	})
 }
 
@@ -150,8 +155,10 @@
 	outcome := work.Outcome{Result: work.Accepted}
 	if !o.durable.accepting {
 		outcome = work.Outcome{Result: work.Refused, Reason: "jobs can't be stored yet", RetryAfter: unstoredRetryAfter}
-	} else if _, known := o.options.Jobs.State(sub.Job.ID); !known {
+	} else if state, known := o.options.Jobs.State(sub.Job.ID); !known {
 		return true
+	} else if state == work.StateWithdrawn {
+		outcome = storeOutcome(jobstore.Withdrawn)
 	}
 	o.answerCaller(scheduler.Answer{Ref: sub.Ref, Outcome: outcome})
 	return false
@@ -193,6 +200,10 @@
 		return
 	}
 	o.state.HandleJobStored(now, id, storeOutcome(r), r == jobstore.Stored)
+	if !o.durable.ending[id] && r != jobstore.Stored {
+		// Whoever waits for the job's end has to look for the job elsewhere.
+		o.releaseEndWaiters(id)
+	}
 }
 
 // completionRecorded notifies the State that a completion is in the store and may be acknowledged.
@@ -207,6 +218,8 @@
 		return work.Outcome{Result: work.Accepted}
 	case jobstore.NotStored:
 		return work.Outcome{Result: work.Refused, Reason: "the store takes no jobs", RetryAfter: unstoredRetryAfter}
+	case jobstore.Withdrawn:
+		return work.Outcome{Result: work.Refused, Reason: "the job was cancelled before it was stored: submit it under another ID"}
 	case jobstore.TooLarge:
 		return work.Outcome{Result: work.Refused, Reason: "the job doesn't fit a row of the store: submit fewer or smaller steps"}
 	default:
@@ -218,6 +231,11 @@
 func (o *Owner) jobEndRecorded(id string) {
 	o.state.HandleJobEndStored(id)
 	delete(o.durable.ending, id)
+	o.releaseEndWaiters(id)
+}
+
+// releaseEndWaiters wakes those who wait for the end of a job.
+func (o *Owner) releaseEndWaiters(id string) {
 	for _, recorded := range o.durable.endWaiters[id] {
 		close(recorded)
 	}
@@ -281,27 +299,41 @@
 	return work.StateRunning, true
 }
 
-// CancelJob cancels a durable job and returns its state once the end is recorded, or false if
-// this owner doesn't know the job.
-func (o *Owner) CancelJob(ctx context.Context, id string) (work.JobState, bool) {
-	if o.options.Jobs == nil {
-		return work.StateAbsent, false
-	}
-	recorded := make(chan struct{})
+// CancelJob cancels a job and returns its state once that is certain, or false if this owner doesn't know
+// the job or can't tell its end in time. A job that is being stored is withdrawn if the store doesn't have
+// it yet. With withdraw, a job that is not here at all is kept from being stored as well.
+func (o *Owner) CancelJob(ctx context.Context, id string, withdraw bool) (work.JobState, bool) {
+	settled := make(chan struct{})
+	var state work.JobState
 	o.post(ctx, func(now time.Duration) {
-		if o.state.CancelDurable(now, id) || o.durable.ending[id] {
-			o.addEndWaiter(id, recorded)
-			return
+		switch result := o.state.CancelJob(now, id); {
+		case result == scheduler.CancelDone:
+			state = work.StateCancelled
+			close(settled)
+		case result != scheduler.CancelUnknown || o.durable.ending[id]:
+			o.addEndWaiter(id, settled)
+			if result == scheduler.CancelPending {
+				o.options.Jobs.Withdraw(id, func(work.JobState) {})
+			}
+		case withdraw && o.options.Jobs != nil:
+			o.options.Jobs.Withdraw(id, func(found work.JobState) {
+				state = found
+				close(settled)
+			})
+		default:
+			close(settled)
 		}
-		close(recorded)
 	})
 	select {
-	case <-recorded:
+	case <-settled:
 	case <-o.done:
 		return work.StateAbsent, false
 	case <-ctx.Done():
 		return work.StateAbsent, false
 	}
+	if state != work.StateAbsent || o.options.Jobs == nil {
+		return state, state != work.StateAbsent
+	}
 	return o.options.Jobs.State(id)
 }
 
--- a/scheduler/durable.go
+++ b/scheduler/durable.go
@@ -91,11 +91,15 @@
 	}
 	j.record(now, "stored", "", "", outcome.Result.String()+" "+outcome.Reason)
 	s.answer(j.sub, outcome)
-	if !here || s.leaving {
+	if !here || s.leaving && !j.cancelled {
 		s.drop(j)
 		return
 	}
 	j.stored = true
+	if j.cancelled {
+		s.finish(now, j, cancelledOutcome)
+		return
+	}
 	s.watchOccurrences(j)
 	s.enqueue(j)
 }
@@ -108,18 +112,43 @@
 	}
 }
 
-// CancelDurable cancels a durable job for good, and reports whether it was here to be cancelled.
-// JobEnded reports its end.
-func (s *State) CancelDurable(now time.Duration, id string) bool {
+// CancelResult says what a cancellation does.
+type CancelResult int
+
+// The results of a cancellation.
+const (
+	// CancelUnknown means that the job isn't here.
+	CancelUnknown CancelResult = iota
+	// CancelPending means that the job is being stored, or given to another group. It ends here as soon as
+	// that is over, unless it turns out to be elsewhere.
+	CancelPending
+	// CancelEnding means that the job has ended; JobEnded reports it.
+	CancelEnding
+	// CancelDone means that the job has ended, and that nothing is recorded of it, as it isn't durable.
+	CancelDone
+)
+
+// CancelJob cancels a job for good.
+func (s *State) CancelJob(now time.Duration, id string) CancelResult {
 	j := s.jobsByKey[id]
-	if j == nil || !j.stored || j.moving {
-		return false
+	switch {
+	case j == nil || j.sub.Part != nil:
+		return CancelUnknown
+	case !j.isDurable():
+		s.finish(now, j, cancelledOutcome)
+		return CancelDone
+	case !j.stored || j.moving:
+		j.cancelled = true
+		j.record(now, "cancelled", "", "", "")
+		return CancelPending
 	}
 	j.cancelled = true
-	s.finish(now, j, work.Outcome{Result: work.Failed, Reason: "cancelled"})
-	return true
+	s.finish(now, j, cancelledOutcome)
+	return CancelEnding
 }
 
+var cancelledOutcome = work.Outcome{Result: work.Failed, Reason: "cancelled"}
+
 // HasStarted reports whether a task of a durable job is known to have started.
 func (s *State) HasStarted(id string) bool {
 	j := s.jobsByKey[id]
--- a/scheduler/durable_test.go
+++ b/scheduler/durable_test.go
@@ -125,7 +125,7 @@
 func TestCompletionAfterJobEndWaitsForItsRecord(t *testing.T) {
 	b := newHarness(t, Options{})
 	run := startDurableJob(b)
-	must.True(t, b.s.CancelDurable(b.now, "j"))
+	must.Eq(t, CancelEnding, b.s.CancelJob(b.now, "j"))
 	effects := b.effects()
 	must.Eq(t, []JobEnded{{Job: "j", State: work.StateCancelled}}, pickEffects[JobEnded](effects))
 	must.SliceLen(t, 1, pickEffects[StopRun](effects))
@@ -134,7 +134,57 @@
 	b.answerPoll("a", pollWithCompletion(1, run, work.CompletionDone))
 	b.s.HandleJobEndStored("j")
 	must.Eq(t, 1, newestAcknowledged(b.advance(200*ms)))
-	must.False(t, b.s.CancelDurable(b.now, "j"))
+	must.Eq(t, CancelUnknown, b.s.CancelJob(b.now, "j"))
+}
+
+// A job that is cancelled while it is being stored never starts, and is recorded as cancelled if the store has
+// it after all: its caller may have been told so by then.
+func TestJobCancelledWhileItIsStoredNeverStarts(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		b := newHarness(t, Options{})
+		b.addUsableTarget("a", 4)
+		b.s.Submit(b.now, b.durableJob("j", 1))
+		b.effects()
+		must.Eq(t, CancelPending, b.s.CancelJob(b.now, "j"))
+		must.Eq(t, CancelPending, b.s.CancelJob(b.now, "j"))
+		if leaving {
+			b.s.Leave(b.now)
+		}
+		b.s.HandleJobStored(b.now, "j", work.Outcome{Result: work.Accepted}, true)
+		effects := b.advance(time.Second)
+		must.SliceEmpty(t, pickEffects[StartRun](effects))
+		must.Eq(t, []JobEnded{{Job: "j", State: work.StateCancelled}}, pickEffects[JobEnded](effects))
+	}
+}
+
+// A job that is cancelled while it moves ends here if the move fails.
+func TestJobCancelledWhileItMovesEndsIfItStays(t *testing.T) {
+	b := newLabelledHarness(t)
+	b.startLabelled("b")
+	b.removeLabelled()
+	must.SliceLen(t, 1, pickEffects[MoveJob](b.tick(moveDelay+2*moveCheckInterval)))
+	must.Eq(t, CancelPending, b.s.CancelJob(b.now, "j"))
+	b.s.HandleJobMoved(b.now, "j", false)
+	ends := pickEffects[JobEnded](b.effects())
+	must.SliceLen(t, 1, ends)
+	must.Eq(t, work.StateCancelled, ends[0].State)
+}
+
+// A job that isn't durable ends as well when it is cancelled: its caller and its runs are told.
+func TestCancelEndsBestEffortJob(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.addUsableTarget("a", 4000)
+	ref := b.submit("j", 1, 1000, "")
+	starts := pickEffects[StartRun](b.effects())
+	b.answerStarts(starts)
+	must.Eq(t, CancelDone, b.s.CancelJob(b.now, "j"))
+	effects := b.effects()
+	answers := pickEffects[Answer](effects)
+	must.SliceLen(t, 1, answers)
+	must.Eq(t, ref, answers[0].Ref)
+	must.Eq(t, work.Failed, answers[0].Outcome.Result)
+	must.SliceLen(t, 1, pickEffects[StopRun](effects))
+	must.Eq(t, CancelUnknown, b.s.CancelJob(b.now, "j"))
 }
 
 // A deposed owner acknowledges no completions of durable jobs: its successor needs them listed.
--- a/scheduler/durable_world_test.go
+++ b/scheduler/durable_world_test.go
@@ -107,11 +107,18 @@
 	switch e := effect.(type) {
 	case StoreJob:
 		id := e.Submission.Job.ID
+		w.storing = append(w.storing, id)
 		w.writeLater(o, func() {
 			if w.durableStore.jobs[id] == nil {
-				w.durableStore.jobs[id] = &jobRecord{sub: e.Submission, done: map[int]bool{}, fails: map[int]int{}, saved: map[int]string{}, lastFailed: map[int]int64{}, crashed: map[int][]Crash{}, state: work.StateQueued, group: w.group}
+				w.durableStore.jobs[id] = &jobRecord{cancelRequested: w.cancelledWhileStored[id] != nil, sub: e.Submission, done: map[int]bool{}, fails: map[int]int{}, saved: map[int]string{}, lastFailed: map[int]int64{}, crashed: map[int][]Crash{}, state: work.StateQueued, group: w.group}
 			}
-		}, func() { o.state.HandleJobStored(w.now, id, work.Outcome{Result: work.Accepted}, true) })
+		}, func() {
+			w.storing = slices.DeleteFunc(w.storing, func(other string) bool { return other == id })
+			o.state.HandleJobStored(w.now, id, work.Outcome{Result: work.Accepted}, true)
+			if w.cancelledWhileStored[id] == o && o.state.jobsByKey[id] != nil {
+				w.violations = append(w.violations, id+" goes on, though it was cancelled while it was being stored")
+			}
+		})
 	case TaskDone:
 		w.writeOfJobLater(o, e.Job, func(r *jobRecord) { r.done[e.Task] = true }, func() { o.state.HandleCompletionStored(e.Completion) })
 	case TaskFailed:
@@ -173,13 +180,37 @@
 	w.applyEffects(o)
 }
 
+// cancelStoring has a caller cancel the newest job that is being stored.
+func (w *world) cancelStoring() {
+	o := w.owner()
+	if len(w.storing) == 0 || o.dead || o.frozen || o.cut {
+		return
+	}
+	id := w.storing[len(w.storing)-1]
+	if o.state.CancelJob(w.now, id) != CancelUnknown {
+		w.cancelledWhileStored[id] = o
+		if r := w.durableStore.jobs[id]; r != nil {
+			r.cancelRequested = true
+		}
+	}
+	w.applyEffects(o)
+}
+
+// checkNotCancelled records a violation if the owner of a job starts a task of it after its cancellation was
+// recorded.
+func (w *world) checkNotCancelled(o *fakeOwner, e StartRun) {
+	if r, _ := w.parseTask(e.Run.Task); r != nil && r.state == work.StateCancelled && w.durableStore.holder == o {
+		w.violations = append(w.violations, fmt.Sprintf("%v: %s starts, though its job was cancelled", w.now, e.Run.Task))
+	}
+}
+
 // cancelDurable has a caller cancel the first durable job that hasn't ended.
 func (w *world) cancelDurable() {
 	o := w.owner()
 	for _, id := range slices.Sorted(maps.Keys(w.durableStore.jobs)) {
 		if r := w.durableStore.jobs[id]; !r.state.IsFinal() && !o.dead && !o.frozen && !o.cut {
 			r.cancelRequested = true
-			o.state.CancelDurable(w.now, id)
+			o.state.CancelJob(w.now, id)
 			w.applyEffects(o)
 			return
 		}
@@ -223,8 +254,26 @@
 	rapid.Check(t, func(rt *rapid.T) { playDurableJobs(rt, nil) })
 }
 
+// Jobs that are cancelled while they are being stored end as cancelled, and nothing of a cancelled job starts
+// after that is recorded, whatever faults come beside it.
+func TestFuzzCancelledJobs(t *testing.T) {
+	setChecks(t, 300)
+	rapid.Check(t, func(rt *rapid.T) {
+		playDurableWorld(rt, nil, func(w *world) {
+			if rapid.IntRange(0, 2).Draw(rt, "cancel storing") == 0 {
+				w.submitDurable(w.drawJob(rt), false)
+				w.run(time.Duration(rapid.IntRange(0, maxStoreDelay).Draw(rt, "before")) * ms)
+				w.cancelStoring()
+			}
+		})
+	})
+}
+
 // playDurableJobs plays one random history of durable jobs.
-func playDurableJobs(rt *rapid.T, trace *worldTrace) {
+func playDurableJobs(rt *rapid.T, trace *worldTrace) { playDurableWorld(rt, trace, func(*world) {}) }
+
+// playDurableWorld plays one random history of durable jobs, with a step of the caller's beside each.
+func playDurableWorld(rt *rapid.T, trace *worldTrace, step func(*world)) {
 	share := func(name string) float64 { return float64(rapid.IntRange(0, 6).Draw(rt, name)) / 100 }
 	w := newWorld(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 4).Draw(rt, "targets"), worldFaults{
 		lostOrders: share("lost"), lateOrders: share("late"), lostAnswers: share("answers"), failing: 4 * share("failing"),
@@ -235,6 +284,7 @@
 	w.run(200 * ms)
 	for range rapid.IntRange(5, 60).Draw(rt, "steps") {
 		injectDurableStep(rt, w)
+		step(w)
 		w.run(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * ms)
 		if len(w.violations) > 0 {
 			rt.Fatalf("invariants broken: %v", w.violations)
--- a/scheduler/fleet_world_test.go
+++ b/scheduler/fleet_world_test.go
@@ -143,12 +143,12 @@
 		switch {
 		case w.durableStore.holder != o:
 		case !w.reachesStore(o) && w.random.IntN(4) == 0:
-			w.deliver(o, func() { o.state.HandleJobMoved(e.Job, false) })
+			w.deliver(o, func() { o.state.HandleJobMoved(w.now, e.Job, false) })
 		case !w.reachesStore(o) || o.unwritten[e.Job] > 0:
 			f.move(w, o, e)
 		default:
 			w.durableStore.jobs[e.Job].group = e.Group
-			w.after(time.Duration(1+w.random.IntN(maxStoreDelay))*ms, func() { w.deliver(o, func() { o.state.HandleJobMoved(e.Job, true) }) })
+			w.after(time.Duration(1+w.random.IntN(maxStoreDelay))*ms, func() { w.deliver(o, func() { o.state.HandleJobMoved(w.now, e.Job, true) }) })
 			f.adopt(f.domain(e.Group), e.Job)
 		}
 	})
@@ -178,7 +178,7 @@
 			w := f.domain(r.group)
 			if o := w.owner(); !o.dead && !o.frozen {
 				r.cancelRequested = true
-				o.state.CancelDurable(w.now, id)
+				o.state.CancelJob(w.now, id)
 				w.applyEffects(o)
 			}
 			return
@@ -274,7 +274,7 @@
 
 // injectEvacuationStep plays one random event in a failure domain.
 func injectEvacuationStep(rt *rapid.T, f *fleet, w *world) {
-	switch rapid.SampledFrom([]string{"submit", "submit", "submit", "evacuate", "evacuate", "evacuate", "die", "freeze", "depose", "store", "crash", "cancel"}).Draw(rt, "action") {
+	switch rapid.SampledFrom([]string{"submit", "submit", "submit", "evacuate", "evacuate", "evacuate", "die", "freeze", "depose", "store", "crash", "cancel", "cancel storing"}).Draw(rt, "action") {
 	case "submit":
 		w.lasting = len(w.durableStore.jobs)%3 > 0
 		w.submitDurable(w.drawJob(rt), false)
@@ -300,6 +300,9 @@
 		w.targets[rapid.SampledFrom(w.targetIDs()).Draw(rt, "target")].crash()
 	case "cancel":
 		f.cancel()
+	case "cancel storing":
+		w.submitDurable(w.drawJob(rt), false)
+		w.cancelStoring()
 	}
 }
 
--- a/scheduler/kinds_test.go
+++ b/scheduler/kinds_test.go
@@ -100,7 +100,7 @@
 	}
 	must.Greater(t, 4*minRestartDelay, pauses[len(pauses)-1])
 	must.LessEq(t, maxRestartDelay+40*ms, pauses[len(pauses)-1])
-	must.True(t, b.s.CancelDurable(b.now, "j"))
+	must.Eq(t, CancelEnding, b.s.CancelJob(b.now, "j"))
 	must.SliceLen(t, 1, pickEffects[StopRun](b.effects()))
 }
 
--- a/scheduler/move.go
+++ b/scheduler/move.go
@@ -63,19 +63,23 @@
 	return slices.ContainsFunc(s.waiting, func(j *job) bool { return j.misplacedSince > 0 })
 }
 
-// HandleJobMoved takes the result of a move. A moved job is forgotten here; another one goes on.
-func (s *State) HandleJobMoved(id string, moved bool) {
+// HandleJobMoved takes the result of a move. A moved job is forgotten here; another one goes on, or ends if
+// it was cancelled meanwhile.
+func (s *State) HandleJobMoved(now time.Duration, id string, moved bool) {
 	j := s.jobsByKey[id]
 	if j == nil || !j.moving {
 		return
 	}
 	j.moving, j.emptying, j.misplacedSince = false, false, 0
 	s.foreign.moving--
-	if moved {
+	switch {
+	case moved:
 		s.drop(j)
-		return
+	case j.cancelled:
+		s.finish(now, j, cancelledOutcome)
+	default:
+		s.enqueue(j)
 	}
-	s.enqueue(j)
 }
 
 // stepNeed is what decides whether a target can hold a task of a step.
--- a/scheduler/move_test.go
+++ b/scheduler/move_test.go
@@ -64,8 +64,9 @@
 	b.removeLabelled()
 	moves := pickEffects[MoveJob](b.tick(moveDelay + 2*moveCheckInterval))
 	must.Eq(t, []MoveJob{{Job: "j", Group: "hall-b"}}, moves)
-	must.False(t, b.s.CancelDurable(b.now, "j"), must.Sprint("the job is cancelled here while it moves"))
-	b.s.HandleJobMoved("j", true)
+	must.Eq(t, CancelPending, b.s.CancelJob(b.now, "j"))
+	b.s.HandleJobMoved(b.now, "j", true)
+	must.SliceEmpty(t, pickEffects[JobEnded](b.effects()), must.Sprint("the job is cancelled here after it has moved"))
 	must.MapNotContainsKey(t, b.s.jobsByKey, "j")
 }
 
@@ -75,9 +76,9 @@
 	b.startLabelled("b")
 	b.removeLabelled()
 	must.SliceLen(t, 1, pickEffects[MoveJob](b.tick(moveDelay+2*moveCheckInterval)))
-	b.s.HandleJobMoved("j", false)
+	b.s.HandleJobMoved(b.now, "j", false)
 	must.SliceLen(t, 1, pickEffects[MoveJob](b.tick(moveDelay+2*moveCheckInterval)))
-	b.s.HandleJobMoved("j", false)
+	b.s.HandleJobMoved(b.now, "j", false)
 	b.listTarget(work.Target{ID: "t02", Labels: []string{"b", "r2"}, Capacity: work.Resources{CPU: 4}})
 	b.effects()
 	b.answerPoll("t02", work.PollAnswer{ClockMS: 5000})
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -41,6 +41,10 @@
 	otherOwner   *fakeOwner
 	linkCut      bool
 	durableStore fakeJobStore
+	// storing are the jobs that are being stored; cancelledWhileStored holds the owner that took the
+	// cancellation of such a job.
+	storing              []string
+	cancelledWhileStored map[string]*fakeOwner
 	// acknowledged holds the tasks whose successful completion was acknowledged.
 	acknowledged map[string]bool
 	// acknowledgedBy says how the completion of a task was acknowledged.
@@ -184,7 +188,7 @@
 		durableStore: fakeJobStore{jobs: map[string]*jobRecord{}}, acknowledged: map[string]bool{}, startedAt: map[string]time.Duration{},
 		ackedFailures: map[string]int{}, failedRuns: map[string]int{}, done: map[string]bool{}, saved: map[string]map[string]bool{}, gangs: map[string]*fakeGang{}, tickets: map[string]time.Duration{},
 	}
-	w.acknowledgedBy = map[string]string{}
+	w.acknowledgedBy, w.cancelledWhileStored = map[string]string{}, map[string]*fakeOwner{}
 	w.poisonJobs, w.crashed, w.lostUnder, w.lostRuns = map[string]bool{}, map[string]int{}, map[string]bool{}, map[string]int{}
 	w.lostAlone = map[string]bool{}
 	for range targets {
@@ -363,6 +367,7 @@
 			w.reportCordon(o)
 		case StartRun:
 			w.checkCordon(o, e)
+			w.checkNotCancelled(o, e)
 			w.checkLimit(o, e)
 			w.checkOrderFits(o, e)
 			w.deliverOrder(o, e.To.ID, func(token int64) work.OrderAnswer { return w.targets[e.To.ID].start(token, e) },
--- a/work/state.go
+++ b/work/state.go
@@ -3,7 +3,7 @@
 // JobState is the state of a durable job.
 type JobState int
 
-// The states of durable jobs. The last three are final.
+// The states of durable jobs. Those from StateCompleted on are final.
 const (
 	// StateAbsent means that there is no such job.
 	StateAbsent JobState = iota
@@ -13,6 +13,9 @@
 	StateCompleted
 	StateFailed
 	StateCancelled
+	// StateWithdrawn means that the job was cancelled before it was stored, and will never be. Callers
+	// are told that there is no such job.
+	StateWithdrawn
 )
 
 // IsFinal reports whether the state can't change any more.
@@ -20,7 +23,7 @@
 
 var stateNames = map[JobState]string{
 	StateAbsent: "absent", StateQueued: "queued", StateRunning: "running",
-	StateCompleted: "completed", StateFailed: "failed", StateCancelled: "cancelled",
+	StateCompleted: "completed", StateFailed: "failed", StateCancelled: "cancelled", StateWithdrawn: "withdrawn",
 }
 
 // String returns the name of the state in logs and in answers to callers.
