Bound a job's counts and times before they are summed

Cause: counts were bounded from below alone and their sum, which overflows, from above; so was the product with the occurrences. Times beyond the year 2262 overflowed in the conversion to a duration, on x86-64 to the past.

Durations saturate, in conversions, due times and objectives. Messages to callers keep their wording.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -170,7 +170,7 @@
 
 // expectedRuntime returns the run time to expect of a task with this declared run time.
 func (k *queueEstimate) expectedRuntime(declared time.Duration) time.Duration {
-	return max(time.Duration(k.runtimeRatio*float64(declared)), time.Millisecond)
+	return max(time.Duration(k.runtimeRatio*float64(min(declared, work.MaxRunTime))), time.Millisecond)
 }
 
 // estimateOf returns the estimate of a queue, a new one if there is none yet.
--- a/work/work.go
+++ b/work/work.go
@@ -97,7 +97,7 @@
 	if r.Count == 0 {
 		return 0
 	}
-	return r.FirstDue + time.Duration(occurrence)*r.Interval
+	return addDurations(r.FirstDue, Duration(float64(occurrence), r.Interval))
 }
 
 // Occurrences returns how many times the steps of the job run.
@@ -136,7 +136,7 @@
 		for _, before := range step.DependsOn {
 			begin = max(begin, ends[before])
 		}
-		ends[i] = begin + step.DeclaredRunTime
+		ends[i] = begin + min(step.DeclaredRunTime, MaxRunTime)
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -163,7 +163,7 @@
 
 // Objective returns the time within which a job with this critical path should be answered.
 func (q Queue) Objective(criticalPath time.Duration) time.Duration {
-	return time.Duration(q.Stretch*float64(criticalPath)) + q.Allowance
+	return min(addDurations(Duration(q.Stretch, criticalPath), q.Allowance), maxObjective)
 }
 
 // Target is one incarnation of a process that runs tasks.
