Drop what another writer left in rows of durable jobs

Other operators report that one odd entry ended the machines that read a list, again and again, or kept them from following it.

Jobs rows are held to Job.Check. Progress rows lose what no owner writes, and are unreadable in an unknown state. A token above its row's version is no owner's: versions rise with each write, and a token is one. The stand-in of the tests starts at version 1000, as tokens there are numbers of owners.

--- a/jobstore/jobstore.go
+++ b/jobstore/jobstore.go
@@ -13,6 +13,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"strconv"
@@ -104,25 +105,17 @@
 	if a.Job.ID != key {
 		return fmt.Errorf("the row holds job %q, not the one that its key names: remove the row", a.Job.ID)
 	}
+	if err := a.Job.Check(); err != nil {
+		return err
+	}
 	for i, step := range a.Job.Steps {
-		if step.Tasks < 1 {
-			return fmt.Errorf("step %d has %d tasks, not at least 1: submit the job again", i, step.Tasks)
-		}
-		for _, before := range step.DependsOn {
-			if before < 0 || before >= i {
-				return fmt.Errorf("step %d comes after step %d, which is no earlier step: submit the job again", i, before)
-			}
+		if step.Gang && step.Lasting {
+			return fmt.Errorf("step %d is a gang that lasts: submit the job again without", i)
 		}
 	}
-	if tasks := a.Job.TaskCount() * a.Job.Occurrences(); tasks > maxStoredTasks {
-		return fmt.Errorf("the job has %d tasks, more than any job may have: submit a smaller job", tasks)
-	}
 	return nil
 }
 
-// maxStoredTasks is above the tasks of any accepted job, all occurrences included.
-const maxStoredTasks = 10_000
-
 // fence is the value of a fence row.
 type fence struct {
 	// Incarnation is that of the owner's process. Writer tells the Writers of one process apart: a
@@ -133,6 +126,12 @@
 	Token int64 `json:"token"`
 }
 
+// isOdd reports whether a fence row can't be an owner's: tokens are versions that the store gave before the
+// row was written.
+func (f fence) isOdd(row platform.Row) bool { return f.Token > row.Version }
+
+var errOddToken = errors.New("its token is one that the store has not given yet: it is replaced")
+
 // DurableJob is a job that was read from the store.
 type DurableJob struct {
 	AcceptedJob
--- a/jobstore/open.go
+++ b/jobstore/open.go
@@ -55,6 +55,10 @@
 			w.reportUnreadable(fencesTable, w.options.Group, err)
 			present = fence{}
 		}
+		if present.isOdd(rows.Rows[0]) {
+			w.reportUnreadable(fencesTable, w.options.Group, errOddToken)
+			present = fence{}
+		}
 		if present.Token > token {
 			return 0, ErrSuperseded.Errorf("token %d in partition %s is above this owner's token %d: step down", present.Token, partition, token)
 		}
@@ -113,7 +117,12 @@
 		}
 		expires := time.Duration(0)
 		if p.State.IsFinal() {
-			expires = now + max(p.EndedAt+w.retention()-w.options.Clock(), 0)
+			// An end in the future is another writer's.
+			sinceEnd := max(w.options.Clock()-p.EndedAt, 0)
+			if p.EndedAt > w.options.Clock() {
+				sinceEnd = 0
+			}
+			expires = now + max(w.retention()-sinceEnd, 0)
 		}
 		s.add(row.Key, 0, row.Version, p, expires)
 	}
--- a/jobstore/progress.go
+++ b/jobstore/progress.go
@@ -8,6 +8,8 @@
 	"slices"
 
 	"github.com/zeebo/errs/v2"
+
+	"github.com/burdockward/burdockward/work"
 )
 
 // ErrRowTooLarge means that a value does not fit a row of the store: submit a smaller job.
@@ -54,10 +56,13 @@
 		return err
 	}
 	*p = Progress(stored.plainProgress)
+	if p.State < 0 || p.State > work.StateWithdrawn {
+		return fmt.Errorf("state %d is none of a job: remove the row", p.State)
+	}
 	p.Done = append(p.Done, stored.DoneSet.tasks()...)
 	for _, set := range stored.FailureSets {
 		for _, task := range set.Tasks.tasks() {
-			p.addFailures(task, set.Failures)
+			p.addFailures(task, min(set.Failures, maxStoredFailures))
 		}
 	}
 	for _, set := range stored.LastFailedSets {
@@ -70,9 +75,28 @@
 			p.addLoss(task, set.TargetLoss)
 		}
 	}
+	p.dropOdd()
 	return nil
 }
 
+// maxStoredFailures is above the failed runs of any task.
+const maxStoredFailures = 1 << 20
+
+// dropOdd drops what no owner writes: tasks that no job has, and failures that are none. Another writer may
+// have left it in the row.
+func (p *Progress) dropOdd() {
+	isOdd := func(task int) bool { return task < 0 || task >= work.MaxAllTasks }
+	p.Done = slices.DeleteFunc(p.Done, isOdd)
+	for task, n := range p.Failures {
+		if p.Failures[task] = min(n, maxStoredFailures); isOdd(task) || n < 1 {
+			delete(p.Failures, task)
+		}
+	}
+	maps.DeleteFunc(p.LastFailedRun, func(task int, _ int64) bool { return isOdd(task) })
+	maps.DeleteFunc(p.Saved, func(task int, _ string) bool { return isOdd(task) })
+	maps.DeleteFunc(p.TargetLosses, func(task int, _ []TargetLoss) bool { return isOdd(task) })
+}
+
 // encode returns the value of the progress row, which has at most limit bytes, and how many facts
 // were left out for that.
 func (p Progress) encode(limit int) (value []byte, omitted int, err error) {
--- a/jobstore/targets.go
+++ b/jobstore/targets.go
@@ -124,7 +124,11 @@
 	found, expected := Inherited{}, int64(0)
 	if len(rows.Rows) > 0 {
 		var present recordsFence
-		if err := decodeRow(rows.Rows[0], &present); err != nil {
+		err := decodeRow(rows.Rows[0], &present)
+		if err == nil && present.isOdd(rows.Rows[0]) {
+			err = errOddToken
+		}
+		if err != nil {
 			r.options.reportUnreadable(fencesTable, r.options.Group, err)
 			present = recordsFence{EarlierUntil: r.options.Clock() + validity}
 		}
--- a/jobstore/world_test.go
+++ b/jobstore/world_test.go
@@ -64,7 +64,8 @@
 )
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{rows: map[string]map[platform.Table]map[string]platform.Row{}, everStored: map[string]bool{}}
+	// Tokens are versions of the store, so that those of the tests are lower.
+	return &fakeStore{version: 1000, rows: map[string]map[platform.Table]map[string]platform.Row{}, everStored: map[string]bool{}}
 }
 
 func (f *fakeStore) table(partition string, table platform.Table) map[string]platform.Row {
