Parse no profiles that are nested too deeply

Cause: the parser of JSON with comments recurses without a bound; encoding/json, which reads all other rows, stops at 10,000 levels, and costs no stack for what it skips. Texts of more than 64 levels are refused before they are parsed, outside of strings and comments.

--- a/jsonc/jsonc.go
+++ b/jsonc/jsonc.go
@@ -7,6 +7,9 @@
 package jsonc
 
 import (
+	"bytes"
+	"fmt"
+
 	"github.com/tailscale/hujson"
 )
 
@@ -25,8 +28,15 @@
 	Problems []Problem
 }
 
-// Parse parses a text. A text with a syntax error has only that problem and no document.
+// maxDepth bounds how deeply lists and objects are nested: parsing takes about a kilobyte of stack a level.
+const maxDepth = 64
+
+// Parse parses a text. A text with a syntax error, or that is nested too deeply, has only that problem and no
+// document.
 func Parse(text []byte) (*Document, []Problem) {
+	if isTooDeep(text) {
+		return nil, []Problem{{Fault: "lists and objects are nested too deeply", Remedy: fmt.Sprintf("write at most %d levels", maxDepth)}}
+	}
 	root, err := hujson.Parse(text)
 	if err != nil {
 		return nil, []Problem{{Fault: err.Error(), Remedy: "correct the JSON syntax; comments and trailing commas are allowed"}}
@@ -34,6 +44,55 @@
 	return &Document{text: text, value: &root}, nil
 }
 
+// isTooDeep reports whether a text is nested in more than maxDepth levels, outside of strings and comments.
+func isTooDeep(text []byte) bool {
+	depth := 0
+	for i := 0; i < len(text); i++ {
+		switch text[i] {
+		case '"':
+			i += endOfString(text[i+1:])
+		case '/':
+			i += endOfComment(text[i:])
+		case '[', '{':
+			if depth++; depth > maxDepth {
+				return true
+			}
+		case ']', '}':
+			depth--
+		}
+	}
+	return false
+}
+
+// endOfString returns the length of a string without its first quote.
+func endOfString(text []byte) int {
+	for i := 0; i < len(text); i++ {
+		switch text[i] {
+		case '\\':
+			i++
+		case '"':
+			return i + 1
+		}
+	}
+	return len(text)
+}
+
+// endOfComment returns by how much the index of a slash has to grow to be that of the last byte of its
+// comment; 0 if it begins none.
+func endOfComment(text []byte) int {
+	for _, kind := range [][2]string{{"//", "\n"}, {"/*", "*/"}} {
+		rest, is := bytes.CutPrefix(text, []byte(kind[0]))
+		if !is {
+			continue
+		}
+		if end := bytes.Index(rest, []byte(kind[1])); end >= 0 {
+			return len(kind[0]) + end + len(kind[1]) - 1
+		}
+		return len(text)
+	}
+	return 0
+}
+
 // Decode parses a text and decodes it into out, as Document.Decode does.
 func Decode(text []byte, out any) Decoded {
 	document, problems := Parse(text)
