Take no target, claim or cordon that the deployment can't have

Other operators report machines that ended, or stopped following the list of executors, after one odd entry of another writer.

--- a/cordon/cordon.go
+++ b/cordon/cordon.go
@@ -11,6 +11,8 @@
 	"slices"
 	"sync"
 
+	"github.com/zeebo/errs/v2"
+
 	"github.com/burdockward/burdockward/link/linkpb"
 	"github.com/burdockward/burdockward/mirror"
 	"github.com/burdockward/burdockward/platform"
@@ -43,11 +45,17 @@
 	return View{Version: w.GetVersion(), Domains: w.GetDomains()}
 }
 
+// ErrUnknownDomain means that a row cordons a failure domain that the deployment doesn't have. Each VM sends
+// the cordons in each heartbeat, which has to fit a datagram.
+const ErrUnknownDomain = errs.Tag("unknown failure domain")
+
 // Reader makes views from the updates of the operator's table.
 type Reader struct {
+	// Domains are the failure domains of the deployment: others can't be cordoned. Empty stands for any.
+	Domains []string
 	// cordoned holds the cordoned failure domains as of the newest update.
 	cordoned map[string]bool
-	// RowIgnored is called for each cordon row that names no failure domain.
+	// RowIgnored is called for each cordon row that names no failure domain, or an unknown one.
 	RowIgnored func(row platform.Row, err error)
 }
 
@@ -64,6 +72,8 @@
 			r.RowIgnored(row, err)
 		case row.Deleted:
 			delete(r.cordoned, domain)
+		case len(r.Domains) > 0 && !slices.Contains(r.Domains, domain):
+			r.RowIgnored(row, ErrUnknownDomain.Errorf("failure domain %q is none of %v: write the name of one", domain, r.Domains))
 		default:
 			r.cordoned[domain] = true
 		}
--- a/cordon/cordon_test.go
+++ b/cordon/cordon_test.go
@@ -42,6 +42,21 @@
 	must.Eq(t, 1, ignored)
 }
 
+// A cordon of a failure domain that the deployment doesn't have is ignored: each VM would send it in each
+// heartbeat.
+func TestCordonOfUnknownDomainIsIgnored(t *testing.T) {
+	ignored := 0
+	r := Reader{Domains: []string{"a", "b"}, RowIgnored: func(_ platform.Row, err error) {
+		must.ErrorIs(t, err, ErrUnknownDomain)
+		ignored++
+	}}
+	view := r.Apply(updateOf(4, true, row("a", 2, false), row("c", 3, false)))
+	must.Eq(t, []string{"a"}, view.Domains)
+	view = r.Apply(updateOf(5, false, row("c", 5, true)))
+	must.Eq(t, []string{"a"}, view.Domains)
+	must.Eq(t, 1, ignored)
+}
+
 // The value of a cordon row doesn't matter: the cordon applies until the row is deleted.
 func TestCordonAppliesWithAnyValue(t *testing.T) {
 	r := Reader{}
--- a/lab/prepared/deployment.go
+++ b/lab/prepared/deployment.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/burdockward/burdockward/lab/usage"
 	"github.com/burdockward/burdockward/platform"
 	"github.com/burdockward/burdockward/platform/wire"
@@ -339,6 +341,22 @@
 	return usage.Of(process.Process.Pid)
 }
 
+// LimitMemory ends the process once it allocates more than a number of bytes, so that a fault doesn't use up
+// the memory of the machine that runs the test.
+func (v *VM) LimitMemory(bytes uint64) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	limit := unix.Rlimit{Cur: bytes, Max: bytes}
+	return unix.Prlimit(v.process.Process.Pid, unix.RLIMIT_DATA, &limit, nil)
+}
+
+// HasEnded reports whether the process has ended without being killed or waited for.
+func (v *VM) HasEnded() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.done) > 0
+}
+
 // Kill kills the process and waits for its end.
 func (v *VM) Kill() {
 	v.Signal(syscall.SIGKILL)
--- a/lab/prepared/e2e/e2e_test.go
+++ b/lab/prepared/e2e/e2e_test.go
@@ -276,7 +276,35 @@
 // The same, beside callers that cancel jobs which were accepted or not answered, and a store that applies writes
 // late: no task may start once its job's cancellation is acknowledged.
 func TestCancelledJobsStayCancelledBesideFaults(t *testing.T) {
-	must.NoError(t, prepared.Soak(t.Context(), prepared.SoakOptions{Binary: binary, Length: 15 * time.Second, Seed: 76, Cancels: true}))
+	must.NoError(t, prepared.Soak(t.Context(), prepared.SoakOptions{Binary: binary, Length: 15 * time.Second, Seed: 76, MoreFaults: true}))
+}
+
+// Rows of another writer in any table end no process, and keep none from following the table: all are read again
+// by the VMs that take over or start while they are there, and targets that come meanwhile are used.
+func TestOddRowsEndNoProcess(t *testing.T) {
+	const memory = 1 << 30
+	d := start(t, 2, 2)
+	limit := func(vm *prepared.VM) { must.NoError(t, vm.LimitMemory(memory)) }
+	for _, vm := range d.VMs {
+		limit(vm)
+	}
+	withDurableLoad(t, d, func() {
+		wait(time.Second)
+		end := d.WriteOddRows(d.Targets[0], 3)
+		defer end()
+		wait(time.Second)
+		for domain := range 2 {
+			owner := d.Owner(domain)
+			owner.Kill()
+			must.NoError(t, owner.Start())
+			limit(owner)
+		}
+		wait(4 * time.Second)
+		for _, vm := range d.VMs {
+			must.False(t, vm.HasEnded(), must.Sprint(vm.Name))
+		}
+		must.True(t, d.WaitReady(readyTimeout))
+	})
 }
 
 // restOfLine returns the first occurrence of a text in a log and what follows it in its line.
--- a/lab/prepared/foreign.go
+++ b/lab/prepared/foreign.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"fmt"
+	"strings"
 
 	"github.com/burdockward/burdockward/platform/wire"
 )
@@ -45,3 +46,72 @@
 		}
 	}
 }
+
+const hugeNumber = "9223372036854775807"
+
+// oddTargets are entries that decode, in part at least, and that no target writes: deep nesting, numbers that
+// are too large, ports out of range, unknown failure domains and services.
+var oddTargets = []string{
+	strings.Repeat("[", 40_000),
+	strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000),
+	oddTarget(`"labels":` + strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000)),
+	oddTarget(`"born":` + hugeNumber),
+	oddTarget(`"born":1e400`),
+	oddTarget(`"cold_left_ms":1e308`),
+	oddTarget(`"capacity":{"cpu":` + hugeNumber + `,"mem_mb":` + hugeNumber + `,"gpu":` + hugeNumber + `}`),
+	oddTarget(`"capacity":{"cpu":1e400}`),
+	oddTarget(`"address":"127.0.0.1:70000"`),
+	oddTarget(`"address":"0.0.0.0:0"`),
+	oddTarget(`"zone":"nowhere"`),
+	oddTarget(`"zone":"` + strings.Repeat("z", 50_000) + `"`),
+	oddTarget(`"service":"` + strings.Repeat("s", 50_000) + `"`),
+	oddTarget(`"labels":["` + strings.Repeat(`a","`, 10_000) + `"]`),
+}
+
+// oddTarget returns the entry of a target with other fields in place of some of its own.
+func oddTarget(fields string) string {
+	return `{"service":"s","address":"127.0.0.1:9","zone":"domain-0","state":"ready","capacity":{"cpu":4000,"mem_mb":1024,"gpu":0},"labels":["a","r"],` + fields + `}`
+}
+
+// oddRows are rows that another writer may leave in the other tables.
+var oddRows = []struct{ table, partition, value string }{
+	{"jobs", "jobs-0", `{"job":{"ID":"KEY","Durable":true,"Steps":[{"Tasks":` + hugeNumber + `},{"Tasks":` + hugeNumber + `},{"Tasks":10}]},"queue":{"Service":"s"},"home":"domain-0"}`},
+	{"jobs", "jobs-1", `{"job":{"ID":"KEY","Durable":true,"Steps":[{"Tasks":4}],"Repeats":{"Count":4611686018427387905}},"queue":{"Service":"s"},"home":"domain-0"}`},
+	{"jobs", "jobs-2", strings.Repeat("[", 40_000)},
+	{"progress", "jobs-0", `{"home":"domain-0","state":1,"done":[-5,` + hugeNumber + `]}`},
+	{"progress", "jobs-1", `{"home":"domain-1","state":99,"ended":` + hugeNumber + `}`},
+	{"progress", "jobs-2", `{"home":"domain-2","state":3,"ended":` + hugeNumber + `}`},
+	{"moves", "jobs-3", `{"to":"domain-0"}`},
+	{"moves", "jobs-3", strings.Repeat(`{"a":`, 9_000)},
+	{"targets", "targets-domain-0", `{"service":"s","address":"127.0.0.1:70000","life":` + hugeNumber + `}`},
+	{claimsTable, "", strings.Repeat("\x0b", 40_000)},
+	{wire.OperatorTable, "", "x"},
+}
+
+// WriteOddRows adds odd rows to all tables, beside one in place of a target's entry. The returned function
+// removes them and restores the entry.
+func (d *Deployment) WriteOddRows(target *Target, entry int) (end func()) {
+	encode := func(value string) string { return base64.StdEncoding.EncodeToString([]byte(value)) }
+	for i, value := range oddTargets {
+		d.Store.WriteRaw(wire.TargetsTable, fmt.Sprintf("odd-%d", i), encode(value))
+	}
+	key := func(i int) string {
+		if oddRows[i].table == wire.OperatorTable {
+			return wire.CordonPrefix + strings.Repeat("x", 150)
+		}
+		return fmt.Sprintf("odd-%d", i)
+	}
+	for i, row := range oddRows {
+		d.Store.writeRawTo(row.table, row.partition, key(i), encode(strings.ReplaceAll(row.value, "KEY", key(i))))
+	}
+	d.Store.WriteRaw(wire.TargetsTable, target.ID, encode(oddTargets[entry%len(oddTargets)]))
+	return func() {
+		d.register(target)
+		for i := range oddTargets {
+			d.Store.Remove(wire.TargetsTable, fmt.Sprintf("odd-%d", i))
+		}
+		for i, row := range oddRows {
+			d.Store.removeFrom(row.table, row.partition, key(i))
+		}
+	}
+}
--- a/lab/prepared/soak.go
+++ b/lab/prepared/soak.go
@@ -42,12 +42,12 @@
 			&cli.StringFlag{Name: "binary", Usage: "`PATH` of the daemon's binary", Value: "bin/burdockward"},
 			&cli.DurationFlag{Name: "for", Usage: "time during which faults begin", Value: 2 * time.Minute},
 			&cli.FloatFlag{Name: "cpu-share", Usage: "share of a core of each VM; with 0.01 owners need relays", Value: defaultCPUShare},
-			&cli.BoolFlag{Name: "cancels", Usage: "have callers cancel jobs, and the store apply writes late"},
+			&cli.BoolFlag{Name: "more", Usage: "have callers cancel jobs, the store apply writes late, and another writer leave odd rows in all tables"},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the faults; equal seeds draw equal faults", Value: 1},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			return Soak(ctx, SoakOptions{
-				Binary: cmd.String("binary"), Length: cmd.Duration("for"), Seed: cmd.Uint64("seed"), CPUShare: cmd.Float("cpu-share"), Cancels: cmd.Bool("cancels"),
+				Binary: cmd.String("binary"), Length: cmd.Duration("for"), Seed: cmd.Uint64("seed"), CPUShare: cmd.Float("cpu-share"), MoreFaults: cmd.Bool("more"),
 			})
 		},
 	}
@@ -61,14 +61,15 @@
 	Seed   uint64
 	// CPUShare is the share of a core of each VM; 0 stands for the usual one.
 	CPUShare float64
-	// Cancels adds callers that cancel their jobs, and writes of the store that are applied late.
-	Cancels bool
+	// MoreFaults adds callers that cancel their jobs, and moreFaults. Without it seeds draw the faults that
+	// they drew before there were more.
+	MoreFaults bool
 }
 
 // faults returns the faults to draw from.
 func (o SoakOptions) faults() []fault {
-	if o.Cancels {
-		return append(slices.Clone(soakFaults), lateWrites)
+	if o.MoreFaults {
+		return slices.Concat(soakFaults, moreFaults)
 	}
 	return soakFaults
 }
@@ -99,7 +100,7 @@
 	go func() { durable <- d.LoadDurable(load, soakDurablePerSecond) }()
 	cancels := make(chan *CancelTally, 1)
 	go func() {
-		if !o.Cancels {
+		if !o.MoreFaults {
 			cancels <- &CancelTally{}
 			return
 		}
@@ -268,11 +269,16 @@
 	}},
 }
 
-// lateWrites is the fault of a store that applies a share of the writes late and answers none of these.
-var lateWrites = fault{"writes of the store late", func(s *soaker) func() {
-	s.Store.SetLateWrites(0.35)
-	return func() { s.Store.SetLateWrites(0) }
-}}
+// moreFaults are the further faults of SoakOptions.MoreFaults.
+var moreFaults = []fault{
+	{"writes of the store late", func(s *soaker) func() {
+		s.Store.SetLateWrites(0.35)
+		return func() { s.Store.SetLateWrites(0) }
+	}},
+	{"odd rows of another writer", func(s *soaker) func() {
+		return s.WriteOddRows(s.Targets[s.random.IntN(len(s.Targets))], s.random.IntN(len(oddTargets)))
+	}},
+}
 
 // injectRandomFaults injects random faults for a time, several at once, waits until all have ended,
 // and counts them by name.
--- a/lab/prepared/store.go
+++ b/lab/prepared/store.go
@@ -169,19 +169,25 @@
 }
 
 // WriteRaw puts a row whose value may be unreadable, as another writer may leave it.
-func (s *Store) WriteRaw(table, key, value string) {
+func (s *Store) WriteRaw(table, key, value string) { s.writeRawTo(table, "", key, value) }
+
+// writeRawTo is WriteRaw for a row of a partition.
+func (s *Store) writeRawTo(table, partition, key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.put(wire.Row{Table: table, Key: key, Value: value})
+	s.put(wire.Row{Table: table, Partition: partition, Key: key, Value: value})
 }
 
 // Remove deletes a row.
-func (s *Store) Remove(table, key string) {
+func (s *Store) Remove(table, key string) { s.removeFrom(table, "", key) }
+
+// removeFrom is Remove for a row of a partition.
+func (s *Store) removeFrom(table, partition, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.put(wire.Row{Table: table, Key: key, Deleted: true})
+	s.put(wire.Row{Table: table, Partition: partition, Key: key, Deleted: true})
 }
 
 // rowID identifies a row of a partition of a table.
--- a/node/cordons.go
+++ b/node/cordons.go
@@ -18,10 +18,14 @@
 }
 
 func (c *cordons) init(n *Node) {
-	c.reader.RowIgnored = n.reportUnreadableCordon
+	c.reader = n.newCordonReader()
 	c.board.Changed = n.cordonsChanged
 }
 
+func (n *Node) newCordonReader() cordon.Reader {
+	return cordon.Reader{Domains: n.options.Settings.FailureDomains, RowIgnored: n.reportUnreadableCordon}
+}
+
 // applyUpdate applies an update of the operator's table.
 func (c *cordons) applyUpdate(update mirror.Update) { c.board.Update(c.reader.Apply(update), "store") }
 
@@ -55,7 +59,7 @@
 	if err != nil {
 		return cordon.View{}, err
 	}
-	reader := cordon.Reader{RowIgnored: n.reportUnreadableCordon}
+	reader := n.newCordonReader()
 	view := reader.Apply(mirror.Update{Rows: rows, Snapshot: true})
 	n.cordons.board.Update(view, "store, read again")
 	return view, nil
--- a/node/listener.go
+++ b/node/listener.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/burdockward/burdockward/heartbeat"
@@ -8,6 +9,7 @@
 	"github.com/burdockward/burdockward/owner"
 	"github.com/burdockward/burdockward/ownership"
 	"github.com/burdockward/burdockward/scheduler"
+	"github.com/burdockward/burdockward/work"
 )
 
 // ReceiveKeepalive implements heartbeat.Listener.
@@ -31,6 +33,10 @@
 	}
 	var loads []*linkpb.Load
 	for service, load := range o.Loads() {
+		if !n.hasQueueOf(service) {
+			// Other writers' entries may name any number of services, and a heartbeat has to fit a datagram.
+			continue
+		}
 		sent := &linkpb.Load{Group: n.group, Service: service, FreeCpu: load.FreeCPU, Cpu: load.CPU, AnswerUs: load.AnswerTime.Microseconds()}
 		for _, wait := range load.Wait {
 			sent.WaitUs = append(sent.WaitUs, wait.Microseconds())
@@ -43,6 +49,12 @@
 	return loads
 }
 
+// hasQueueOf reports whether a queue of the configuration uses a service, as far as that is known.
+func (n *Node) hasQueueOf(service string) bool {
+	held := n.config.held.Load()
+	return held == nil || slices.ContainsFunc(held.Routes, func(r work.Route) bool { return r.Queue.Service == service })
+}
+
 // ReportLargeHeartbeat implements heartbeat.Listener.
 func (n *Node) ReportLargeHeartbeat() { n.options.Count("heartbeats_cut", "pong") }
 
--- a/node/node.go
+++ b/node/node.go
@@ -146,7 +146,7 @@
 	}
 	n.heartbeats = heartbeats
 	n.keeper = ownership.New(ownership.Options{
-		Self: n.self, Group: n.group, CPUShare: n.processor.Share, Log: o.Log, ClaimsChanged: n.claimsChanged,
+		Self: n.self, Group: n.group, Groups: s.FailureDomains, CPUShare: n.processor.Share, Log: o.Log, ClaimsChanged: n.claimsChanged,
 		StoreAnswered: n.storeReadTimes.recorder(&n.storeReadTimes.claims), Count: o.Count,
 	}, n.store, heartbeats)
 	n.entry = entry.New(entry.Options{
--- a/node/owners.go
+++ b/node/owners.go
@@ -86,7 +86,7 @@
 func (n *Node) startOwner(held ownership.GroupClaim) *ownedGroup {
 	ctx, cancel := context.WithCancel(n.ctx)
 	options := owner.Options{
-		Group: held.Group, FailureDomain: n.self.FailureDomain, Token: held.Version,
+		Group: held.Group, FailureDomain: n.self.FailureDomain, FailureDomains: n.options.Settings.FailureDomains, Token: held.Version,
 		Schedule: scheduler.Options{
 			StopTimeout: n.options.Settings.MaxStopTime, MaxLease: n.options.Settings.MaxLease,
 			ResendDelay: n.options.Settings.MinResendDelay, KeepaliveTimeout: heartbeat.KeepaliveTimeout,
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -65,6 +65,8 @@
 type Options struct {
 	Group         string
 	FailureDomain string
+	// FailureDomains are those of the deployment; empty if they aren't known.
+	FailureDomains []string
 	// Token is the fencing token of the claim.
 	Token    int64
 	Schedule scheduler.Options
@@ -184,7 +186,7 @@
 		delegated:   map[scheduler.Part]context.CancelFunc{},
 		services:    map[string]bool{},
 		registry:    newRegistry(o.AskPredecessor != nil),
-		reader:      registryReader{domain: o.FailureDomain, log: o.Log, count: o.Count},
+		reader:      registryReader{domain: o.FailureDomain, domains: o.FailureDomains, log: o.Log, count: o.Count},
 		durable:     durableJobs{ending: map[string]bool{}, endWaiters: map[string][]chan struct{}{}},
 		done:        make(chan struct{}),
 	}
--- a/owner/reader.go
+++ b/owner/reader.go
@@ -1,8 +1,11 @@
 package owner
 
 import (
+	"errors"
 	"log/slog"
 	"reflect"
+	"slices"
+	"time"
 
 	"github.com/burdockward/burdockward/mirror"
 	"github.com/burdockward/burdockward/platform"
@@ -15,6 +18,8 @@
 // behind the heartbeats of all others.
 type registryReader struct {
 	domain string
+	// domains are the failure domains of the deployment; empty if they aren't known.
+	domains []string
 	// known holds the entry of each target as of the last read.
 	known map[string]work.Target
 	// foreign holds the entries of other failure domains' targets as of the last read.
@@ -70,7 +75,7 @@
 			r.removeForeign(&n, row.Key)
 			continue
 		}
-		target, err := platform.DecodeTarget(row.Key, row.Value)
+		target, err := r.decode(row)
 		switch {
 		case err != nil:
 			r.count("rows_unreadable", string(platform.TargetsTable))
@@ -97,6 +102,30 @@
 	return n
 }
 
+// maxClockLead is by how much the time of day of a target's VM may be ahead of this VM's.
+const maxClockLead = time.Hour
+
+// Faults of entries that decode. Another writer's entry names no target to use: jobs would move to a failure
+// domain that nobody owns, and a target that seems to have started later is not heard any more.
+var (
+	errUnknownDomain = errors.New("it names a failure domain that the deployment doesn't have")
+	errFutureStart   = errors.New("it started in the future")
+)
+
+// decode decodes the entry in a row.
+func (r *registryReader) decode(row platform.Row) (work.Target, error) {
+	target, err := platform.DecodeTarget(row.Key, row.Value)
+	switch {
+	case err != nil:
+		return target, err
+	case len(r.domains) > 0 && !slices.Contains(r.domains, target.FailureDomain):
+		return target, errUnknownDomain
+	case target.Incarnation > time.Now().Add(maxClockLead).UnixMilli():
+		return target, errFutureStart
+	}
+	return target, nil
+}
+
 // addIfChanged adds a target to the changes if it is new or has changed.
 func (r *registryReader) addIfChanged(n *registryChanges, target work.Target) {
 	if n.snapshot {
--- a/owner/reader_test.go
+++ b/owner/reader_test.go
@@ -101,3 +101,28 @@
 	must.SliceContains(t, order[:2], "urgent")
 	must.SliceLen(t, 101, order)
 }
+
+// Entries that decode and that no target of the deployment can have written name no target to use. Jobs would
+// move to a failure domain without an owner, and a target would not be heard until the time that its
+// entry names.
+func TestEntriesOfNoTargetAreIgnored(t *testing.T) {
+	entry := func(domain string, started time.Time) mirror.Update {
+		value, err := json.Marshal(wire.Target{
+			Service: "service", Address: "127.0.0.1:1", Zone: domain, State: wire.StateReady, Capacity: wire.Capacity{Resources: wire.Resources{CPU: 4000}}, StartedMS: started.UnixMilli(),
+		})
+		must.NoError(t, err)
+		return mirror.Update{Rows: platform.Rows{Rows: []platform.Row{{Key: "i", Value: value}}}}
+	}
+	unreadable := 0
+	r := newReader()
+	r.domains = []string{"domain", "elsewhere"}
+	r.count = func(string, string) { unreadable++ }
+	r.read(mirror.Update{Snapshot: true})
+	must.SliceLen(t, 1, r.read(entry("domain", time.Now())).changes)
+	for i, odd := range []mirror.Update{entry("domain", time.Now().Add(48*time.Hour)), entry("nowhere", time.Now())} {
+		changes := r.read(odd)
+		must.SliceEmpty(t, changes.foreign)
+		must.Eq(t, i+1, unreadable)
+	}
+	must.SliceLen(t, 1, r.read(entry("elsewhere", time.Now())).foreign)
+}
--- a/ownership/keeper.go
+++ b/ownership/keeper.go
@@ -53,6 +53,8 @@
 type Options struct {
 	Self  heartbeat.Self
 	Group string
+	// Groups are those of the deployment, whose claims are followed; empty stands for any.
+	Groups []string
 	// CPUShare returns this VM's measured share of a core, on which the delay of its claims depends; nil
 	// means no delay.
 	CPUShare func() float64
@@ -177,6 +179,11 @@
 			k.noteGoneRow(row.Key, max(row.Version, update.Version))
 			continue
 		}
+		if !k.isGroup(row.Key) {
+			k.options.Count("rows_unreadable", string(claimsTable))
+			k.options.Log.Warn("row not understood", "table", claimsTable, "key", row.Key, "version", row.Version, "error", "the deployment has no such failure domain: remove the row")
+			continue
+		}
 		claim := &linkpb.Claim{}
 		if err := proto.Unmarshal(row.Value, claim); err != nil {
 			// An unreadable claim has no owner, but the next claim needs the row's version.
@@ -221,10 +228,15 @@
 	return k.claims[k.options.Group].Version
 }
 
+// isGroup reports whether the deployment has a group. Each VM pings the owner under each claim.
+func (k *Keeper) isGroup(name string) bool {
+	return len(k.options.Groups) == 0 || slices.Contains(k.options.Groups, name)
+}
+
 // keepNewer keeps a claim if it is newer than the known one of its group.
 func (k *Keeper) keepNewer(claim GroupClaim) {
 	old, known := k.claims[claim.Group]
-	if known && !claim.IsNewerThan(old) {
+	if known && !claim.IsNewerThan(old) || !k.isGroup(claim.Group) {
 		return
 	}
 	if claim.Version > old.Version {
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -239,6 +239,29 @@
 	must.True(t, ShouldClaim(Observation{Current: &held, VM: "v", Incarnation: 1, ClaimAge: time.Second, OwnerSilent: time.Second}))
 }
 
+// A claim of a group that the deployment doesn't have is not followed, wherever it comes from: each VM would ping
+// the address that it names.
+func TestClaimOfUnknownGroupIsIgnored(t *testing.T) {
+	counted := 0
+	k := New(Options{
+		Self: heartbeat.Self{VM: "v", Incarnation: 1}, Group: "g", Groups: []string{"g", "h"}, Log: slog.New(slog.DiscardHandler),
+		ClaimsChanged: func([]GroupClaim) {}, Count: func(what, _ string) {
+			if what == "rows_unreadable" {
+				counted++
+			}
+		},
+	}, nil, nil)
+	value, err := proto.Marshal(&linkpb.Claim{Vm: "w", Life: 7, Heartbeat: "127.0.0.1:9"})
+	must.NoError(t, err)
+	k.applyUpdate(mirror.Update{Snapshot: true, Rows: platform.Rows{Version: 9, Rows: []platform.Row{
+		{Key: "nowhere", Value: value, Version: 8}, {Key: "h", Value: value, Version: 9},
+	}}})
+	k.Merge([]GroupClaim{{Group: "elsewhere", Claim: &linkpb.Claim{Vm: "w", Life: 8}, Version: 12}})
+	must.SliceLen(t, 1, k.Claims())
+	must.Eq(t, "h", k.Claims()[0].Group)
+	must.Eq(t, 1, counted)
+}
+
 // unansweringSender gets a claim and loses the answer.
 type unansweringSender struct{ fakeClaimSender }
 
