Wait for the server in two tests of connections

TestNewConnectionTakesPlaceOfLongestIdle took for granted that a connection waits for its client once the client has its answer. The server counts it a moment later, so the first connection could become idle before the second one and make way in its place. TestClientThatReadsNoAnswersIsClosed waited until no connection is open, which is also so before the server has accepted the first one; the test then read all the answers it was to leave unread. Neither is a fault of the server.

The first now waits after every request until both connections are counted as waiting, the second until its first request is served. What they check afterwards is as before.

--- a/intake/listener_test.go
+++ b/intake/listener_test.go
@@ -37,11 +37,19 @@
 	s.counts[label]++
 }
 
-// open returns the number of open connections.
-func (s *testServer) open() int {
+// connections returns the numbers of open connections and of those that wait for their clients.
+func (s *testServer) connections() (open, waiting int) {
 	s.limited.mu.Lock()
 	defer s.limited.mu.Unlock()
-	return s.limited.places.Len()
+	return s.limited.places.Len(), s.limited.places.waiting.Len()
+}
+
+// await waits until the server's numbers of connections are as done wants them.
+func (s *testServer) await(t *testing.T, done func(open, waiting int) bool) {
+	t.Helper()
+	for end := time.Now().Add(hang); !done(s.connections()); time.Sleep(time.Millisecond) {
+		must.True(t, time.Now().Before(end), must.Sprint("the connections stay as they are"))
+	}
 }
 
 func startServer(t *testing.T, places int, shared int64, handler http.Handler) *testServer {
@@ -94,9 +102,11 @@
 func TestNewConnectionTakesPlaceOfLongestIdle(t *testing.T) {
 	s := startServer(t, 2, 1<<20, http.HandlerFunc(ok))
 	first, second := s.dial(t), s.dial(t)
-	must.Eq(t, http.StatusOK, ask(t, first, getRequest))
-	must.Eq(t, http.StatusOK, ask(t, second, getRequest))
-	must.Eq(t, http.StatusOK, ask(t, first, getRequest))
+	for _, conn := range []net.Conn{first, second, first} {
+		must.Eq(t, http.StatusOK, ask(t, conn, getRequest))
+		// A client can have its answer before the server counts its connection as waiting.
+		s.await(t, func(open, waiting int) bool { return open == 2 && waiting == 2 })
+	}
 	third := s.dial(t)
 	must.Eq(t, http.StatusOK, ask(t, third, getRequest))
 	wantClosed(t, second)
@@ -162,14 +172,15 @@
 
 // A client that doesn't read its answers is closed once they fill the buffers of its connection.
 func TestClientThatReadsNoAnswersIsClosed(t *testing.T) {
+	served := make(chan struct{}, 50)
 	s := startServer(t, 10, 1<<20, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		served <- struct{}{}
 		_, _ = w.Write(make([]byte, 1<<20))
 	}))
 	conn := s.dial(t)
 	_, _ = io.WriteString(conn, strings.Repeat(getRequest, 50))
-	for end := time.Now().Add(hang); s.open() > 0; time.Sleep(time.Millisecond) {
-		must.True(t, time.Now().Before(end))
-	}
+	<-served
+	s.await(t, func(open, _ int) bool { return open == 0 })
 	read, _ := io.Copy(io.Discard, conn)
 	must.Less(t, 50<<20, read)
 }
