Write a slow target's odd row through the platform's messages

The new odd rows named a field of the platform's rows outside of platform/, which TestWireNamesOccurInPlatformOnly refuses. The row is now encoded from the message itself.

Before: the test fails. After: it passes, and TestOddRowsEndNoProcess writes the row as before.

--- a/lab/prepared/foreign.go
+++ b/lab/prepared/foreign.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"encoding/json"
 	"fmt"
 	"strings"
 
@@ -57,7 +58,7 @@
 	oddTarget(`"labels":` + strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000)),
 	oddTarget(`"born":` + hugeNumber),
 	oddTarget(`"born":1e400`),
-	oddTarget(`"cold_left_ms":1e308`),
+	coldTarget(1e308),
 	oddTarget(`"capacity":{"cpu":` + hugeNumber + `,"mem_mb":` + hugeNumber + `,"gpu":` + hugeNumber + `}`),
 	oddTarget(`"capacity":{"cpu":1e400}`),
 	oddTarget(`"address":"127.0.0.1:70000"`),
@@ -73,6 +74,19 @@
 	return `{"service":"s","address":"127.0.0.1:9","zone":"domain-0","state":"ready","capacity":{"cpu":4000,"mem_mb":1024,"gpu":0},"labels":["a","r"],` + fields + `}`
 }
 
+// coldTarget returns the entry of a target that is slow for so much longer.
+func coldTarget(milliseconds float64) string {
+	capacity := wire.Capacity{HasCPU: true, Resources: wire.Resources{CPU: 4000, MemoryMB: 1024}}
+	entry, err := json.Marshal(wire.Target{
+		Service: "s", Address: "127.0.0.1:9", Zone: "domain-0", State: "ready", Capacity: capacity,
+		Labels: []string{"a", "r"}, ColdLeftMS: milliseconds,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return string(entry)
+}
+
 // oddRows are rows that another writer may leave in the other tables.
 var oddRows = []struct{ table, partition, value string }{
 	{"jobs", "jobs-0", `{"job":{"ID":"KEY","Durable":true,"Steps":[{"Tasks":` + hugeNumber + `},{"Tasks":` + hugeNumber + `},{"Tasks":10}]},"queue":{"Service":"s"},"home":"domain-0"}`},
