End reservations of targets whose jobs are not placed

A target that is reserved for a gang, for a latency-sensitive task or for a suspect was freed only when that job was placed or ended. A job that is to move, or that waits until the store confirms something, is not placed: its targets then stood idle for as long as that took, and other jobs were refused or waited beside free targets.

Each tick now ends the reservations that have outlasted their bound, and those for suspects whose job is to move.

Before: the three new tests fail, as nothing starts on the free target. After: they pass, with all tests of the scheduler.

--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -445,3 +445,20 @@
 		must.Eq(t, seen, len(pickEffects[JobEnded](b.advance(40*ms))) == 1)
 	}
 }
+
+// A target that is reserved for a suspect is free again once the suspect's job is to move.
+func TestReservationForSuspectOfMovingJobEnds(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.s.FinishResume(b.now)
+	b.addUsableTarget("a", 2)
+	b.submit("s0", 1, 1, "")
+	b.answerStarts(pickEffects[StartRun](b.effects()))
+	b.s.ResumeJob(b.now, b.durableJob("j", 1), Progress{Crashed: map[int][]Crash{0: {{Target: "x"}}}})
+	b.advance(20 * ms)
+	j := b.s.jobsByKey["j"]
+	must.Eq(t, j.tasks[0], b.s.targets["a"].isolated)
+	j.moving = true
+	b.advance(20 * ms)
+	b.submit("s1", 1, 1, "")
+	must.SliceLen(t, 1, pickEffects[StartRun](b.effects()))
+}
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -187,9 +188,7 @@
 // time.
 func (s *State) reserveForGang(now time.Duration, j *job, st *step) {
 	p := j.pool
-	if p.reservedFor != nil && now-p.reservedAt > maxReservation {
-		s.unreserveForGang(p, p.reservedFor)
-	}
+	s.expireGangReservation(now, p)
 	if p.reservedFor != nil || now-st.waitingSince < gangReserveDelay {
 		return
 	}
@@ -206,6 +205,30 @@
 	}
 }
 
+// expireGangReservation ends the reservation of targets for a gang that has not started in time.
+func (s *State) expireGangReservation(now time.Duration, p *pool) {
+	if p.reservedFor != nil && now-p.reservedAt > maxReservation {
+		s.unreserveForGang(p, p.reservedFor)
+	}
+}
+
+// expireReservations ends the reservations that have lasted too long. Their jobs need not be placed
+// meanwhile, as those that move or wait for the store are not.
+func (s *State) expireReservations(now time.Duration) {
+	for _, service := range slices.Sorted(maps.Keys(s.pools)) {
+		p := s.pools[service]
+		s.expireGangReservation(now, p)
+		for _, t := range p.targets {
+			if st := t.reservedFor; st != nil && st.evictionTarget == t && !t.isHeld() && now >= st.evictedAt+evictionTimeout {
+				s.unreserveForStep(st)
+			}
+			if tk := t.isolated; tk != nil && tk.reservedTarget == t && (tk.job.moving || tk.job.emptying) {
+				s.unreserveForSuspect(tk)
+			}
+		}
+	}
+}
+
 // chooseTargets returns the targets to reserve for a gang: those with the most free CPU, of one
 // rack if the gang wants that and a rack can hold it. It returns nil if no choice can hold the
 // gang.
--- a/scheduler/gang_test.go
+++ b/scheduler/gang_test.go
@@ -188,3 +188,24 @@
 	b.answerPoll(busy[0].To.ID, pollWithCompletion(1, busy[0].Run, work.CompletionDone))
 	must.SliceLen(t, 2, pickEffects[StartRun](b.effects()))
 }
+
+// Targets that are reserved for a gang are free again in time even if its job is not placed meanwhile.
+func TestReservationOfGangThatIsNotPlacedEnds(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.s.FinishResume(b.now)
+	b.addUsableTarget("a", 2)
+	b.submit("s0", 1, 1, "")
+	small := pickEffects[StartRun](b.effects())
+	b.answerStarts(small)
+	b.acceptAndStore(b.jobOfSteps("j", gangStep(2)))
+	b.advance(gangReserveDelay + 40*ms)
+	gang := b.s.jobsByKey["j"]
+	must.Eq(t, gang.steps[0], b.s.targets["a"].reservedFor)
+	gang.moving = true
+	for end := b.now + maxReservation + 100*ms; b.now < end; {
+		b.advance(40 * ms)
+		b.answerPoll("a", work.PollAnswer{ClockMS: 5000 + (b.now - 10*time.Second).Milliseconds(), Running: listing(small[0].Run)})
+	}
+	b.submit("s1", 1, 1, "")
+	must.SliceLen(t, 1, pickEffects[StartRun](append(b.effects(), b.advance(40*ms)...)))
+}
--- a/scheduler/kinds_test.go
+++ b/scheduler/kinds_test.go
@@ -322,6 +322,27 @@
 	}
 }
 
+// A target whose background tasks were stopped for a latency-sensitive one is free for others in time even
+// if that one's job is not placed meanwhile.
+func TestReservationForSensitiveTaskThatIsNotPlacedEnds(t *testing.T) {
+	b := newHarness(t, Options{})
+	b.s.FinishResume(b.now)
+	b.addUsableTarget("a", 4000)
+	background := pickEffects[StartRun](b.acceptAndStore(b.jobOfSteps("f", work.Step{Tasks: 1, Background: true, PerTask: work.Resources{CPU: 2000}})))
+	b.answerStarts(background)
+	b.acceptAndStore(b.jobOfSteps("s", work.Step{Tasks: 1, LatencySensitive: true, PerTask: work.Resources{CPU: 4000}}))
+	sensitive := b.s.jobsByKey["s"]
+	must.Eq(t, sensitive.steps[0], b.s.targets["a"].reservedFor)
+	sensitive.moving = true
+	b.advance(evictionTimeout + 40*ms)
+	b.answerPoll("a", work.PollAnswer{ClockMS: 5000 + (b.now - 10*time.Second).Milliseconds(), Completions: []work.Completion{
+		{Number: 1, Run: background[0].Run, Kind: work.CompletionStopped},
+	}})
+	b.effects()
+	b.submit("p", 1, 1, "")
+	must.SliceLen(t, 1, pickEffects[StartRun](append(b.effects(), b.advance(40*ms)...)))
+}
+
 // A durable background run on a hung target, which makes no progress and saves nothing, must be stopped and
 // placed again. Callers expect the job to end within 14 s of the end of the load.
 func TestHungBackgroundRunIsRestarted(t *testing.T) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -358,6 +358,7 @@
 	s.checkClaim(now)
 	s.retryAwaitingClaim(now)
 	s.expireHolds(now)
+	s.expireReservations(now)
 	for _, p := range s.pools {
 		p.medianSpeed = p.computeMedianSpeed()
 	}
